--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,196 @@
+// Package fleet holds the operators' configuration: its objects, its TOML
+// format, its checks, and the compiled read-only Snapshot that requests read.
+//
+// # Usage
+//
+//	config, problems := fleet.Parse("fleet.toml", text)
+//	snapshot := fleet.Compile(config, revision)
+//	workspace, ok := snapshot.WorkspaceByKey(key)
+//
+// Two owners may use the same names, so an object is identified by its owner,
+// kind and name, and a reference by name means the same owner's object.
+package fleet
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/guavagauge/guavagauge/selector"
+)
+
+// The kinds of object.
+const (
+	KindOwner     Kind = "Owner"
+	KindUpstream  Kind = "Upstream"
+	KindWorkspace Kind = "Workspace"
+	KindRoute     Kind = "Route"
+	KindService   Kind = "Service"
+	KindModel     Kind = "Model"
+	KindRule      Kind = "Rule"
+	KindKey       Kind = "Key"
+)
+
+const (
+	// Reserved upstreams stay until they are stopped by an order.
+	Reserved Capacity = "Reserved"
+	// Reclaimable upstreams are cheaper and may be taken away on a few seconds'
+	// notice, a whole failure domain at a time.
+	Reclaimable Capacity = "Reclaimable"
+	// AnyCapacity lets a rule use both kinds.
+	AnyCapacity Capacity = "Any"
+
+	// FencingChecked engines refuse orders with an old fencing token.
+	FencingChecked Fencing = "Checked"
+	// FencingIgnored engines take orders whatever their token.
+	FencingIgnored Fencing = "Ignored"
+
+	// Idempotent calls may be repeated.
+	Idempotent Repeat = "Idempotent"
+	// Never marks calls that must run at most once.
+	Never Repeat = "Never"
+
+	// Active upstreams take new work.
+	Active State = "Active"
+	// Draining upstreams finish what they have and take no new work.
+	Draining State = "Draining"
+
+	// MaxPriority is the most urgent priority of a rule; 0 is the least.
+	MaxPriority = 9
+)
+
+type (
+	// Kind is the kind of a configuration object.
+	Kind string
+	// Capacity is the kind of capacity that an upstream is, or a rule asks for.
+	Capacity string
+	// Fencing says whether an engine checks the fencing token of orders.
+	Fencing string
+	// Repeat says whether a call may be made again.
+	Repeat string
+	// State says whether an upstream takes new work.
+	State string
+
+	// ID identifies an object. Names are unique within an owner and kind only.
+	ID struct {
+		Owner string
+		Kind  Kind
+		Name  string
+	}
+
+	// Meta is common to all objects.
+	Meta struct {
+		Owner  string          `json:",omitempty"`
+		Name   string          `json:",omitempty"`
+		Labels selector.Labels `json:",omitempty"`
+	}
+
+	// Owner is a party whose fleet was merged into this one.
+	Owner struct {
+		Name   string
+		Labels selector.Labels `json:",omitempty"`
+	}
+
+	// Upstream is a model engine, or a worker of a plain service when Service
+	// is set.
+	Upstream struct {
+		Meta
+		Address       netip.AddrPort
+		FailureDomain string
+		Region        string
+		Service       string   `json:",omitempty"`
+		Capacity      Capacity // Reserved or Reclaimable
+		Fencing       Fencing  // engines only
+		Slots         int      // requests that run at the same time
+		Pieces        int      `json:",omitempty"` // KV cache size in pieces of 1,024 tokens
+		State         State
+	}
+
+	// Workspace is a tenant. Models selects the models that it may use. Limits
+	// of zero mean no limit.
+	Workspace struct {
+		Meta
+		Weight            int // share of an upstream's time under contention
+		RequestsPerSecond float64
+		Burst             int
+		Concurrent        int
+		Models            selector.Selector
+	}
+
+	// Key lets requests in for a workspace of the same owner. Only the SHA-256
+	// hash of the secret is kept.
+	Key struct {
+		Meta
+		Workspace string
+		SHA256    string // hexadecimal
+	}
+
+	// Model is a language model that engines can load.
+	Model struct {
+		Meta
+		Version string `json:",omitempty"`
+		Adapter string `json:",omitempty"`
+	}
+
+	// Service is a plain application service.
+	Service struct {
+		Meta
+	}
+
+	// Route maps calls to a service. Path is exact, or a prefix when it ends in
+	// "/". The model API's routes are built in.
+	Route struct {
+		Meta
+		Path         string
+		Methods      []string
+		Service      string
+		Open         bool   // needs no key
+		Repeat       Repeat // Idempotent or Never
+		Deadline     time.Duration
+		MaxBodyBytes int64
+	}
+
+	// Rule decides which work runs where. Rules are tried by rising Order; the
+	// first whose three work selectors match applies.
+	Rule struct {
+		Meta
+		Order      int
+		Workspaces selector.Selector
+		Routes     selector.Selector
+		Targets    selector.Selector // the model's or service's labels
+		Upstreams  selector.Selector
+		Priority   int // 0 to MaxPriority
+		Capacity   Capacity
+	}
+
+	// Config is the whole configuration of a fleet, as in one TOML file.
+	Config struct {
+		Owners     []Owner     `toml:"Owner"`
+		Upstreams  []Upstream  `toml:"Upstream"`
+		Workspaces []Workspace `toml:"Workspace"`
+		Keys       []Key       `toml:"Key"`
+		Models     []Model     `toml:"Model"`
+		Services   []Service   `toml:"Service"`
+		Routes     []Route     `toml:"Route"`
+		Rules      []Rule      `toml:"Rule"`
+	}
+)
+
+// String returns the form used on the command line and in logs.
+func (id ID) String() string {
+	return string(id.Kind) + " " + id.Owner + "/" + id.Name
+}
+
+// ID returns the upstream's identity.
+func (u *Upstream) ID() ID { return ID{u.Owner, KindUpstream, u.Name} }
+
+// Key returns the upstream's identity as a hash key and metrics label.
+func (u *Upstream) Key() string { return u.Owner + "/" + u.Name }
+
+// IsEngine reports whether the upstream is a model engine.
+func (u *Upstream) IsEngine() bool { return u.Service == "" }
+
+// ID returns the workspace's identity.
+func (w *Workspace) ID() ID { return ID{w.Owner, KindWorkspace, w.Name} }
+
+// Key returns the workspace's identity as a hash key and metrics label.
+func (w *Workspace) Key() string { return w.Owner + "/" + w.Name }
--- /dev/null
+++ b/nettest/nettest.go
@@ -0,0 +1,221 @@
+// Package nettest is an in-memory network for tests: connections between IP
+// addresses that can be delayed, cut in one or both directions, and reset.
+//
+// # Usage
+//
+//	net := nettest.New()
+//	a, b := net.Host("10.0.0.1"), net.Host("10.0.0.2") // each a transport.Network
+//	net.Cut("10.0.0.1", "10.0.0.2")                    // a's bytes no longer reach b
+//	net.Heal("10.0.0.1", "10.0.0.2")                   // held-back bytes arrive now
+//	net.Reset("10.0.0.2")                              // b's process was killed
+//
+// It works inside a testing/synctest bubble, where delays take no real time.
+package nettest
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const firstEphemeralPort = 40000
+
+type (
+	// Network connects hosts. It is safe for concurrent use.
+	Network struct {
+		mu        sync.Mutex
+		changed   chan struct{} // closed and replaced when a cut is made or healed
+		listeners map[netip.AddrPort]*listener
+		cuts      map[direction]bool
+		delay     func(from, to netip.Addr) time.Duration
+		conns     map[*conn]struct{}
+		nextPort  uint16
+	}
+
+	// Host is the network as seen from one address.
+	Host struct {
+		network *Network
+		address netip.Addr
+	}
+
+	direction struct{ from, to netip.Addr }
+
+	listener struct {
+		host    *Host
+		address netip.AddrPort
+		accept  chan net.Conn
+		closed  chan struct{}
+		once    sync.Once
+	}
+)
+
+// New returns a network without delays or cuts.
+func New() *Network {
+	return &Network{
+		changed:   make(chan struct{}),
+		listeners: make(map[netip.AddrPort]*listener),
+		cuts:      make(map[direction]bool),
+		delay:     func(netip.Addr, netip.Addr) time.Duration { return 0 },
+		conns:     make(map[*conn]struct{}),
+		nextPort:  firstEphemeralPort,
+	}
+}
+
+// Host returns the network as seen from an IP address.
+func (n *Network) Host(address string) *Host {
+	return &Host{network: n, address: netip.MustParseAddr(address)}
+}
+
+// SetDelay sets the one-way delay between two addresses for bytes written from
+// now on.
+func (n *Network) SetDelay(delay func(from, to netip.Addr) time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay = delay
+}
+
+// Cut holds back all bytes from one address to another, and new connections in
+// either direction. Existing connections stay open.
+func (n *Network) Cut(from, to string) { n.setCut(from, to, true) }
+
+// Heal ends a Cut. The bytes held back arrive.
+func (n *Network) Heal(from, to string) { n.setCut(from, to, false) }
+
+// Reset breaks all connections of an address and closes its listeners, as the
+// death of its process does.
+func (n *Network) Reset(address string) {
+	host := netip.MustParseAddr(address)
+	n.mu.Lock()
+	var broken []*conn
+	for c := range n.conns {
+		if c.local.Addr() == host || c.remote.Addr() == host {
+			broken = append(broken, c)
+		}
+	}
+	var closed []*listener
+	for at, l := range n.listeners {
+		if at.Addr() == host {
+			closed = append(closed, l)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range broken {
+		c.reset()
+	}
+	for _, l := range closed {
+		l.Close()
+	}
+}
+
+func (n *Network) setCut(from, to string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	d := direction{netip.MustParseAddr(from), netip.MustParseAddr(to)}
+	if cut {
+		n.cuts[d] = true
+	} else {
+		delete(n.cuts, d)
+	}
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// path returns whether bytes from one address to another are held back, and a
+// channel that closes when that may have changed.
+func (n *Network) path(from, to netip.Addr) (cut bool, changed <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cuts[direction{from, to}], n.changed
+}
+
+func (n *Network) delayOf(from, to netip.Addr) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.delay(from, to)
+}
+
+// Dial connects to a listener. It waits while either direction is cut.
+func (h *Host) Dial(ctx context.Context, address netip.AddrPort) (conn net.Conn, err error) {
+	for {
+		there, changed := h.network.path(h.address, address.Addr())
+		back, _ := h.network.path(address.Addr(), h.address)
+		if !there && !back {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	roundTrip := h.network.delayOf(h.address, address.Addr()) + h.network.delayOf(address.Addr(), h.address)
+	select {
+	case <-time.After(roundTrip):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	h.network.mu.Lock()
+	l := h.network.listeners[address]
+	h.network.nextPort++
+	local := netip.AddrPortFrom(h.address, h.network.nextPort)
+	h.network.mu.Unlock()
+	if l == nil {
+		return nil, errors.Errorf("dial %s: connection refused", address)
+	}
+	near, far := newConnPair(h.network, local, address)
+	select {
+	case l.accept <- far:
+		return near, nil
+	case <-l.closed:
+		near.reset()
+		return nil, errors.Errorf("dial %s: connection refused", address)
+	case <-ctx.Done():
+		near.reset()
+		return nil, ctx.Err()
+	}
+}
+
+// Listen accepts connections at a port of the host; its address part must be
+// the host's.
+func (h *Host) Listen(_ context.Context, address netip.AddrPort) (result net.Listener, err error) {
+	h.network.mu.Lock()
+	defer h.network.mu.Unlock()
+	if address.Port() == 0 {
+		h.network.nextPort++
+		address = netip.AddrPortFrom(h.address, h.network.nextPort)
+	}
+	if address.Addr() != h.address || h.network.listeners[address] != nil {
+		return nil, errors.Errorf("listen %s: address not available", address)
+	}
+	l := &listener{host: h, address: address, accept: make(chan net.Conn, 128), closed: make(chan struct{})}
+	h.network.listeners[address] = l
+	return l, nil
+}
+
+// Accept waits for the next connection.
+func (l *listener) Accept() (conn net.Conn, err error) {
+	select {
+	case conn = <-l.accept:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close refuses further connections.
+func (l *listener) Close() (err error) {
+	l.once.Do(func() {
+		close(l.closed)
+		l.host.network.mu.Lock()
+		delete(l.host.network.listeners, l.address)
+		l.host.network.mu.Unlock()
+	})
+	return nil
+}
+
+// Addr returns the listener's address.
+func (l *listener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.address) }
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,288 @@
+// Package peer carries calls between the nodes of the system: net/rpc over one
+// connection per peer and class of traffic.
+//
+// # Usage
+//
+//	server := peer.NewServer(ctx, listener, peer.Options{Set: set})
+//	server.Register("Steward", receiver)
+//
+//	pool := peer.NewPool(ctx, network, peer.Control, peer.Options{Set: set})
+//	err := pool.Call(ctx, address, "Steward.Next", args, &reply)
+//	if errors.Is(err, peer.ErrNotSent) {
+//		// the peer can't have seen the call
+//	}
+//
+// Receivers follow the rules of net/rpc. Failures that a caller has to tell
+// apart travel as typed fields of the reply, since net/rpc carries errors as
+// strings only. Traffic is counted in bytes per class and direction.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/transport"
+)
+
+const (
+	// Control is the class of messages that don't belong to a request.
+	Control Class = 'C'
+	// Data is the class of messages that carry requests and answers.
+	Data Class = 'D'
+
+	// ErrNotSent means that the peer can't have received the call.
+	ErrNotSent = errors.ConstError("call not sent")
+
+	dialTimeout     = time.Second
+	classTimeout    = 5 * time.Second // for the first byte of an accepted connection
+	idleLimit       = 5 * time.Minute // unused connections are closed after this
+	idleCheckPeriod = time.Minute
+)
+
+type (
+	// Class separates control traffic from requests, so that a large answer
+	// doesn't delay a probe and each can be measured.
+	Class byte
+
+	// Options of servers and pools. TLS is for mutual TLS and may be nil.
+	Options struct {
+		Set *metrics.Set
+		TLS *tls.Config
+	}
+
+	// Caller makes calls to peers.
+	Caller interface {
+		Call(ctx context.Context, address netip.AddrPort, method string, args, reply any) (err error)
+	}
+
+	// Server accepts calls from peers until its context ends.
+	Server struct {
+		rpc     *rpc.Server
+		options Options
+	}
+
+	// Pool keeps one connection to each peer that is in use.
+	Pool struct {
+		ctx     context.Context
+		network transport.Network
+		class   Class
+		options Options
+
+		mu    sync.Mutex
+		peers map[netip.AddrPort]*connection
+	}
+
+	connection struct {
+		mu       sync.Mutex // held while dialing
+		client   *rpc.Client
+		lastUsed time.Time
+	}
+
+	countingConn struct {
+		net.Conn
+		read, written *metrics.Counter
+	}
+)
+
+// NewServer starts to accept connections. Register receivers right after.
+func NewServer(ctx context.Context, listener net.Listener, options Options) *Server {
+	s := &Server{rpc: rpc.NewServer(), options: options}
+	context.AfterFunc(ctx, func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+					return
+				}
+				continue
+			}
+			go s.serve(ctx, conn)
+		}
+	}()
+	return s
+}
+
+// Register makes the methods of receiver callable as name.Method.
+func (s *Server) Register(name string, receiver any) (err error) {
+	return s.rpc.RegisterName(name, receiver)
+}
+
+func (s *Server) serve(ctx context.Context, conn net.Conn) {
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	defer conn.Close()
+	if s.options.TLS != nil {
+		conn = tls.Server(conn, s.options.TLS)
+	}
+	class := make([]byte, 1)
+	conn.SetReadDeadline(time.Now().Add(classTimeout))
+	if _, err := conn.Read(class); err != nil {
+		return
+	}
+	conn.SetReadDeadline(time.Time{})
+	if c := Class(class[0]); c == Control || c == Data {
+		s.rpc.ServeConn(counted(conn, c, "server", s.options.Set))
+	}
+}
+
+// NewPool returns a Pool whose connections close when ctx ends.
+func NewPool(ctx context.Context, network transport.Network, class Class, options Options) *Pool {
+	p := &Pool{
+		ctx: ctx, network: network, class: class, options: options,
+		peers: make(map[netip.AddrPort]*connection),
+	}
+	go func() {
+		ticker := time.NewTicker(idleCheckPeriod)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				p.closeIdle(0)
+				return
+			case <-ticker.C:
+				p.closeIdle(idleLimit)
+			}
+		}
+	}()
+	return p
+}
+
+// Call makes one call and waits for its reply, the context's end or the loss of
+// the connection. Unless the error is ErrNotSent the peer may have processed
+// the call. The reply must not be read after an error, since it may still be
+// written to.
+func (p *Pool) Call(ctx context.Context, address netip.AddrPort, method string, args, reply any) (err error) {
+	defer errors.DeferredAnnotatef(&err, "call %s at %s", method, address)
+	client, err := p.client(ctx, address)
+	if err != nil {
+		return err
+	}
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if call.Error != nil {
+		if _, answered := call.Error.(rpc.ServerError); !answered {
+			p.discard(address, client)
+		}
+	}
+	return call.Error
+}
+
+func (p *Pool) client(ctx context.Context, address netip.AddrPort) (client *rpc.Client, err error) {
+	if p.ctx.Err() != nil {
+		return nil, notSent(p.ctx.Err())
+	}
+	p.mu.Lock()
+	conn := p.peers[address]
+	if conn == nil {
+		conn = &connection{}
+		p.peers[address] = conn
+	}
+	p.mu.Unlock()
+
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.lastUsed = time.Now()
+	if conn.client != nil {
+		return conn.client, nil
+	}
+	conn.client, err = p.dial(ctx, address)
+	return conn.client, err
+}
+
+func (p *Pool) dial(ctx context.Context, address netip.AddrPort) (client *rpc.Client, err error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := p.network.Dial(ctx, address)
+	if err != nil {
+		return nil, notSent(err)
+	}
+	if p.options.TLS != nil {
+		conn = tls.Client(conn, p.options.TLS)
+	}
+	if _, err := conn.Write([]byte{byte(p.class)}); err != nil {
+		conn.Close()
+		return nil, notSent(err)
+	}
+	return rpc.NewClient(counted(conn, p.class, "client", p.options.Set)), nil
+}
+
+// discard forgets a broken connection, unless another call has replaced it.
+func (p *Pool) discard(address netip.AddrPort, client *rpc.Client) {
+	p.mu.Lock()
+	conn := p.peers[address]
+	p.mu.Unlock()
+	if conn == nil {
+		return
+	}
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if conn.client == client {
+		conn.client = nil
+	}
+	client.Close()
+}
+
+// closeIdle closes the connections that were unused for at least idle.
+func (p *Pool) closeIdle(idle time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, conn := range p.peers {
+		if !conn.mu.TryLock() {
+			continue // being dialed
+		}
+		if time.Since(conn.lastUsed) >= idle {
+			if conn.client != nil {
+				conn.client.Close()
+			}
+			delete(p.peers, address)
+		}
+		conn.mu.Unlock()
+	}
+}
+
+func notSent(err error) error {
+	return errors.WithType(err, ErrNotSent)
+}
+
+func counted(conn net.Conn, class Class, side string, set *metrics.Set) net.Conn {
+	if set == nil {
+		return conn
+	}
+	name := "control"
+	if class == Data {
+		name = "data"
+	}
+	counter := func(direction string) *metrics.Counter {
+		return set.GetOrCreateCounter(fmt.Sprintf(
+			"guavagauge_peer_bytes_total{class=%q,side=%q,direction=%q}", name, side, direction))
+	}
+	return &countingConn{Conn: conn, read: counter("in"), written: counter("out")}
+}
+
+// Read counts what it reads.
+func (c *countingConn) Read(b []byte) (n int, err error) {
+	n, err = c.Conn.Read(b)
+	c.read.Add(n)
+	return n, err
+}
+
+// Write counts what it writes.
+func (c *countingConn) Write(b []byte) (n int, err error) {
+	n, err = c.Conn.Write(b)
+	c.written.Add(n)
+	return n, err
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,78 @@
+package peer_test
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/nettest"
+	"github.com/guavagauge/guavagauge/peer"
+)
+
+type echo struct{ calls atomic.Int64 }
+
+func (e *echo) Say(text string, reply *string) error {
+	e.calls.Add(1)
+	*reply = text
+	return nil
+}
+
+// Guards against calls that hang on a cut, and against a broken connection that
+// stays in the pool and fails every later call.
+func TestCallThroughFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); synctest.Wait() }()
+		network := nettest.New()
+		a, b := network.Host("10.0.0.1"), network.Host("10.0.0.2")
+		address := netip.MustParseAddrPort("10.0.0.2:7000")
+		receiver := &echo{}
+		serve := func() {
+			listener, err := b.Listen(ctx, address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := peer.NewServer(ctx, listener, peer.Options{}).Register("Echo", receiver); err != nil {
+				t.Fatal(err)
+			}
+		}
+		pool := peer.NewPool(ctx, a, peer.Control, peer.Options{})
+		say := func() error {
+			ctx, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			var reply string
+			err := pool.Call(ctx, address, "Echo.Say", "hello", &reply)
+			if err == nil && reply != "hello" {
+				t.Errorf("reply %q", reply)
+			}
+			return err
+		}
+
+		if err := say(); !errors.Is(err, peer.ErrNotSent) {
+			t.Errorf("call without a server: %v, want ErrNotSent", err)
+		}
+		serve()
+		if err := say(); err != nil {
+			t.Error(err)
+		}
+		network.Cut("10.0.0.2", "10.0.0.1")
+		if err := say(); !errors.Is(err, context.DeadlineExceeded) || errors.Is(err, peer.ErrNotSent) {
+			t.Errorf("call whose reply is cut off: %v, want a deadline error that isn't ErrNotSent", err)
+		}
+		if calls := receiver.calls.Load(); calls != 2 {
+			t.Errorf("%d calls arrived, want 2: the cut is one-way", calls)
+		}
+		network.Heal("10.0.0.2", "10.0.0.1")
+		network.Reset("10.0.0.2")
+		serve()
+		say() // may find the broken connection
+		if err := say(); err != nil {
+			t.Errorf("call after the peer restarted: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/upstream/upstream.go
@@ -0,0 +1,164 @@
+// Package upstream holds the types that describe work on an upstream: the
+// request, what comes back, and how far an attempt got.
+//
+// # Usage
+//
+// A client of an upstream returns an *upstream.Failure whose Progress decides
+// what may follow:
+//
+//	var failure *upstream.Failure
+//	if errors.As(err, &failure) && failure.Progress.MayRepeat(route.Repeat) {
+//		// another attempt is safe
+//	}
+package upstream
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/guavagauge/guavagauge/fleet"
+)
+
+// How far an attempt got. Only up to NotWritten is it certain that the work
+// didn't run.
+const (
+	// NotDialed means that no connection to the upstream was made.
+	NotDialed Progress = iota
+	// NotWritten means that no byte of the request was written, or that the
+	// upstream refused the request before running it.
+	NotWritten
+	// Written means that some of the request was written and no answer came.
+	Written
+	// Answered means that the upstream began to answer.
+	Answered
+)
+
+// Whether a refused request ran, as the WorkStatus header of a refusal says.
+const (
+	NotRun     Ran = "NotRun"
+	MayHaveRun Ran = "MayHaveRun"
+)
+
+// Reasons for refusals, retries and failed attempts. Each has a counter.
+const (
+	ReasonConnect      Reason = "Connect"      // no connection to the upstream
+	ReasonBroken       Reason = "Broken"       // the connection broke
+	ReasonBusy         Reason = "Busy"         // the upstream or its queue is full
+	ReasonDeadline     Reason = "Deadline"     // it would not, or did not, end in time
+	ReasonDraining     Reason = "Draining"     // the upstream takes no new work
+	ReasonNotSteward   Reason = "NotSteward"   // the peer isn't responsible for the upstream
+	ReasonPeer         Reason = "Peer"         // the peer node failed
+	ReasonBadAnswer    Reason = "BadAnswer"    // the upstream broke its protocol
+	ReasonRejected     Reason = "Rejected"     // the upstream refused the request as invalid
+	ReasonCanceled     Reason = "Canceled"     // the caller left
+	ReasonPoison       Reason = "Poison"       // the request crashed two upstreams
+	ReasonWithdrawn    Reason = "Withdrawn"    // the key was withdrawn while it waited
+	ReasonNoUpstream   Reason = "NoUpstream"   // no upstream matches
+	ReasonRetryBudget  Reason = "RetryBudget"  // no retries left
+	ReasonStoreDown    Reason = "StoreDown"    // a claim could not be made
+	ReasonInProgress   Reason = "InProgress"   // the idempotency key is in use
+	ReasonUnknown      Reason = "Unknown"      // the first run's outcome is unknown
+	ReasonUnauthorized Reason = "Unauthorized" // no or unknown key
+	ReasonIsolated     Reason = "Isolated"     // withdrawals can't reach this node
+	ReasonRate         Reason = "Rate"         // the workspace's rate limit
+	ReasonConcurrency  Reason = "Concurrency"  // the workspace's concurrency limit
+	ReasonBodyTooLarge Reason = "BodyTooLarge" // the body exceeds the limit
+	ReasonBadRequest   Reason = "BadRequest"   // the request can't be read
+	ReasonNotFound     Reason = "NotFound"     // no route or model
+	ReasonStopping     Reason = "Stopping"     // this node shuts down
+)
+
+type (
+	// Progress is how far an attempt got.
+	Progress uint8
+	// Ran says whether refused work ran.
+	Ran string
+	// Reason names the cause of a refusal, retry or failure.
+	Reason string
+
+	// Generation is a model request as it travels to an engine.
+	Generation struct {
+		Model     string
+		Prompt    string // chat messages are flattened by the caller package
+		MaxTokens int
+		// Offset is the number of tokens that the caller already has. An engine
+		// resumes behind them.
+		Offset int
+		// Given are those tokens, for an engine that has to prefill them.
+		Given    []string
+		Priority int
+		Seed     int64
+		Prefix   []uint64 // hashes of the prompt's leading pieces
+	}
+
+	// Usage counts the tokens of one request.
+	Usage struct {
+		PromptTokens     int
+		CachedTokens     int
+		CompletionTokens int
+	}
+
+	// Token is one piece of generated text at its offset in the answer.
+	Token struct {
+		Offset int
+		Text   string
+	}
+
+	// Call is a request to a plain service.
+	Call struct {
+		Method string
+		Target string // path and query
+		Header http.Header
+		Body   []byte
+	}
+
+	// Answer is a plain service's whole answer.
+	Answer struct {
+		Status int
+		Header http.Header
+		Body   []byte
+	}
+
+	// Failure is a failed attempt.
+	Failure struct {
+		Reason   Reason
+		Progress Progress
+		// Crashed means that the upstream broke off while it ran the request.
+		Crashed    bool
+		RetryAfter time.Duration
+		Detail     string
+	}
+)
+
+// Error describes the failure for a log line.
+func (f *Failure) Error() string {
+	return fmt.Sprintf("%s (progress %s): %s", f.Reason, f.Progress, f.Detail)
+}
+
+// Ran returns what may truthfully be said of the work after the attempt.
+func (p Progress) Ran() Ran {
+	if p <= NotWritten {
+		return NotRun
+	}
+	return MayHaveRun
+}
+
+// MayRepeat reports whether work of this kind may be attempted again.
+func (p Progress) MayRepeat(repeat fleet.Repeat) bool {
+	return p.Ran() == NotRun || repeat == fleet.Idempotent
+}
+
+// String returns the name used in logs.
+func (p Progress) String() string {
+	switch p {
+	case NotDialed:
+		return "NotDialed"
+	case NotWritten:
+		return "NotWritten"
+	case Written:
+		return "Written"
+	default:
+		return "Answered"
+	}
+}
