--- /dev/null
+++ b/policy/admit.go
@@ -0,0 +1,103 @@
+package policy
+
+import "time"
+
+// Verdicts of admission.
+const (
+	// Admitted work is expected to end in time.
+	Admitted Verdict = iota
+	// TooLate work would miss its objective or deadline behind the waiting
+	// work. It may be tried again later.
+	TooLate
+	// NeverInTime work takes longer than its deadline even on an idle upstream.
+	NeverInTime
+)
+
+type (
+	// Verdict is the outcome of admission.
+	Verdict uint8
+
+	// AdmitRequest describes work that asks to wait for an upstream.
+	AdmitRequest struct {
+		// Ahead is the cost that would be served first, as Queue.Ahead tells.
+		Ahead int64
+		// Rate is the cost that the upstream serves per second.
+		Rate float64
+		// FirstToken is the work's own time to its first token on an idle
+		// upstream, and Total to its last.
+		FirstToken time.Duration
+		Total      time.Duration
+		// Objective is the longest useful time to the first token, counted from
+		// now; 0 means none.
+		Objective time.Duration
+		// Deadline is the remaining time to the last token; 0 means none.
+		Deadline time.Duration
+	}
+
+	// Admission says whether work is accepted. RetryAfter is set when it is
+	// TooLate.
+	Admission struct {
+		Verdict    Verdict
+		RetryAfter time.Duration
+		// Wait is the expected time until the work starts.
+		Wait time.Duration
+	}
+)
+
+// Admit refuses work that would be late. RetryAfter is the time after which
+// the same work is admitted, provided that the waiting work drains at the given
+// rate and no other work takes its place.
+func Admit(request AdmitRequest) (admission Admission) {
+	slack, bounded := request.slack()
+	switch {
+	case request.Ahead <= 0:
+	case request.Rate <= 0:
+		admission.Wait = seconds(24 * 3600)
+	default:
+		admission.Wait = seconds(float64(request.Ahead) / request.Rate)
+	}
+	switch {
+	case !bounded:
+	case slack < 0:
+		admission.Verdict = NeverInTime
+	case admission.Wait > slack:
+		admission.Verdict = TooLate
+		// Rounding up to milliseconds keeps the promise true after rounding of
+		// the cost to whole units.
+		admission.RetryAfter = (admission.Wait - slack + 2*time.Millisecond).Truncate(time.Millisecond)
+	}
+	return admission
+}
+
+// OK reports whether the work is admitted.
+func (a Admission) OK() bool { return a.Verdict == Admitted }
+
+// slack is how long the work may wait. An objective that can't be met even
+// without waiting doesn't refuse the work: a long prompt is still answered, and
+// waits no longer than the objective.
+func (r *AdmitRequest) slack() (slack time.Duration, bounded bool) {
+	if r.Objective > 0 {
+		slack, bounded = r.Objective-r.FirstToken, true
+		if slack < 0 {
+			slack = r.Objective
+		}
+	}
+	if r.Deadline > 0 {
+		if left := r.Deadline - max(r.Total, r.FirstToken); !bounded || left < slack {
+			slack, bounded = left, true
+		}
+	}
+	return slack, bounded
+}
+
+// String returns the name used in logs.
+func (v Verdict) String() string {
+	switch v {
+	case Admitted:
+		return "Admitted"
+	case TooLate:
+		return "TooLate"
+	default:
+		return "NeverInTime"
+	}
+}
--- /dev/null
+++ b/policy/place.go
@@ -0,0 +1,204 @@
+package policy
+
+import "github.com/guavagauge/guavagauge/rendezvous"
+
+// MaxChoices is the number of upstreams that one request may try.
+const MaxChoices = 3
+
+// Why an upstream was chosen, from the most to the least preferred.
+const (
+	// PrefixHome is an upstream of the home failure domain, in the order of
+	// rendezvous hashing on the prefix and within the load bound.
+	PrefixHome Why = iota
+	// PrefixRegion is the same in another failure domain of the home region.
+	PrefixRegion
+	// LeastLoaded is an upstream of the home region that is above the load
+	// bound but can still serve in time.
+	LeastLoaded
+	// Spilled is an upstream of another region. The home region can't serve in
+	// time.
+	Spilled
+	// Overloaded is an upstream that can't serve in time; none can.
+	Overloaded
+	// Suspected is an upstream that may be dead; only such are left.
+	Suspected
+
+	unusable Why = 255
+)
+
+type (
+	// Why is the reason for a choice.
+	Why uint8
+
+	// Candidate is an upstream that may run the request, with its last known
+	// load.
+	Candidate struct {
+		Hash      uint64 // rendezvous.Hash of the upstream's key
+		Queued    int64  // cost of waiting work
+		Running   int64  // remaining cost of running work
+		Slots     int
+		Crossing  int64 // cost of reaching it from here, in units of load per slot
+		Domain    string
+		Region    string
+		Draining  bool
+		Suspected bool
+	}
+
+	// PlaceRequest is what placement needs to know of a request.
+	PlaceRequest struct {
+		Prefix []uint64
+		// Spread orders upstreams for a request without a prefix, for example
+		// the hash of its id.
+		Spread uint64
+		// Domain and Region are those of the entry node.
+		Domain string
+		Region string
+		Cost   int64
+		// Limit is the load per slot above which an upstream can't serve the
+		// request in time; 0 means that any can.
+		Limit int64
+	}
+
+	// Choice is an upstream, by its index among the candidates.
+	Choice struct {
+		Index int
+		Why   Why
+	}
+
+	ranked struct {
+		why    Why
+		load   int64
+		weight uint64
+	}
+)
+
+// Place appends to dst up to MaxChoices candidates in the order in which to
+// try them. It doesn't allocate when dst has room.
+//
+// Draining upstreams are never chosen. Other regions are used only if no
+// upstream of the home region is below the request's limit.
+func Place(dst []Choice, request PlaceRequest, candidates []Candidate, weights Weights) []Choice {
+	bound, spill := survey(&request, candidates, weights)
+	key, hasPrefix := placementKey(&request, weights)
+	var top [MaxChoices]ranked
+	first, n := len(dst), 0
+	for i := range candidates {
+		c := &candidates[i]
+		r := ranked{why: classify(c, &request, bound, spill)}
+		if r.why == unusable || (n == MaxChoices && r.why > top[n-1].why) {
+			continue
+		}
+		r.weight = rendezvous.Weight(key, c.Hash)
+		// Within the bound the prefix alone decides, so that equal prefixes
+		// meet on the same upstream.
+		if !hasPrefix || r.why > PrefixRegion {
+			r.load = c.perSlot() + c.Crossing
+		}
+		at := n
+		for at > 0 && r.before(top[at-1]) {
+			at--
+		}
+		if at == MaxChoices {
+			continue
+		}
+		if n < MaxChoices {
+			n++
+			dst = append(dst, Choice{})
+		}
+		copy(top[at+1:n], top[at:n-1])
+		copy(dst[first+at+1:first+n], dst[first+at:first+n-1])
+		top[at], dst[first+at] = r, Choice{i, r.why}
+	}
+	return dst
+}
+
+// survey returns the highest load per slot that counts as within the bound,
+// and whether other regions may be used.
+func survey(request *PlaceRequest, candidates []Candidate, weights Weights) (bound int64, spill bool) {
+	var load, slots int64
+	spill = true
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Draining || c.Suspected || c.Region != request.Region {
+			continue
+		}
+		load += c.Queued + c.Running
+		slots += int64(max(c.Slots, 1))
+		if request.Limit == 0 || c.perSlot() <= request.Limit {
+			spill = false
+		}
+	}
+	if slots == 0 {
+		return 0, true
+	}
+	// The request's own cost is part of the load that it creates; without it no
+	// upstream of an idle region would be within the bound.
+	return int64(weights.LoadBound * float64(load+request.Cost) / float64(slots)), spill
+}
+
+func placementKey(request *PlaceRequest, weights Weights) (key uint64, hasPrefix bool) {
+	if len(request.Prefix) == 0 {
+		return request.Spread, false
+	}
+	depth := min(max(weights.PrefixDepth, 1), len(request.Prefix))
+	return request.Prefix[depth-1], true
+}
+
+func classify(c *Candidate, request *PlaceRequest, bound int64, spill bool) Why {
+	home := c.Domain == request.Domain
+	sameRegion := home || c.Region == request.Region
+	load := c.perSlot()
+	switch {
+	case c.Draining:
+		return unusable
+	case !sameRegion && !spill:
+		return unusable
+	case c.Suspected:
+		return Suspected
+	case request.Limit > 0 && load > request.Limit:
+		return Overloaded
+	case !sameRegion:
+		return Spilled
+	case load > bound:
+		return LeastLoaded
+	case home:
+		return PrefixHome
+	default:
+		return PrefixRegion
+	}
+}
+
+func (c *Candidate) perSlot() int64 {
+	if c.Slots <= 1 {
+		return c.Queued + c.Running
+	}
+	return (c.Queued + c.Running) / int64(c.Slots)
+}
+
+func (r ranked) before(other ranked) bool {
+	if r.why != other.why {
+		return r.why < other.why
+	}
+	if r.load != other.load {
+		return r.load < other.load
+	}
+	return r.weight > other.weight
+}
+
+// String returns the name used in logs and explanations.
+func (w Why) String() string {
+	switch w {
+	case PrefixHome:
+		return "PrefixHome"
+	case PrefixRegion:
+		return "PrefixRegion"
+	case LeastLoaded:
+		return "LeastLoaded"
+	case Spilled:
+		return "Spilled"
+	case Overloaded:
+		return "Overloaded"
+	default:
+		return "Suspected"
+	}
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,71 @@
+// Package policy holds the decisions: where a request runs, in which order
+// waiting work runs, what is refused early, what is retried, and how many
+// engines of which role and kind a fleet needs.
+//
+// Everything here is a pure function or a small data structure for one
+// goroutine. Nothing reads a clock, does I/O or takes a lock; time is an
+// argument. The same code serves requests, explains decisions to operators and
+// runs in package experiment, which measures it.
+//
+// # Usage
+//
+//	prefix := policy.Prefix(prompt)
+//	var buffer [policy.MaxChoices]policy.Choice
+//	choices := policy.Place(buffer[:0], policy.PlaceRequest{Prefix: prefix, Domain: home, Region: region}, candidates, policy.Goodput())
+//
+//	queue := policy.NewQueue(policy.QueueOptions{})
+//	queue.Push(&policy.Item{Workspace: ws.Key(), Weight: ws.Weight, Cost: prices.Cost(1200, 0, 200)})
+//	item := queue.Next()
+package policy
+
+import "time"
+
+type (
+	// Weights are the preferences that operators differ in. All decisions read
+	// them from here.
+	Weights struct {
+		// LoadBound is how far above the mean load per slot of its region an
+		// upstream may be and still be chosen for its prefix (1.25 is 25% above).
+		LoadBound float64
+		// PrefixDepth is the number of leading pieces that requests have to
+		// share to prefer the same upstream.
+		PrefixDepth int
+	}
+
+	// Prices are the costs of a prompt token and an answer token in units of
+	// cost. A cost of one is the work of prefilling one token.
+	Prices struct {
+		Prefill float64
+		Decode  float64
+	}
+)
+
+// DefaultPrices prices an answer token at the time that it takes on an engine
+// with a usual batch, relative to a prompt token.
+var DefaultPrices = Prices{Prefill: 1, Decode: 4}
+
+// Goodput returns the preset that favours the share of requests that meet
+// their objective.
+func Goodput() Weights {
+	return Weights{LoadBound: 1.25, PrefixDepth: 1}
+}
+
+// WorstServed returns the preset that favours the worst-served workspace and
+// spends more.
+func WorstServed() Weights {
+	return Weights{LoadBound: 1.25, PrefixDepth: 1}
+}
+
+// Cost returns the cost of a request. Cached prompt tokens are free.
+func (p Prices) Cost(prompt, cached, answer int) int64 {
+	return int64(p.Prefill*float64(max(prompt-cached, 0)) + p.Decode*float64(answer))
+}
+
+// seconds converts a number of seconds without overflow.
+func seconds(s float64) time.Duration {
+	const limit = 24 * time.Hour
+	if s >= limit.Seconds() {
+		return limit
+	}
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/policy/queue_test.go
@@ -0,0 +1,42 @@
+package policy_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/guavagauge/guavagauge/policy"
+)
+
+// Guards against a flooding workspace, or one with a high priority, that
+// takes more than its share.
+func TestQueueServesWorkspacesByWeight(t *testing.T) {
+	q := policy.NewQueue(policy.QueueOptions{})
+	for i := range 1000 {
+		q.Push(&policy.Item{Workspace: "flood", Weight: 1, Priority: 9, Cost: 1000})
+		if i < 200 {
+			q.Push(&policy.Item{Workspace: "steady", Weight: 2, Priority: 0, Cost: 500})
+		}
+	}
+	served := map[string]int64{}
+	for range 150 {
+		item := q.Next()
+		served[item.Workspace] += item.Cost
+	}
+	// Priority 9 is 9 x 1,024 of cost ahead; the rest is shared 1 to 2.
+	if ahead := 2*served["flood"] - served["steady"]; ahead < 0 || ahead > 2*9*1024+3000 {
+		t.Errorf("served %v, want shares 1 to 2 after a bounded lead", served)
+	}
+}
+
+func BenchmarkQueue4200(b *testing.B) {
+	q := policy.NewQueue(policy.QueueOptions{})
+	items := make([]policy.Item, 3*4200)
+	for i := range items {
+		items[i] = policy.Item{Workspace: fmt.Sprint("ws-", i%4200), Weight: i%3 + 1, Priority: i % 10, Cost: int64(i%700 + 1)}
+		q.Push(&items[i])
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Push(q.Next())
+	}
+}
