--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -58,6 +58,15 @@
 	MaxPriority = 9
 )
 
+// The labels that selectors may use without an operator writing them. All
+// objects have LabelOwner, upstreams have all of them.
+const (
+	LabelOwner         = "owner"
+	LabelFailureDomain = "failure-domain"
+	LabelRegion        = "region"
+	LabelCapacity      = "capacity"
+)
+
 type (
 	// Kind is the kind of a configuration object.
 	Kind string
@@ -194,3 +203,18 @@
 
 // Key returns the workspace's identity as a hash key and metrics label.
 func (w *Workspace) Key() string { return w.Owner + "/" + w.Name }
+
+// ID returns the key's identity.
+func (k *Key) ID() ID { return ID{k.Owner, KindKey, k.Name} }
+
+// ID returns the model's identity.
+func (m *Model) ID() ID { return ID{m.Owner, KindModel, m.Name} }
+
+// ID returns the service's identity.
+func (s *Service) ID() ID { return ID{s.Owner, KindService, s.Name} }
+
+// ID returns the route's identity.
+func (r *Route) ID() ID { return ID{r.Owner, KindRoute, r.Name} }
+
+// ID returns the rule's identity.
+func (r *Rule) ID() ID { return ID{r.Owner, KindRule, r.Name} }
--- /dev/null
+++ b/fleet/snapshot_test.go
@@ -0,0 +1,252 @@
+package fleet
+
+import (
+	"testing"
+)
+
+const smallFleet = `
+[[Owner]]
+Name = "mwakyusa"
+
+[[Owner]]
+Name = "mopani"
+
+[[Upstream]]
+Owner = "mwakyusa"
+Name = "engine-1"
+Address = "127.0.0.1:9001"
+FailureDomain = "mbeya-a"
+Region = "mbeya"
+Labels = { pool = "rulings" }
+
+[[Upstream]]
+Owner = "mopani"
+Name = "engine-1"
+Address = "127.0.0.1:9002"
+FailureDomain = "limpopo-a"
+Region = "limpopo"
+Capacity = "Reclaimable"
+
+[[Upstream]]
+Owner = "mopani"
+Name = "desk-1"
+Service = "desk"
+Address = "127.0.0.1:9003"
+FailureDomain = "limpopo-a"
+Region = "limpopo"
+
+[[Upstream]]
+Owner = "mopani"
+Name = "desk-2"
+Service = "desk"
+Address = "127.0.0.1:9004"
+FailureDomain = "kzn-a"
+Region = "kzn"
+Capacity = "Reclaimable"
+
+[[Upstream]]
+Owner = "mopani"
+Name = "desk-3"
+Service = "desk"
+Address = "127.0.0.1:9005"
+FailureDomain = "kzn-a"
+Region = "kzn"
+State = "Draining"
+
+[[Workspace]]
+Owner = "mwakyusa"
+Name = "alpha"
+Models = "size = large"
+Labels = { tier = "gold" }
+
+[[Workspace]]
+Owner = "mopani"
+Name = "alpha"
+
+[[Key]]
+Owner = "mwakyusa"
+Name = "k1"
+Workspace = "alpha"
+SHA256 = "f7fe60cc1a2ee4d4e8e4e51a8e5f4f7d0d3e6a0f1d9f2f7b7d06b6f76a5a2c11"
+
+[[Key]]
+Owner = "mopani"
+Name = "k1"
+Workspace = "alpha"
+SHA256 = "677509799af78b2efa2f2af71d0f906e0a0c50c048efd3b515625f788e92b99a"
+
+[[Model]]
+Owner = "mwakyusa"
+Name = "rulings"
+Labels = { size = "large" }
+
+[[Model]]
+Owner = "mwakyusa"
+Name = "notes"
+Labels = { size = "small" }
+
+[[Model]]
+Owner = "mopani"
+Name = "rulings"
+
+[[Service]]
+Owner = "mopani"
+Name = "desk"
+
+[[Route]]
+Owner = "mopani"
+Name = "draw"
+Path = "/desk/draw"
+Methods = ["GET", "HEAD"]
+Service = "desk"
+Repeat = "Idempotent"
+
+[[Route]]
+Owner = "mopani"
+Name = "entries"
+Path = "/desk/"
+Methods = ["POST"]
+Service = "desk"
+
+[[Route]]
+Owner = "mopani"
+Name = "fees"
+Path = "/desk/fees"
+Service = "desk"
+Open = true
+Deadline = "2s"
+Labels = { open = "yes" }
+
+[[Rule]]
+Owner = "mopani"
+Name = "rest"
+Order = 100
+
+[[Rule]]
+Owner = "mwakyusa"
+Name = "gold"
+Order = 10
+Workspaces = "tier = gold"
+Upstreams = "failure-domain in (mbeya-a, limpopo-a)"
+Priority = 5
+Capacity = "Reserved"
+`
+
+func small(t testing.TB) *Snapshot {
+	t.Helper()
+	config, problems := Parse("small.toml", []byte(smallFleet))
+	for _, p := range problems {
+		t.Fatal(p)
+	}
+	return Compile(config, 7)
+}
+
+// Guards against a request running for another owner's workspace of the same
+// name, and against unknown keys getting in.
+func TestWorkspaceByKey(t *testing.T) {
+	s := small(t)
+	workspace, id, ok := s.WorkspaceByKey("alpha-key")
+	if !ok || workspace.Key() != "mopani/alpha" || id != (ID{"mopani", KindKey, "k1"}) || !s.KeyActive(id) {
+		t.Errorf("WorkspaceByKey = %v, %v, %v", workspace, id, ok)
+	}
+	if _, _, ok := s.WorkspaceByKey("other"); ok {
+		t.Error("an unknown key was let in")
+	}
+	if s.KeyActive(ID{"mopani", KindKey, "k2"}) {
+		t.Error("a key that isn't configured is active")
+	}
+}
+
+// Guards against a prefix hiding an exact route and against a route taking
+// methods that it doesn't list.
+func TestMatchRoute(t *testing.T) {
+	s := small(t)
+	for _, test := range []struct{ method, path, want string }{
+		{"GET", "/desk/draw", "draw"},
+		{"HEAD", "/desk/draw", "draw"},
+		{"POST", "/desk/draw", "entries"},
+		{"POST", "/desk/", "entries"},
+		{"POST", "/desk", ""},
+		{"GET", "/desk/fees", "fees"},
+		{"GET", "/desk/fees/", ""},
+		{"DELETE", "/desk/draw", ""},
+		{"GET", "/", ""},
+		{"GET", "", ""},
+	} {
+		name := ""
+		if route, ok := s.MatchRoute(test.method, test.path); ok {
+			name = route.Name
+		}
+		if name != test.want {
+			t.Errorf("MatchRoute(%q, %q) = %q, want %q", test.method, test.path, name, test.want)
+		}
+	}
+}
+
+// Guards against a name being resolved in another owner's fleet and against a
+// workspace reaching models that its selector excludes.
+func TestModelFor(t *testing.T) {
+	s := small(t)
+	first, _ := s.Workspace("mwakyusa/alpha")
+	second, _ := s.Workspace("mopani/alpha")
+	for _, test := range []struct {
+		workspace *Workspace
+		name      string
+		want      ID
+	}{
+		{first, "rulings", ID{"mwakyusa", KindModel, "rulings"}},
+		{first, "notes", ID{}},
+		{second, "rulings", ID{"mopani", KindModel, "rulings"}},
+		{second, "notes", ID{}},
+	} {
+		model, ok := s.ModelFor(test.workspace, test.name)
+		if ok != (test.want != ID{}) || ok && model.ID() != test.want {
+			t.Errorf("ModelFor(%s, %s) = %v, %v", test.workspace.ID(), test.name, model, ok)
+		}
+	}
+	if models := s.Models(first); len(models) != 1 || models[0].Name != "rulings" {
+		t.Errorf("Models = %v", models)
+	}
+}
+
+// Guards against work on the wrong upstreams: of another service, draining,
+// outside the rule, or reclaimable for calls that may run only once.
+func TestDecide(t *testing.T) {
+	s := small(t)
+	gold, _ := s.Workspace("mwakyusa/alpha")
+	other, _ := s.Workspace("mopani/alpha")
+	rulings, _ := s.ModelFor(gold, "rulings")
+	draw, _ := s.MatchRoute("GET", "/desk/draw")
+	entries, _ := s.MatchRoute("POST", "/desk/entries")
+	fees, _ := s.MatchRoute("GET", "/desk/fees")
+	desk, _ := s.ServiceFor(draw)
+	for name, test := range map[string]struct {
+		query     Query
+		rule      string
+		upstreams []string
+	}{
+		"model, gold":  {Query{gold, nil, rulings}, "gold", []string{"mwakyusa/engine-1"}},
+		"model, other": {Query{other, nil, rulings}, "rest", []string{"mopani/engine-1", "mwakyusa/engine-1"}},
+		"idempotent":   {Query{other, draw, desk}, "rest", []string{"mopani/desk-1", "mopani/desk-2"}},
+		"never":        {Query{other, entries, desk}, "rest", []string{"mopani/desk-1"}},
+		"open":         {Query{nil, fees, desk}, "rest", []string{"mopani/desk-1"}},
+	} {
+		placement, ok := s.Decide(test.query)
+		if !ok || placement.Rule.Name != test.rule || !sameKeys(placement.Upstreams, test.upstreams) {
+			t.Errorf("%s: Decide = %+v, %v", name, placement, ok)
+		}
+	}
+}
+
+func sameKeys(upstreams []*Upstream, keys []string) bool {
+	found := map[string]bool{}
+	for _, u := range upstreams {
+		found[u.Key()] = true
+	}
+	for _, key := range keys {
+		if !found[key] {
+			return false
+		}
+	}
+	return len(found) == len(keys) && len(upstreams) == len(keys)
+}
