--- a/store/store.go
+++ b/store/store.go
@@ -51,6 +51,10 @@
 	// ErrBudget means that this process has used up its own calls per second.
 	// The call was not sent.
 	ErrBudget = errors.ConstError("store call budget exhausted")
+	// ErrCompacted means that the service has dropped changes that a watch
+	// asked for. The watch also returns the service's current revision: list
+	// the prefix, then watch after that revision.
+	ErrCompacted = errors.ConstError("revision compacted")
 )
 
 // The classes of failure that call for different reactions.
@@ -123,7 +127,9 @@
 		Revoke(ctx context.Context, id LeaseID) (err error)
 		// Watch returns the changes after request.After, oldest first, and the
 		// revision to continue from. It waits until there is at least one, or
-		// returns none when the service ends the wait. It counts as one call.
+		// returns none when the service ends the wait. It counts as one call. When
+		// changes after request.After are gone it fails with ErrCompacted and
+		// returns the service's current revision.
 		Watch(ctx context.Context, request WatchRequest) (events []Event, revision uint64, err error)
 	}
 )
@@ -137,7 +143,7 @@
 	case errors.Is(err, ErrConflict):
 		return Conflict
 	case errors.Is(err, ErrNotFound), errors.Is(err, ErrUnavailable), errors.Is(err, ErrLeaseExpired),
-		errors.Is(err, ErrTooLarge), errors.Is(err, ErrBudget):
+		errors.Is(err, ErrTooLarge), errors.Is(err, ErrBudget), errors.Is(err, ErrCompacted):
 		return NotApplied
 	default:
 		return UnknownOutcome
