Add HTTP clients and stand-ins of engines and plain services

Cause: the request path needs to reach engines and services and to know truthfully how far each attempt got.

Change: package engine speaks the OpenAI completions protocol over server-sent events with fields for offset, priority and resume, and the control interface (reports, state, orders, KV export and import, cache events). Package service passes whole answers of bounded size and end-to-end headers only, and keeps net/http from repeating calls by itself. upstream.TraceAttempt records the progress of an HTTP request and upstream.Refused reads a refusal that promises NotRun. upstream.Generation gains Workspace, which engines see in place of the key. enginetest and servicetest are the stand-ins.

Without the two measures against repeats, TestAnswersLost fails with a second run of an entry.

--- /dev/null
+++ b/engine/client_test.go
@@ -0,0 +1,107 @@
+package engine_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/engine"
+	"github.com/guavagauge/guavagauge/nettest"
+	"github.com/guavagauge/guavagauge/upstream"
+)
+
+// Guards against failures that claim less progress than was made (a false
+// NotRun), against crash blame for a bad protocol, and against a broken stream
+// that passes as a whole answer.
+func TestFailures(t *testing.T) {
+	const token = `data: {"id":"ID","choices":[{"index":0,"text":"a"}],"Offset":%d}` + "\n\n"
+	const end = `data: {"id":"ID","choices":[{"index":0,"finish_reason":"length"}],"Offset":%d}` + "\n\n"
+	stream := func(text string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			_, id, _ := strings.Cut(string(body), `"ID":"`)
+			id, _, _ = strings.Cut(id, `"`)
+			io.WriteString(w, strings.ReplaceAll(text, "ID", id))
+		}
+	}
+	refuse := func(status int, header ...string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			for i := 0; i < len(header); i += 2 {
+				w.Header().Set(header[i], header[i+1])
+			}
+			w.WriteHeader(status)
+		}
+	}
+	for _, test := range []struct {
+		name     string
+		handler  http.HandlerFunc
+		reason   upstream.Reason
+		progress upstream.Progress
+		crashed  bool
+	}{
+		{"no engine", nil, upstream.ReasonConnect, upstream.NotDialed, false},
+		{"draining", refuse(503, "WorkStatus", "NotRun", "Reason", "Draining"), upstream.ReasonDraining, upstream.NotWritten, false},
+		{"too many", refuse(429), upstream.ReasonBusy, upstream.NotWritten, false},
+		{"invalid", refuse(400), upstream.ReasonRejected, upstream.NotWritten, false},
+		{"error without a promise", refuse(503), upstream.ReasonBadAnswer, upstream.Answered, false},
+		{"closed before an answer", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, upstream.ReasonBroken, upstream.Written, false},
+		{"no answer in time", func(_ http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body) // the server notices only then that the client left
+			<-r.Context().Done()
+		}, upstream.ReasonDeadline, upstream.Written, false},
+		{"broke off", func(w http.ResponseWriter, _ *http.Request) {
+			http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}, upstream.ReasonBroken, upstream.Answered, true},
+		{"no end", stream(fmt.Sprintf(token, 0)), upstream.ReasonBadAnswer, upstream.Answered, false},
+		{"no finish", stream(fmt.Sprintf(token, 0) + "data: [DONE]\n\n"), upstream.ReasonBadAnswer, upstream.Answered, false},
+		{"skipped token", stream(fmt.Sprintf(token, 1)), upstream.ReasonBadAnswer, upstream.Answered, false},
+		{"end too early", stream(fmt.Sprintf(token+end, 0, 2)), upstream.ReasonBadAnswer, upstream.Answered, false},
+		{"too many tokens", stream(fmt.Sprintf(token+token+token, 0, 1, 2)), upstream.ReasonBadAnswer, upstream.Answered, false},
+		{"other request", stream(`data: {"id":"x","choices":[{"index":0}]}` + "\n\n"), upstream.ReasonBadAnswer, upstream.Answered, false},
+		{"no JSON", stream("data: {\n\n"), upstream.ReasonBadAnswer, upstream.Answered, false},
+		{"no SSE", stream("<html>\n"), upstream.ReasonBadAnswer, upstream.Answered, false},
+		{"long line", stream("data: " + strings.Repeat("x", 2<<10)), upstream.ReasonBadAnswer, upstream.Answered, false},
+		{"long event", stream(strings.Repeat("data: "+strings.Repeat("x", 500)+"\n", 4)), upstream.ReasonBadAnswer, upstream.Answered, false},
+		{"engine's error", stream(`data: {"id":"ID","Reason":"Busy"}` + "\n\n"), upstream.ReasonBusy, upstream.Answered, false},
+		{"whole", stream(":comment\n\n" + fmt.Sprintf(token+token+end, 0, 1, 2) + "data: [DONE]\n\n"), "", 0, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := nettest.New()
+				address := netip.MustParseAddrPort("10.0.0.2:9000")
+				server := &http.Server{Handler: test.handler}
+				if test.handler != nil {
+					listener, _ := network.Host("10.0.0.2").Listen(t.Context(), address)
+					go server.Serve(listener)
+				}
+				client := engine.NewClient(network.Host("10.0.0.1"), address, engine.Options{MaxLineBytes: 1 << 10})
+				defer func() { client.Close(); server.Close(); synctest.Wait() }()
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				_, err := client.Generate(ctx, upstream.Generation{Model: "m", MaxTokens: 2}, func(upstream.Token) error { return nil })
+				var failure *upstream.Failure
+				if test.reason == "" {
+					if err != nil {
+						t.Error(err)
+					}
+					return
+				}
+				if !errors.As(err, &failure) {
+					t.Fatalf("%v, want an *upstream.Failure", err)
+				}
+				if failure.Reason != test.reason || failure.Progress != test.progress || failure.Crashed != test.crashed {
+					t.Errorf("%+v, want %s, %s, Crashed %t", failure, test.reason, test.progress, test.crashed)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/enginetest/orders.go
@@ -0,0 +1,151 @@
+package enginetest
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/guavagauge/guavagauge/engine"
+	"github.com/guavagauge/guavagauge/fleet"
+)
+
+type (
+	// Applied is an order that an engine accepted.
+	Applied struct {
+		engine.Order
+		At     time.Time
+		Repeat bool   // the ID was accepted before in this incarnation
+		In     uint64 // the incarnation that accepted it
+	}
+
+	// orderState is what orders change. It ends with a crash, except for applied.
+	orderState struct {
+		role       engine.Role
+		models     map[string]bool
+		draining   bool
+		changing   engine.OrderKind
+		changingID string
+		cancel     context.CancelFunc
+		epoch      uint64
+		ids        []string
+		applied    []Applied
+	}
+)
+
+// Orders returns all orders accepted so far, in order.
+func (e *Engine) Orders() (applied []Applied) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.order.applied)
+}
+
+// Conflicts describes the accepted orders that a correct fleet never gives: one
+// with a lower epoch than an earlier one, or one ID for different orders.
+func (e *Engine) Conflicts() (conflicts []string) {
+	highest := uint64(0)
+	ids := make(map[string]engine.Order)
+	for _, applied := range e.Orders() {
+		if applied.Epoch < highest {
+			conflicts = append(conflicts, fmt.Sprintf("order %q of epoch %d after epoch %d", applied.ID, applied.Epoch, highest))
+		}
+		highest = max(highest, applied.Epoch)
+		first, known := ids[applied.ID]
+		if !known {
+			ids[applied.ID] = applied.Order
+		} else if first.Kind != applied.Kind || first.Role != applied.Role || first.Model != applied.Model {
+			conflicts = append(conflicts, fmt.Sprintf("order %q given twice with different content", applied.ID))
+		}
+	}
+	return conflicts
+}
+
+// apply carries out an order, or refuses it with one of package engine's errors.
+func (e *Engine) apply(order engine.Order) (err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	state := &e.order
+	if e.options.Fencing == fleet.FencingChecked {
+		switch {
+		case order.Epoch < state.epoch:
+			return engine.ErrStaleEpoch
+		case order.Incarnation != e.incarnation:
+			return engine.ErrRestarted
+		}
+		state.epoch = order.Epoch
+	}
+	repeat := slices.Contains(state.ids, order.ID)
+	starts := order.Kind == engine.OrderRole || order.Kind == engine.OrderLoad || order.Kind == engine.OrderUnload
+	if !repeat && starts && state.changing != "" {
+		return engine.ErrChanging
+	}
+	state.applied = append(state.applied, Applied{Order: order, At: time.Now(), Repeat: repeat, In: e.incarnation})
+	if repeat {
+		return nil
+	}
+	state.ids = append(state.ids, order.ID)
+	e.carryOut(order)
+	e.remember()
+	return nil
+}
+
+func (e *Engine) carryOut(order engine.Order) {
+	state := &e.order
+	switch order.Kind {
+	case engine.OrderDrain:
+		state.draining = true
+	case engine.OrderResume:
+		state.draining = false
+	case engine.OrderUnload:
+		delete(state.models, order.Model)
+	case engine.OrderLoad:
+		if !state.models[order.Model] {
+			e.change(order, e.options.LoadTime, func() { state.models[order.Model] = true })
+		}
+	case engine.OrderRole:
+		if state.role != order.Role {
+			e.stats.RoleChanges++
+			e.cut()
+			removed := e.cache.resize(0)
+			e.note("", nil, removed)
+			e.change(order, e.options.RoleChange, func() { state.role = order.Role })
+		}
+	}
+}
+
+// change applies finish after a time, unless the engine crashes before that.
+func (e *Engine) change(order engine.Order, after time.Duration, finish func()) {
+	ctx, cancel := context.WithCancel(e.ctx)
+	e.order.changing, e.order.changingID, e.order.cancel = order.Kind, order.ID, cancel
+	life := e.life
+	go func() {
+		defer cancel()
+		if !sleep(ctx, after) || e.up(ctx) != life {
+			return
+		}
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if ctx.Err() != nil {
+			return
+		}
+		e.order.changing, e.order.changingID = "", ""
+		finish()
+		e.remember()
+		e.wake()
+	}()
+}
+
+// outOfService reports whether no request can run. The caller holds mu.
+func (s *orderState) outOfService() bool { return s.changing == engine.OrderRole }
+
+// stop abandons a change under way. The caller holds mu.
+func (s *orderState) stop() {
+	if s.cancel != nil {
+		s.cancel()
+	}
+}
+
+// serves reports whether the model is loaded.
+func (e *Engine) serves(model string) bool {
+	return len(e.options.Models) == 0 && len(e.order.models) == 0 || e.order.models[model]
+}
--- /dev/null
+++ b/enginetest/report.go
@@ -0,0 +1,74 @@
+package enginetest
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/guavagauge/guavagauge/engine"
+)
+
+const reportsPerLag = 8 // reports kept for each lag
+
+type timedReport struct {
+	engine.Report
+	at time.Time
+}
+
+// state returns what the engine is now.
+func (e *Engine) state() (state engine.State) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return engine.State{
+		Incarnation: e.incarnation, Role: e.order.role, Models: e.modelNames(), Draining: e.order.draining,
+		Changing: e.order.changing, ChangingID: e.order.changingID, Epoch: e.order.epoch,
+		Running: len(e.running), Queued: len(e.queue),
+	}
+}
+
+// remember adds a report of the present moment. The caller holds mu.
+func (e *Engine) remember() {
+	now := time.Now()
+	report := engine.Report{
+		Incarnation: e.incarnation, Role: e.order.role, Models: e.modelNames(), Draining: e.order.draining,
+		Slots: e.options.Slots, Running: len(e.running), Queued: len(e.queue),
+		Pieces: e.options.Pieces, UsedPieces: e.usedPieces(),
+	}
+	for _, r := range e.running {
+		report.QueuedPrefillTokens += r.prefill
+		report.QueuedDecodeTokens += r.total - r.ready
+	}
+	for _, r := range e.queue {
+		report.QueuedPrefillTokens += r.prompt + r.request.Offset
+		report.QueuedDecodeTokens += r.total
+	}
+	last := len(e.reports) - 1
+	if last > 0 && now.Sub(e.reports[last].at) < e.options.ReportLag/reportsPerLag {
+		e.reports[last].Report = report
+		return
+	}
+	e.reports = append(e.reports, timedReport{report, now})
+	for len(e.reports) > 1 && now.Sub(e.reports[1].at) >= e.options.ReportLag {
+		e.reports = e.reports[1:]
+	}
+}
+
+// report returns the newest report that is as old as the lag.
+func (e *Engine) report() (report engine.Report) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	chosen := e.reports[0]
+	for _, candidate := range e.reports {
+		if now.Sub(candidate.at) >= e.options.ReportLag {
+			chosen = candidate
+		}
+	}
+	report = chosen.Report
+	report.Age = max(now.Sub(chosen.at), 0)
+	return report
+}
+
+func (e *Engine) modelNames() (names []string) {
+	return slices.Sorted(maps.Keys(e.order.models))
+}
--- /dev/null
+++ b/service/client.go
@@ -0,0 +1,125 @@
+package service
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+
+	"github.com/guavagauge/guavagauge/transport"
+	"github.com/guavagauge/guavagauge/upstream"
+)
+
+const defaultMaxAnswerBytes = 8 << 20
+
+type (
+	// Options of an HTTP client. Zero values mean defaults.
+	Options struct {
+		// MaxAnswerBytes bounds the body of an answer. The default is 8 MiB.
+		MaxAnswerBytes int64
+	}
+
+	// HTTP is the Client of one worker's HTTP interface.
+	HTTP struct {
+		http    *http.Client
+		base    string
+		options Options
+	}
+)
+
+// NewClient returns a client of the worker at address. It connects when it is
+// used.
+func NewClient(network transport.Network, address netip.AddrPort, options Options) *HTTP {
+	if options.MaxAnswerBytes == 0 {
+		options.MaxAnswerBytes = defaultMaxAnswerBytes
+	}
+	return &HTTP{http: transport.HTTPClient(network), base: "http://" + address.String(), options: options}
+}
+
+// Close drops the idle connections. Running calls end with their contexts.
+func (h *HTTP) Close() { h.http.CloseIdleConnections() }
+
+// Call implements Client. The worker's answer is passed on whatever its status,
+// except for a refusal that promises that the call didn't run.
+func (h *HTTP) Call(ctx context.Context, call upstream.Call) (answer upstream.Answer, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ctx, attempt := upstream.TraceAttempt(ctx, len(call.Method)+len(call.Target))
+	request, err := newRequest(ctx, h.base, call)
+	if err != nil {
+		return answer, &upstream.Failure{Reason: upstream.ReasonBadRequest, Detail: err.Error()}
+	}
+	response, err := h.http.Do(request)
+	if err != nil {
+		return answer, attempt.Failure(ctx, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return answer, badAnswer("unexpected change of protocol")
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, h.options.MaxAnswerBytes+1))
+	if err != nil {
+		failure := attempt.Failure(ctx, err)
+		failure.Crashed = failure.Reason == upstream.ReasonBroken
+		return answer, failure
+	}
+	if int64(len(body)) > h.options.MaxAnswerBytes {
+		return answer, badAnswer(fmt.Sprintf("answer over %d bytes", h.options.MaxAnswerBytes))
+	}
+	if failure := upstream.Refused(response.StatusCode, response.Header, fmt.Sprintf("status %d", response.StatusCode)); failure != nil {
+		return answer, failure
+	}
+	header := endToEnd(response.Header)
+	if call.Method != http.MethodHead {
+		header.Del("Content-Length")
+	}
+	return upstream.Answer{Status: response.StatusCode, Header: header, Body: body}, nil
+}
+
+// newRequest builds a request that net/http doesn't repeat by itself. The
+// transport sends a request again after its connection closed when it has a
+// repeatable body and a safe method or an Idempotency-Key header, although the
+// worker may have run it. A body without GetBody prevents this, and for other
+// methods without a body an Idempotency-Key in lower case does.
+func newRequest(ctx context.Context, base string, call upstream.Call) (request *http.Request, err error) {
+	request, err = http.NewRequestWithContext(ctx, call.Method, base+call.Target, nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Header = endToEnd(call.Header)
+	request.Header.Del("Content-Length")
+	request.Header.Del("Host")
+	request.Header.Del("Expect")
+	switch {
+	case len(call.Body) > 0:
+		request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(call.Body)), int64(len(call.Body))
+	case replayed(call.Method):
+		// The transport finds the body empty and sends none.
+		request.Body = io.NopCloser(bytes.NewReader(nil))
+	}
+	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+		if values, ok := request.Header[name]; ok {
+			delete(request.Header, name)
+			request.Header[strings.ToLower(name)] = values
+		}
+	}
+	if _, ok := request.Header["User-Agent"]; !ok {
+		request.Header["User-Agent"] = nil // net/http adds its own otherwise
+	}
+	return request, nil
+}
+
+func replayed(method string) bool {
+	switch method {
+	case "", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
+func badAnswer(detail string) *upstream.Failure {
+	return &upstream.Failure{Reason: upstream.ReasonBadAnswer, Progress: upstream.Answered, Detail: detail}
+}
--- /dev/null
+++ b/service/client_test.go
@@ -0,0 +1,112 @@
+package service_test
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/nettest"
+	"github.com/guavagauge/guavagauge/service"
+	"github.com/guavagauge/guavagauge/servicetest"
+	"github.com/guavagauge/guavagauge/upstream"
+)
+
+// Guards against a second run of a call whose answer was lost: net/http repeats
+// calls with an Idempotency-Key, and those of safe methods, on connections that
+// were used before. Also guards against wrong claims of progress.
+func TestAnswersLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := nettest.New()
+		address := netip.MustParseAddrPort("10.0.0.2:9000")
+		desk := servicetest.New()
+		server := &http.Server{Handler: desk}
+		client := service.NewClient(network.Host("10.0.0.1"), address, service.Options{MaxAnswerBytes: 200})
+		defer func() { client.Close(); server.Close(); synctest.Wait() }()
+		call := func(method, target, body string) (upstream.Answer, *upstream.Failure) {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			header := http.Header{
+				"Idempotency-Key": {"k"}, "X-Idempotency-Key": {"k"}, "Connection": {"X-Hop, Workspace"},
+				"X-Hop": {"1"}, "Te": {"trailers"}, "Workspace": {"o/alpha"},
+			}
+			answer, err := client.Call(ctx, upstream.Call{Method: method, Target: target, Header: header, Body: []byte(body)})
+			var failure *upstream.Failure
+			if errors.As(err, &failure); err != nil && failure == nil {
+				t.Fatal(err)
+			}
+			return answer, failure
+		}
+		if _, failure := call("POST", "/desk/entries", "x"); failure == nil || failure.Progress != upstream.NotDialed {
+			t.Errorf("no worker: %+v", failure)
+		}
+		listener, _ := network.Host("10.0.0.2").Listen(t.Context(), address)
+		go server.Serve(listener)
+		calls := 0
+		for _, test := range []struct{ method, target, body string }{
+			{"POST", "/desk/entries", "a"}, {"POST", "/desk/entries", ""}, {"GET", "/desk/draw?seed=1", ""},
+		} {
+			if answer, failure := call(test.method, test.target, test.body); failure != nil || answer.Status/100 != 2 {
+				t.Errorf("%v: %+v, %+v", test, answer, failure)
+			}
+			desk.DropAnswers(1)
+			if _, failure := call(test.method, test.target, test.body); failure == nil || failure.Progress != upstream.Written {
+				t.Errorf("%v with a lost answer: %+v, want Written", test, failure)
+			}
+			desk.Refuse(1)
+			if _, failure := call(test.method, test.target, test.body); failure == nil || failure.Progress != upstream.NotWritten || failure.RetryAfter != time.Second {
+				t.Errorf("%v refused: %+v, want NotWritten", test, failure)
+			}
+			if calls += 2; desk.CallsFor("o/alpha") != calls {
+				t.Errorf("%v: %d calls ran, want %d", test, desk.CallsFor("o/alpha"), calls)
+			}
+		}
+		if desk.RunsOf("a") != 2 || desk.Runs() != 4 {
+			t.Errorf("%d and %d runs, want 2 and 4", desk.RunsOf("a"), desk.Runs())
+		}
+		desk.Slow(2 * time.Minute)
+		if _, failure := call("POST", "/desk/entries", "b"); failure == nil || failure.Reason != upstream.ReasonDeadline || failure.Progress != upstream.Written {
+			t.Errorf("slow: %+v", failure)
+		}
+	})
+}
+
+// Guards against connection headers that reach the other side, and answers of
+// any size.
+func TestHeadersAndBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := nettest.New()
+		address := netip.MustParseAddrPort("10.0.0.2:9000")
+		seen := make(http.Header)
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			seen = r.Header.Clone()
+			w.Header().Set("Keep-Alive", "timeout=5")
+			w.Header().Set("X-Result", "kept")
+			w.Write(make([]byte, r.ContentLength))
+		})}
+		listener, _ := network.Host("10.0.0.2").Listen(t.Context(), address)
+		go server.Serve(listener)
+		client := service.NewClient(network.Host("10.0.0.1"), address, service.Options{MaxAnswerBytes: 10})
+		defer func() { client.Close(); server.Close(); synctest.Wait() }()
+		header := http.Header{"Connection": {"X-Hop"}, "X-Hop": {"1"}, "Upgrade": {"h2c"}, "X-Kept": {"1"}, "Idempotency-Key": {"k"}}
+		answer, err := client.Call(t.Context(), upstream.Call{Method: "PUT", Target: "/", Header: header, Body: make([]byte, 10)})
+		if err != nil || answer.Header.Get("Keep-Alive") != "" || answer.Header.Get("X-Result") != "kept" {
+			t.Errorf("%+v, %v", answer.Header, err)
+		}
+		if seen.Get("X-Hop") != "" || seen.Get("Upgrade") != "" || seen.Get("X-Kept") != "1" || seen.Get("Idempotency-Key") != "k" || seen.Get("User-Agent") != "" {
+			t.Errorf("the worker saw %v", seen)
+		}
+		if header.Get("X-Hop") == "" {
+			t.Error("the caller's headers were changed")
+		}
+		_, err = client.Call(t.Context(), upstream.Call{Method: "PUT", Target: "/", Body: make([]byte, 11)})
+		var failure *upstream.Failure
+		if !errors.As(err, &failure) || failure.Reason != upstream.ReasonBadAnswer {
+			t.Errorf("large answer: %v", err)
+		}
+	})
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -79,6 +79,7 @@
 
 	// Generation is a model request as it travels to an engine.
 	Generation struct {
+		Workspace string // Workspace.Key, passed on as a header instead of the caller's key
 		Model     string
 		Prompt    string // chat messages are flattened by the caller package
 		MaxTokens int
@@ -92,7 +93,8 @@
 		Prefix   []uint64 // hashes of the prompt's leading pieces
 	}
 
-	// Usage counts the tokens of one request.
+	// Usage counts the tokens of one attempt. CompletionTokens are those that
+	// the attempt generated, without the ones below its Offset.
 	Usage struct {
 		PromptTokens     int
 		CachedTokens     int
