--- /dev/null
+++ b/store/limit.go
@@ -0,0 +1,157 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	"golang.org/x/time/rate"
+)
+
+const (
+	defaultPerSecond    = 10
+	defaultBurst        = 20
+	defaultTimeout      = 2 * time.Second
+	defaultWatchTimeout = 45 * time.Second // above the 30 s after which the service ends a watch
+)
+
+type (
+	// LimitOptions of Limit. Zero fields take the defaults.
+	LimitOptions struct {
+		// PerSecond is the sustained rate of calls, 10 by default.
+		PerSecond float64
+		// Burst is the number of calls that may be made at once, 20 by default.
+		Burst int
+		// Timeout bounds each call other than Watch, 2 s by default.
+		Timeout time.Duration
+		// WatchTimeout bounds Watch, 45 s by default.
+		WatchTimeout time.Duration
+		// Set receives the counters of calls. Nil means a set of its own.
+		Set *metrics.Set
+	}
+
+	// Limited is a Client that keeps to a budget of calls per second.
+	Limited struct {
+		client  Client
+		options LimitOptions
+		limiter *rate.Limiter
+	}
+)
+
+var _ Client = (*Limited)(nil)
+
+// Limit returns a client that refuses calls beyond a budget with ErrBudget,
+// bounds the time of each call, and counts calls by kind and outcome as
+// guavagauge_store_calls_total.
+//
+// KeepAlive and Revoke count against the budget and are never refused, since a
+// process that writes much must not lose its leases by that.
+func Limit(client Client, options LimitOptions) *Limited {
+	if options.PerSecond == 0 {
+		options.PerSecond = defaultPerSecond
+	}
+	if options.Burst == 0 {
+		options.Burst = defaultBurst
+	}
+	if options.Timeout == 0 {
+		options.Timeout = defaultTimeout
+	}
+	if options.WatchTimeout == 0 {
+		options.WatchTimeout = defaultWatchTimeout
+	}
+	if options.Set == nil {
+		options.Set = metrics.NewSet()
+	}
+	return &Limited{
+		client: client, options: options,
+		limiter: rate.NewLimiter(rate.Limit(options.PerSecond), options.Burst),
+	}
+}
+
+// Get implements Client.
+func (l *Limited) Get(ctx context.Context, key string) (entry Entry, err error) {
+	err = l.call(ctx, "Get", func(ctx context.Context) (err error) {
+		entry, err = l.client.Get(ctx, key)
+		return err
+	})
+	return entry, err
+}
+
+// List implements Client.
+func (l *Limited) List(ctx context.Context, prefix string) (entries []Entry, err error) {
+	err = l.call(ctx, "List", func(ctx context.Context) (err error) {
+		entries, err = l.client.List(ctx, prefix)
+		return err
+	})
+	return entries, err
+}
+
+// Put implements Client.
+func (l *Limited) Put(ctx context.Context, request PutRequest) (version uint64, err error) {
+	err = l.call(ctx, "Put", func(ctx context.Context) (err error) {
+		version, err = l.client.Put(ctx, request)
+		return err
+	})
+	return version, err
+}
+
+// Delete implements Client.
+func (l *Limited) Delete(ctx context.Context, key string, ifVersion uint64) (err error) {
+	return l.call(ctx, "Delete", func(ctx context.Context) error { return l.client.Delete(ctx, key, ifVersion) })
+}
+
+// Grant implements Client.
+func (l *Limited) Grant(ctx context.Context, ttl time.Duration) (id LeaseID, err error) {
+	err = l.call(ctx, "Grant", func(ctx context.Context) (err error) {
+		id, err = l.client.Grant(ctx, ttl)
+		return err
+	})
+	return id, err
+}
+
+// KeepAlive implements Client.
+func (l *Limited) KeepAlive(ctx context.Context, id LeaseID) (ttl time.Duration, err error) {
+	err = l.call(ctx, "KeepAlive", func(ctx context.Context) (err error) {
+		ttl, err = l.client.KeepAlive(ctx, id)
+		return err
+	})
+	return ttl, err
+}
+
+// Revoke implements Client.
+func (l *Limited) Revoke(ctx context.Context, id LeaseID) (err error) {
+	return l.call(ctx, "Revoke", func(ctx context.Context) error { return l.client.Revoke(ctx, id) })
+}
+
+// Watch implements Client.
+func (l *Limited) Watch(ctx context.Context, request WatchRequest) (events []Event, revision uint64, err error) {
+	err = l.call(ctx, "Watch", func(ctx context.Context) (err error) {
+		events, revision, err = l.client.Watch(ctx, request)
+		return err
+	})
+	return events, revision, err
+}
+
+func (l *Limited) call(ctx context.Context, kind string, do func(ctx context.Context) error) (err error) {
+	defer func() {
+		l.options.Set.GetOrCreateCounter(fmt.Sprintf(
+			"guavagauge_store_calls_total{kind=%q,outcome=%q}", kind, ErrorName(err))).Inc()
+	}()
+	timeout := l.options.Timeout
+	switch kind {
+	case "KeepAlive", "Revoke":
+		l.limiter.Reserve() // takes from the calls that follow
+	case "Watch":
+		timeout = l.options.WatchTimeout
+		fallthrough
+	default:
+		if !l.limiter.Allow() {
+			return errors.Annotatef(ErrBudget, "%s over %g calls per second", kind, l.options.PerSecond)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return do(ctx)
+}
