--- /dev/null
+++ b/storetest/storetest_test.go
@@ -0,0 +1,79 @@
+package storetest_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/store"
+	"github.com/guavagauge/guavagauge/storetest"
+)
+
+// Guards against faults that report more, or less, than a client could know.
+func TestFaults(t *testing.T) {
+	for name, test := range map[string]struct {
+		inject        func(server *storetest.Server)
+		putErr        error
+		applied       bool
+		getErr        error
+		otherIsCutOff bool
+	}{
+		"none":         {func(*storetest.Server) {}, nil, true, nil, false},
+		"down":         {func(s *storetest.Server) { s.SetDown(true) }, store.ErrUnavailable, false, store.ErrUnavailable, true},
+		"slow":         {func(s *storetest.Server) { s.SetDelay(4 * time.Second) }, store.ErrUnknownOutcome, true, store.ErrUnavailable, true},
+		"answer lost":  {func(s *storetest.Server) { s.LoseAnswers(storetest.Put, 1) }, store.ErrUnknownOutcome, true, nil, false},
+		"requests cut": {func(s *storetest.Server) { s.Cut("a", storetest.Requests) }, store.ErrUnknownOutcome, false, store.ErrUnavailable, false},
+		"answers cut":  {func(s *storetest.Server) { s.Cut("a", storetest.Answers) }, store.ErrUnknownOutcome, true, store.ErrUnavailable, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				server := storetest.New(storetest.Options{})
+				timeout := func() context.Context {
+					ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+					t.Cleanup(cancel)
+					return ctx
+				}
+				server.Client("x").Put(t.Context(), store.PutRequest{Key: "k", Value: []byte("old")})
+				test.inject(server)
+				a, b := server.Client("a"), server.Client("b")
+				if _, err := a.Put(timeout(), store.PutRequest{Key: "k", Value: []byte("new"), IfVersion: 1}); !errors.Is(err, test.putErr) {
+					t.Errorf("put: %v, want %v", err, test.putErr)
+				}
+				if _, err := a.Get(timeout(), "k"); !errors.Is(err, test.getErr) {
+					t.Errorf("get: %v, want %v", err, test.getErr)
+				}
+				if _, err := b.Get(timeout(), "k"); (err != nil) != test.otherIsCutOff {
+					t.Errorf("another client's get: %v", err)
+				}
+				server.SetDown(false)
+				server.SetDelay(0)
+				time.Sleep(time.Minute)
+				entry, err := b.Get(t.Context(), "k")
+				if err != nil || (string(entry.Value) == "new") != test.applied {
+					t.Errorf("after the fault: %q, %v, want applied %t", entry.Value, err, test.applied)
+				}
+			})
+		})
+	}
+}
+
+// Guards against old reads that leak new values, and against conditions of
+// writes that are held against the old state.
+func TestOldReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := storetest.New(storetest.Options{})
+		client := server.Client("a")
+		old, _ := client.Put(t.Context(), store.PutRequest{Key: "k", Value: []byte("old")})
+		client.Put(t.Context(), store.PutRequest{Key: "k", Value: []byte("new"), IfVersion: old})
+		server.SetReadRevision(old)
+		if entry, err := client.Get(t.Context(), "k"); err != nil || string(entry.Value) != "old" {
+			t.Errorf("%q, %v", entry.Value, err)
+		}
+		if _, err := client.Put(t.Context(), store.PutRequest{Key: "k", IfVersion: old}); !errors.Is(err, store.ErrConflict) {
+			t.Errorf("write on an old read: %v", err)
+		}
+	})
+}
