Serve requests end to end: caller, steward, engine and back

Cause: the path from a caller to an upstream has to exist before anything can be proved about it. Change: package caller (filter chain, OpenAI-style API, plain service routes, relay with resume), package steward (fair queue per upstream, streams pulled over net/rpc, crash blame), package node and its directory, package dev and the commands dev, check and explain. They found and now guard against: admission that treated an unmeasured service rate as zero and refused everything that had to wait; a resumed stream that was refused as busy and so cut; a data race in nettest. A first rule that ran all suspects of a crash one after the other was dropped: it stalled innocent streams for their whole length.

--- /dev/null
+++ b/caller/generate.go
@@ -0,0 +1,168 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/guavagauge/guavagauge/fleet"
+	"github.com/guavagauge/guavagauge/invariant"
+	"github.com/guavagauge/guavagauge/policy"
+	"github.com/guavagauge/guavagauge/steward"
+	"github.com/guavagauge/guavagauge/upstream"
+)
+
+const (
+	pullWait   = 2 * time.Second // a steward answers an empty pull after this
+	pullMargin = time.Second     // and is taken for dead after this more
+	pullTries  = 2               // the second goes over a new connection
+)
+
+// dispatchGeneration answers a model request. An attempt that fails after some
+// tokens is followed by one that resumes behind them.
+func (s *Server) dispatchGeneration(ex *exchange, g *generation) (refused *Refusal) {
+	var prompt upstream.Usage
+	refused = s.try(ex, g.spec.Prefix, g.fingerprint, func(spec *fleet.Upstream) (failure *upstream.Failure) {
+		usage, failure := s.attemptGeneration(ex, g, spec)
+		if usage.PromptTokens > 0 {
+			prompt = usage
+		}
+		return failure
+	})
+	g.settle(prompt, policy.Tokens(g.spec.Prompt))
+	if len(g.tokens) > 0 || refused == nil {
+		s.record(ex, g.usage)
+	}
+	if refused != nil {
+		if ex.answerStarted {
+			s.fail(ex, refused)
+		}
+		return refused
+	}
+	if err := s.conclude(ex, g); err != nil {
+		return refusal(upstream.ReasonCanceled, upstream.MayHaveRun, err.Error())
+	}
+	return nil
+}
+
+// record bills the work before the answer's last byte leaves.
+func (s *Server) record(ex *exchange, usage upstream.Usage) {
+	if s.options.Meter == nil || ex.workspace == nil {
+		return
+	}
+	err := s.options.Meter.Record(context.WithoutCancel(ex.ctx), ex.workspace.Key(), usage, time.Since(ex.started))
+	if err != nil {
+		s.options.Logger.Warn("usage held by this node only", "RequestID", ex.id, "Error", err)
+	}
+}
+
+// attemptGeneration opens the generation at a steward and relays its tokens.
+func (s *Server) attemptGeneration(ex *exchange, g *generation, spec *fleet.Upstream) (usage upstream.Usage, failure *upstream.Failure) {
+	address, failure := s.open(ex, g, spec)
+	if failure != nil {
+		return usage, failure
+	}
+	completed := false
+	defer func() {
+		if !completed {
+			s.cancel(address, ex.ident())
+		}
+	}()
+	for {
+		reply, failure := s.pull(ex, address, len(g.tokens))
+		if failure != nil {
+			return usage, failure
+		}
+		if len(reply.Tokens) > 0 {
+			if err := s.relay(ex, g, reply.Tokens); err != nil {
+				return usage, &upstream.Failure{
+					Reason: upstream.ReasonCanceled, Progress: upstream.Answered, Detail: "the caller left: " + err.Error(),
+				}
+			}
+		}
+		switch {
+		case reply.Failure != nil:
+			return usage, reply.Failure
+		case reply.Done:
+			completed = true
+			s.learn(spec, reply.Load)
+			return reply.Usage, nil
+		}
+	}
+}
+
+// open asks the upstream's steward, or the node next in line if it can't be
+// reached, to queue the generation.
+func (s *Server) open(ex *exchange, g *generation, spec *fleet.Upstream) (address steward.Address, failure *upstream.Failure) {
+	args := steward.OpenArgs{
+		Ident: ex.ident(), Origin: ex.origin(), Upstream: spec.Key(), Remaining: time.Until(ex.deadline),
+		Suspect: ex.suspect, Generation: g.spec,
+	}
+	args.Generation.Priority = ex.placement.Priority
+	args.Generation.Offset, args.Generation.Given = len(g.tokens), g.tokens
+	failure = &upstream.Failure{Reason: upstream.ReasonPeer, Progress: upstream.NotDialed, Detail: "no node is alive"}
+	for _, address = range s.stewards(spec) {
+		var reply steward.OpenReply
+		ctx, cancel := context.WithTimeout(ex.ctx, openTimeout)
+		err := s.options.Peers.Call(ctx, address, "Steward.Open", args, &reply)
+		cancel()
+		switch {
+		case err != nil:
+			failure = peerFailure(err)
+			s.cancel(address, ex.ident())
+		case !s.own(ex, reply.Ident):
+			failure = &upstream.Failure{Reason: upstream.ReasonPeer, Progress: upstream.Written, Detail: "the steward answered another attempt"}
+		case reply.Failure != nil:
+			failure = reply.Failure
+			if failure.Reason != upstream.ReasonStopping {
+				s.learn(spec, reply.Load)
+				return address, failure
+			}
+		default:
+			s.learn(spec, reply.Load)
+			return address, nil
+		}
+	}
+	return address, failure
+}
+
+// pull gets the next tokens. It repeats a lost pull once, which is harmless,
+// since the steward keeps the tokens until they are confirmed.
+func (s *Server) pull(ex *exchange, address steward.Address, offset int) (reply steward.NextReply, failure *upstream.Failure) {
+	for range pullTries {
+		reply = steward.NextReply{}
+		ctx, cancel := context.WithTimeout(ex.ctx, pullWait+pullMargin)
+		err := s.options.Peers.Call(ctx, address, "Steward.Next", steward.NextArgs{
+			Ident: ex.ident(), Offset: offset, Wait: pullWait,
+		}, &reply)
+		cancel()
+		switch {
+		case ex.ctx.Err() != nil:
+			return steward.NextReply{}, &upstream.Failure{
+				Reason: upstream.ReasonCanceled, Progress: upstream.Written, Detail: "the caller left",
+			}
+		case err != nil:
+			failure = peerFailure(err)
+			failure.Progress = upstream.Answered
+		case !s.own(ex, reply.Ident) || reply.Offset != offset && reply.Failure == nil:
+			failure = &upstream.Failure{
+				Reason: upstream.ReasonPeer, Progress: upstream.Answered,
+				Detail: fmt.Sprintf("the steward answered offset %d of another attempt", reply.Offset),
+			}
+		default:
+			return reply, nil
+		}
+	}
+	return steward.NextReply{}, failure
+}
+
+// own reports whether a reply belongs to the current attempt. Any other is
+// dropped and counted.
+func (s *Server) own(ex *exchange, ident steward.Ident) (ok bool) {
+	if ok = ident == ex.ident(); !ok {
+		s.count("dropped_replies", upstream.ReasonPeer)
+		s.options.Checker.Check(ident.RequestID == "" || ident.RequestID == ex.id, invariant.OwnAnswer,
+			"a reply to another request arrived", "RequestID", ex.id, "Got", ident.RequestID)
+	}
+	return ok
+}
--- /dev/null
+++ b/caller/place.go
@@ -0,0 +1,111 @@
+package caller
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/guavagauge/guavagauge/fleet"
+	"github.com/guavagauge/guavagauge/policy"
+	"github.com/guavagauge/guavagauge/rendezvous"
+	"github.com/guavagauge/guavagauge/steward"
+	"github.com/guavagauge/guavagauge/upstream"
+)
+
+const (
+	loadLifetime    = 5 * time.Second  // an older digest says nothing about the load
+	suspectLifetime = 10 * time.Second // how long an upstream that failed is avoided
+	// crossingDomain and crossingRegion price a hop in cost per slot, so that a
+	// near upstream is preferred up to that difference in load.
+	crossingDomain = 64
+	crossingRegion = 4096
+)
+
+type (
+	// knownLoad is what this node last heard of an upstream.
+	knownLoad struct {
+		load      steward.Load
+		at        time.Time
+		suspected bool
+	}
+)
+
+// decide finds the rule for the work and the upstreams that it allows.
+func (s *Server) decide(ex *exchange) (refused *Refusal) {
+	query := fleet.Query{Workspace: ex.workspace, Route: ex.route}
+	switch w := ex.work.(type) {
+	case *listing:
+		return nil
+	case *generation:
+		query.Target = w.model
+	case *call:
+		query.Target = w.service
+	}
+	placement, ok := ex.snapshot.Decide(query)
+	if !ok {
+		return notRun(upstream.ReasonNoUpstream, "no rule matches this work")
+	}
+	if len(placement.Upstreams) == 0 {
+		return notRun(upstream.ReasonNoUpstream, "no upstream serves this work at the moment")
+	}
+	ex.placement = placement
+	return nil
+}
+
+// place returns the upstreams to try next, without those in tried.
+func (s *Server) place(ex *exchange, prefix []uint64, tried map[string]bool) (specs []*fleet.Upstream) {
+	now := time.Now()
+	left := make([]*fleet.Upstream, 0, len(ex.placement.Upstreams))
+	candidates := make([]policy.Candidate, 0, len(ex.placement.Upstreams))
+	for _, spec := range ex.placement.Upstreams {
+		if !tried[spec.Key()] {
+			left = append(left, spec)
+			candidates = append(candidates, s.candidate(spec, now))
+		}
+	}
+	var choices [policy.MaxChoices]policy.Choice
+	chosen := policy.Place(choices[:0], policy.PlaceRequest{
+		Prefix: prefix, Spread: rendezvous.Hash(ex.id), Domain: s.options.FailureDomain, Region: s.options.Region,
+	}, candidates, s.options.Weights)
+	for _, choice := range chosen {
+		specs = append(specs, left[choice.Index])
+	}
+	return specs
+}
+
+func (s *Server) candidate(spec *fleet.Upstream, now time.Time) (c policy.Candidate) {
+	c = policy.Candidate{
+		Hash: rendezvous.Hash(spec.Key()), Slots: spec.Slots, Domain: spec.FailureDomain, Region: spec.Region,
+	}
+	switch {
+	case spec.Region != s.options.Region:
+		c.Crossing = crossingRegion
+	case spec.FailureDomain != s.options.FailureDomain:
+		c.Crossing = crossingDomain
+	}
+	value, ok := s.loads.Load(spec.Key())
+	if !ok {
+		return c
+	}
+	known := value.(*knownLoad)
+	if now.Sub(known.at) < loadLifetime {
+		c.Queued, c.Running, c.Draining = known.load.WaitingCost, known.load.RunningCost, known.load.Draining
+	}
+	c.Suspected = known.suspected && now.Sub(known.at) < suspectLifetime
+	return c
+}
+
+// learn keeps the load that came with a steward's answer.
+func (s *Server) learn(spec *fleet.Upstream, load steward.Load) {
+	s.loads.Store(spec.Key(), &knownLoad{load: load, at: time.Now()})
+}
+
+// suspect remembers that an upstream failed, so that other work avoids it until
+// it answers again.
+func (s *Server) suspect(spec *fleet.Upstream) {
+	s.loads.Store(spec.Key(), &knownLoad{at: time.Now(), suspected: true})
+}
+
+// stewards returns the nodes to ask for an upstream, in order.
+func (s *Server) stewards(spec *fleet.Upstream) (addresses []netip.AddrPort) {
+	return s.options.Directory.Stewards(spec)
+}
--- /dev/null
+++ b/caller/services.go
@@ -0,0 +1,112 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/fleet"
+	"github.com/guavagauge/guavagauge/peer"
+	"github.com/guavagauge/guavagauge/steward"
+	"github.com/guavagauge/guavagauge/upstream"
+)
+
+// call is a request to a plain service.
+type call struct {
+	service     *fleet.Service
+	spec        upstream.Call
+	fingerprint string
+	answer      upstream.Answer
+}
+
+func (s *Server) readCall(ex *exchange) (w work, refused *Refusal) {
+	if ex.route == nil {
+		return nil, notRun(upstream.ReasonNotFound, fmt.Sprintf("%s %s isn't part of the model API", ex.request.Method, ex.request.URL.Path))
+	}
+	service, ok := ex.snapshot.ServiceFor(ex.route)
+	if !ok {
+		return nil, notRun(upstream.ReasonNoUpstream, "the route's service isn't configured")
+	}
+	header := onwardHeader(ex.request.Header)
+	header.Set(HeaderRequestID, ex.id)
+	header.Del(upstream.HeaderWorkspace) // only the key says whom a call is for
+	if ex.workspace != nil {
+		header.Set(upstream.HeaderWorkspace, ex.workspaceKey())
+	}
+	c := &call{service: service, spec: upstream.Call{
+		Method: ex.request.Method, Target: ex.request.URL.RequestURI(), Header: header, Body: ex.body,
+	}}
+	c.fingerprint = fingerprint(ex.workspaceKey(), c.spec.Method, c.spec.Target, string(ex.body))
+	return c, nil
+}
+
+// dispatchCall answers a call to a plain service.
+func (s *Server) dispatchCall(ex *exchange, c *call) (refused *Refusal) {
+	if ex.claim != nil && ex.claim.recorded != nil {
+		c.answer = *ex.claim.recorded
+		s.writeAnswer(ex, c)
+		return nil
+	}
+	refused = s.try(ex, nil, c.fingerprint, func(spec *fleet.Upstream) (failure *upstream.Failure) {
+		return s.attemptCall(ex, c, spec)
+	})
+	s.concludeClaim(ex, c, refused)
+	if refused != nil {
+		return refused
+	}
+	s.record(ex, upstream.Usage{})
+	s.writeAnswer(ex, c)
+	return nil
+}
+
+func (s *Server) attemptCall(ex *exchange, c *call, spec *fleet.Upstream) (failure *upstream.Failure) {
+	args := steward.CallArgs{
+		Ident: ex.ident(), Origin: ex.origin(), Upstream: spec.Key(), Remaining: time.Until(ex.deadline),
+		Suspect: ex.suspect, Call: c.spec,
+	}
+	failure = &upstream.Failure{Reason: upstream.ReasonPeer, Progress: upstream.NotDialed, Detail: "no node is alive"}
+	for _, address := range s.stewards(spec) {
+		ctx, cancel := context.WithDeadline(ex.ctx, ex.deadline.Add(pullMargin))
+		var reply steward.CallReply
+		err := s.options.Peers.Call(ctx, address, "Steward.Call", args, &reply)
+		cancel()
+		if err != nil {
+			failure = peerFailure(err)
+			if errors.Is(err, peer.ErrNotSent) {
+				continue // the next in line may run it
+			}
+			s.cancel(address, args.Ident)
+			return failure
+		}
+		if !s.own(ex, reply.Ident) {
+			return &upstream.Failure{Reason: upstream.ReasonPeer, Progress: upstream.Written, Detail: "the steward answered another attempt"}
+		}
+		if reply.Failure != nil && reply.Failure.Reason == upstream.ReasonStopping && reply.Failure.Progress.Ran() == upstream.NotRun {
+			failure = reply.Failure
+			continue
+		}
+		s.learn(spec, reply.Load)
+		c.answer = reply.Answer
+		return reply.Failure
+	}
+	return failure
+}
+
+// writeAnswer passes a service's answer on. Headers that concern the
+// connection to the service only are left out.
+func (s *Server) writeAnswer(ex *exchange, c *call) {
+	ex.answerStarted = true
+	header := ex.writer.Header()
+	for name, values := range onwardHeader(c.answer.Header) {
+		if name != "Content-Length" && name != HeaderRequestID {
+			header[name] = values
+		}
+	}
+	controller := http.NewResponseController(ex.writer)
+	controller.SetWriteDeadline(time.Now().Add(s.options.WriteTimeout)) // not supported by test writers
+	ex.writer.WriteHeader(c.answer.Status)
+	ex.writer.Write(c.answer.Body) // the caller may have left
+}
--- /dev/null
+++ b/dev/dev.go
@@ -0,0 +1,237 @@
+// Package dev runs a whole fleet in one process: nodes that talk over loopback
+// TCP, and stand-ins for all outside systems. It is for trying guavagauge out
+// and for end-to-end tests.
+//
+// # Usage
+//
+//	fleet, err := dev.Start(ctx, dev.Options{Listen: address, Nodes: 3})
+//	defer fleet.Stop(ctx)
+package dev
+
+import (
+	"context"
+	_ "embed"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/enginetest"
+	"github.com/guavagauge/guavagauge/fleet"
+	"github.com/guavagauge/guavagauge/node"
+	"github.com/guavagauge/guavagauge/policy"
+	"github.com/guavagauge/guavagauge/servicetest"
+	"github.com/guavagauge/guavagauge/transport"
+)
+
+const (
+	maxNodes      = 32
+	stopTimeout   = 30 * time.Second
+	balancerDelay = 0 // there is no balancer
+	region        = "dev"
+)
+
+//go:embed fleet.toml
+var builtinConfig []byte
+
+// failureDomains are those of the nodes, in turn.
+var failureDomains = []string{"dev-a", "dev-b"}
+
+type (
+	// Options of a development fleet.
+	Options struct {
+		Listen     netip.AddrPort // callers of the first node; port 0 takes any
+		Nodes      int
+		Config     []byte // fleet configuration; empty for the built-in one
+		ConfigFile string // its name in messages
+		Stdout     io.Writer
+		Stderr     io.Writer
+		Verbose    bool
+	}
+
+	// Fleet is a running development fleet.
+	Fleet struct {
+		Nodes    []*node.Node
+		Engines  map[string]*enginetest.Engine // by upstream key
+		Services map[string]*servicetest.Desk  // by upstream key
+
+		ctx     context.Context
+		cancel  context.CancelFunc
+		options Options
+		logger  *slog.Logger
+	}
+)
+
+// BuiltinConfig returns the fleet configuration used when none is given.
+func BuiltinConfig() (text []byte) { return builtinConfig }
+
+// Run starts a fleet, prints where it can be reached, and shuts it down
+// gracefully when ctx ends.
+func Run(ctx context.Context, options Options) (err error) {
+	f, err := Start(context.WithoutCancel(ctx), options)
+	if err != nil {
+		return err
+	}
+	f.announce()
+	<-ctx.Done()
+	fmt.Fprintln(options.Stdout, "stopping: running requests finish first")
+	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancel()
+	return f.Stop(stopCtx)
+}
+
+// Start starts a fleet and returns when it serves.
+func Start(ctx context.Context, options Options) (f *Fleet, err error) {
+	defer errors.DeferredAnnotatef(&err, "start the development fleet")
+	if options.Nodes < 1 || options.Nodes > maxNodes {
+		return nil, errors.Errorf("%d nodes: want 1 to %d", options.Nodes, maxNodes)
+	}
+	f = &Fleet{
+		Engines: make(map[string]*enginetest.Engine), Services: make(map[string]*servicetest.Desk),
+		options: options, logger: logger(options),
+	}
+	f.ctx, f.cancel = context.WithCancel(ctx)
+	defer func() {
+		if err != nil {
+			f.cancel()
+		}
+	}()
+	config, err := options.parse()
+	if err != nil {
+		return nil, err
+	}
+	if err = f.startUpstreams(config); err != nil {
+		return nil, err
+	}
+	if err = f.startNodes(); err != nil {
+		return nil, err
+	}
+	snapshot := fleet.Compile(config, 1)
+	for _, n := range f.Nodes {
+		n.Apply(snapshot)
+	}
+	return f, nil
+}
+
+// Address returns where the first node serves callers.
+func (f *Fleet) Address() netip.AddrPort { return f.Nodes[0].CallerAddress() }
+
+// Stop shuts the nodes down gracefully, then the stand-ins.
+func (f *Fleet) Stop(ctx context.Context) (err error) {
+	defer f.cancel()
+	for _, n := range f.Nodes {
+		if stopErr := n.Stop(ctx); err == nil {
+			err = stopErr
+		}
+	}
+	return err
+}
+
+func (o *Options) parse() (config *fleet.Config, err error) {
+	file, text := o.ConfigFile, o.Config
+	if len(text) == 0 {
+		file, text = "built-in", builtinConfig
+	}
+	config, problems := fleet.Parse(file, text)
+	if len(problems) > 0 {
+		return nil, errors.Errorf("%s (%d problems; run guavagauge check)", problems[0], len(problems))
+	}
+	return config, nil
+}
+
+// startUpstreams starts a stand-in for each upstream and puts its address into
+// the configuration.
+func (f *Fleet) startUpstreams(config *fleet.Config) (err error) {
+	for i := range config.Upstreams {
+		u := &config.Upstreams[i]
+		listener, err := transport.TCP{}.Listen(f.ctx, loopback())
+		if err != nil {
+			return err
+		}
+		u.Address = transport.ListenAddress(listener)
+		if u.IsEngine() {
+			listener.Close() // the engine listens again after each restart
+			f.Engines[u.Key()] = enginetest.New(f.ctx, engineOptions(u))
+			err = f.Engines[u.Key()].Serve(f.ctx, transport.TCP{}, u.Address)
+		} else {
+			f.Services[u.Key()] = servicetest.New()
+			f.serve(listener, f.Services[u.Key()])
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startNodes() (err error) {
+	var members []node.Member
+	for i := range f.options.Nodes {
+		listen := loopback()
+		if i == 0 {
+			listen = f.options.Listen
+		}
+		n, err := node.New(f.ctx, node.Options{
+			Name: fmt.Sprintf("dev-node-%d", i+1), FailureDomain: failureDomains[i%len(failureDomains)], Region: region,
+			Caller: listen, Peer: loopback(), Operator: loopback(), Network: transport.TCP{}, Logger: f.logger,
+			Weights: policy.Goodput(), BalancerDelay: balancerDelay,
+		})
+		if err != nil {
+			return err
+		}
+		f.Nodes = append(f.Nodes, n)
+		members = append(members, n.Member())
+	}
+	for _, n := range f.Nodes {
+		n.Directory.Update(members)
+	}
+	return nil
+}
+
+// serve runs an HTTP server until the fleet stops.
+func (f *Fleet) serve(listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	context.AfterFunc(f.ctx, func() { server.Close() })
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			f.logger.Error("stand-in failed", "Error", err)
+		}
+	}()
+}
+
+func (f *Fleet) announce() {
+	base := "http://" + f.Address().String()
+	fmt.Fprintf(f.options.Stdout, "ready: %s (%d nodes, %d engines, %d service workers)\n",
+		base, len(f.Nodes), len(f.Engines), len(f.Services))
+	fmt.Fprintf(f.options.Stdout, `try:
+  curl %[1]s/v1/models -H 'Authorization: Bearer alpha-dev-key'
+  curl %[1]s/v1/chat/completions -H 'Authorization: Bearer alpha-dev-key' -d '{"model":"dev-model","max_tokens":8,"messages":[{"role":"user","content":"Which class?"}]}'
+  curl -N %[1]s/v1/completions -H 'Authorization: Bearer beta-dev-key' -d '{"model":"dev-model","max_tokens":8,"stream":true,"prompt":"Fees?"}'
+  curl %[1]s/desk/fees
+  curl %[1]s/desk/entries -H 'Authorization: Bearer alpha-dev-key' -H 'Idempotency-Key: entry-1' -d '{"class":"vintage"}'
+  curl %[1]s/desk/runs -H 'Authorization: Bearer alpha-dev-key'
+`, base)
+}
+
+func logger(options Options) *slog.Logger {
+	if options.Stderr == nil {
+		return slog.New(slog.DiscardHandler)
+	}
+	level := slog.LevelWarn
+	if options.Verbose {
+		level = slog.LevelInfo
+	}
+	return slog.New(slog.NewTextHandler(options.Stderr, &slog.HandlerOptions{Level: level}))
+}
+
+func loopback() netip.AddrPort { return netip.MustParseAddrPort("127.0.0.1:0") }
+
+// engineOptions gives a stand-in engine the upstream's settings.
+func engineOptions(u *fleet.Upstream) enginetest.Options {
+	return enginetest.Options{Fencing: u.Fencing, Slots: u.Slots, Pieces: u.Pieces}
+}
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -48,7 +48,7 @@
 		crashed  bool
 	}{
 		{"no engine", nil, upstream.ReasonConnect, upstream.NotDialed, false},
-		{"draining", refuse(503, "WorkStatus", "NotRun", "Reason", "Draining"), upstream.ReasonDraining, upstream.NotWritten, false},
+		{"draining", refuse(503, upstream.HeaderWorkStatus, "NotRun", upstream.HeaderReason, "Draining"), upstream.ReasonDraining, upstream.NotWritten, false},
 		{"too many", refuse(429), upstream.ReasonBusy, upstream.NotWritten, false},
 		{"invalid", refuse(400), upstream.ReasonRejected, upstream.NotWritten, false},
 		{"error without a promise", refuse(503), upstream.ReasonBadAnswer, upstream.Answered, false},
--- a/nettest/conn.go
+++ b/nettest/conn.go
@@ -152,8 +152,9 @@
 			s.mu.Unlock()
 			return 0, os.ErrDeadlineExceeded
 		case len(s.chunks) == 0 && s.err != nil && (s.err != io.EOF || !cut):
+			err = s.err
 			s.mu.Unlock()
-			return 0, s.err
+			return 0, err
 		case len(s.chunks) > 0 && !cut:
 			if due = s.chunks[0].due; !due.After(now) {
 				n = s.take(b)
@@ -187,8 +188,9 @@
 		now := time.Now()
 		switch {
 		case s.writeErr != nil:
+			err = s.writeErr
 			s.mu.Unlock()
-			return 0, s.writeErr
+			return 0, err
 		case passed(s.writeDeadline, now):
 			s.mu.Unlock()
 			return 0, os.ErrDeadlineExceeded
--- /dev/null
+++ b/node/cluster_test.go
@@ -0,0 +1,269 @@
+package node_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/guavagauge/guavagauge/enginetest"
+	"github.com/guavagauge/guavagauge/fleet"
+	"github.com/guavagauge/guavagauge/invariant"
+	"github.com/guavagauge/guavagauge/nettest"
+	"github.com/guavagauge/guavagauge/node"
+	"github.com/guavagauge/guavagauge/policy"
+	"github.com/guavagauge/guavagauge/servicetest"
+	"github.com/guavagauge/guavagauge/transport"
+	"github.com/guavagauge/guavagauge/upstream"
+)
+
+const (
+	alphaKey = "alpha-test-key"
+	betaKey  = "beta-test-key"
+)
+
+type (
+	// cluster is a small fleet on an in-memory network, inside a synctest
+	// bubble.
+	cluster struct {
+		t        *testing.T
+		ctx      context.Context
+		network  *nettest.Network
+		client   *http.Client
+		nodes    []*node.Node
+		engines  []*enginetest.Engine
+		desk     *servicetest.Desk
+		config   *fleet.Config
+		revision uint64
+	}
+
+	// answer is what a caller got.
+	answer struct {
+		status   int
+		header   http.Header
+		body     string
+		text     string // the generated text
+		err      error
+		finished bool // the answer came to its regular end
+	}
+)
+
+// inCluster runs a test in a bubble with three nodes, three engines in two
+// failure domains, and the plain service.
+func inCluster(t *testing.T, test func(c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		c := &cluster{t: t, ctx: ctx, network: nettest.New()}
+		c.start()
+		test(c)
+		c.client.CloseIdleConnections()
+		cancel()
+		time.Sleep(time.Second) // net/http's servers linger before they close
+		synctest.Wait()
+	})
+}
+
+func (c *cluster) start() {
+	c.client = transport.HTTPClient(c.network.Host("10.9.0.1"))
+	c.config = testConfig()
+	for i := range 3 {
+		e := enginetest.New(c.ctx, enginetest.Options{Fencing: fleet.FencingChecked, Slots: 8, Pieces: 64})
+		c.engines = append(c.engines, e)
+		address := c.config.Upstreams[i].Address
+		if err := e.Serve(c.ctx, c.network.Host(address.Addr().String()), address); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	c.desk = servicetest.New()
+	c.serve(c.config.Upstreams[3].Address, c.desk)
+	for i := range 3 {
+		c.startNode(i)
+	}
+	c.meet()
+	c.apply()
+}
+
+func (c *cluster) startNode(i int) {
+	host := fmt.Sprintf("10.0.0.%d", i+1)
+	n, err := node.New(c.ctx, node.Options{
+		Name: "node-" + host, FailureDomain: []string{"a", "b"}[i%2], Region: "r",
+		Caller: netip.MustParseAddrPort(host + ":8080"), Peer: netip.MustParseAddrPort(host + ":7000"),
+		Network: c.network.Host(host), Logger: slog.New(slog.NewTextHandler(c.t.Output(), nil)),
+		Weights: policy.Goodput(), Invariants: invariant.Options{Fatal: true}, BalancerDelay: time.Second,
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if i < len(c.nodes) {
+		c.nodes[i] = n
+	} else {
+		c.nodes = append(c.nodes, n)
+	}
+}
+
+// meet makes the nodes that aren't in except known to each other.
+func (c *cluster) meet(except ...int) {
+	var members []node.Member
+	for i, n := range c.nodes {
+		if len(except) == 0 || except[0] != i {
+			members = append(members, n.Member())
+		}
+	}
+	for _, n := range c.nodes {
+		n.Directory.Update(members)
+	}
+}
+
+func (c *cluster) apply() {
+	c.revision++
+	snapshot := fleet.Compile(c.config, c.revision)
+	for _, n := range c.nodes {
+		n.Apply(snapshot)
+	}
+}
+
+func (c *cluster) serve(address netip.AddrPort, handler http.Handler) {
+	listener, err := c.network.Host(address.Addr().String()).Listen(c.ctx, address)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler}
+	context.AfterFunc(c.ctx, func() { server.Close() })
+	go server.Serve(listener)
+}
+
+// request prepares a request to a node.
+func (c *cluster) request(ctx context.Context, i int, key, method, path, body string) *http.Request {
+	r, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://10.0.0.%d:8080%s", i+1, path), strings.NewReader(body))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	return r
+}
+
+func (c *cluster) do(r *http.Request) (a answer) {
+	response, err := c.client.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	a = answer{status: response.StatusCode, header: response.Header}
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		a.readStream(response.Body)
+		return a
+	}
+	body, err := io.ReadAll(response.Body)
+	a.body, a.err = string(body), err
+	a.finished = err == nil
+	var whole struct {
+		Choices []struct{ Text string }
+	}
+	if json.Unmarshal(body, &whole) == nil && len(whole.Choices) == 1 {
+		a.text = whole.Choices[0].Text
+	}
+	return a
+}
+
+func (a *answer) readStream(body io.Reader) {
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			a.finished = true
+			continue
+		}
+		var chunk struct {
+			Choices []struct{ Text string }
+		}
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			a.err = err
+		} else if len(chunk.Choices) == 1 {
+			a.text += chunk.Choices[0].Text
+		}
+		a.body += data + "\n"
+	}
+	if a.err == nil {
+		a.err = scanner.Err()
+	}
+}
+
+// complete asks a node for a completion.
+func (c *cluster) complete(i int, key, prompt string, tokens int, stream bool) answer {
+	body := fmt.Sprintf(`{"model":"m","prompt":%q,"max_tokens":%d,"stream":%t}`, prompt, tokens, stream)
+	return c.do(c.request(c.ctx, i, key, "POST", "/v1/completions", body))
+}
+
+// want returns the whole text that the stand-in generates for a prompt.
+func want(prompt string, tokens int) (text string) {
+	return strings.Join(enginetest.Answer("m", prompt, 0, tokens), "")
+}
+
+func (a answer) checkRefusal(t *testing.T, status int, ran, reason string) {
+	t.Helper()
+	if a.status != status || a.header.Get(upstream.HeaderWorkStatus) != ran || a.header.Get(upstream.HeaderReason) != reason {
+		t.Errorf("got %d %s %s (%s, %v), want %d %s %s", a.status, a.header.Get(upstream.HeaderWorkStatus),
+			a.header.Get(upstream.HeaderReason), a.body, a.err, status, ran, reason)
+	}
+}
+
+func testConfig() *fleet.Config {
+	upstream := func(name, address, domain, service string) fleet.Upstream {
+		return fleet.Upstream{
+			Meta:    fleet.Meta{Owner: "o", Name: name, Labels: map[string]string{"pool": "all"}},
+			Address: netip.MustParseAddrPort(address), FailureDomain: domain, Region: "r", Service: service,
+			Slots: 8, Pieces: 64, Fencing: fleet.FencingChecked,
+		}
+	}
+	route := func(name, method, path string, repeat fleet.Repeat, open bool) fleet.Route {
+		return fleet.Route{
+			Meta: fleet.Meta{Owner: "o", Name: name}, Path: path, Methods: []string{method}, Service: "desk",
+			Repeat: repeat, Open: open,
+		}
+	}
+	key := func(workspace, secret string) fleet.Key {
+		return fleet.Key{Meta: fleet.Meta{Owner: "o", Name: workspace}, Workspace: workspace, SHA256: fleet.HashKey(secret)}
+	}
+	return &fleet.Config{
+		Owners: []fleet.Owner{{Name: "o"}},
+		Upstreams: []fleet.Upstream{
+			upstream("e1", "10.1.0.1:80", "a", ""), upstream("e2", "10.1.0.2:80", "b", ""),
+			upstream("e3", "10.1.0.3:80", "a", ""), upstream("d1", "10.1.0.4:80", "a", "desk"),
+		},
+		Workspaces: []fleet.Workspace{
+			{Meta: fleet.Meta{Owner: "o", Name: "alpha"}}, {Meta: fleet.Meta{Owner: "o", Name: "beta"}},
+		},
+		Keys:     []fleet.Key{key("alpha", alphaKey), key("beta", betaKey)},
+		Models:   []fleet.Model{{Meta: fleet.Meta{Owner: "o", Name: "m"}}},
+		Services: []fleet.Service{{Meta: fleet.Meta{Owner: "o", Name: "desk"}}},
+		Routes: []fleet.Route{
+			route("draw", "GET", "/desk/draw", fleet.Idempotent, false),
+			route("entries", "POST", "/desk/entries", fleet.Never, false),
+			route("runs", "GET", "/desk/runs", fleet.Idempotent, false),
+			route("fees", "GET", "/desk/fees", fleet.Idempotent, true),
+		},
+		Rules: []fleet.Rule{{Meta: fleet.Meta{Owner: "o", Name: "all"}}},
+	}
+}
+
+// failedAttempts counts the connections that a node's stewards failed to make.
+func failedAttempts(n *node.Node) (attempts int) {
+	for _, reason := range []upstream.Reason{upstream.ReasonConnect, upstream.ReasonBroken} {
+		name := `guavagauge_steward_attempts_total{outcome="failed",reason="` + string(reason) + `"}`
+		attempts += int(n.Set.GetOrCreateCounter(name).Get())
+	}
+	return attempts
+}
--- /dev/null
+++ b/steward/receiver.go
@@ -0,0 +1,199 @@
+package steward
+
+import (
+	"context"
+	"time"
+
+	"github.com/guavagauge/guavagauge/policy"
+	"github.com/guavagauge/guavagauge/upstream"
+)
+
+// Receiver has the methods that peers call, in the form of net/rpc.
+type Receiver struct{ steward *Steward }
+
+// Open queues a generation. A repeated Open for the same attempt changes
+// nothing.
+func (r *Receiver) Open(args OpenArgs, reply *OpenReply) (err error) {
+	reply.Ident = args.Ident
+	reply.Load, reply.Failure = r.steward.open(args)
+	return nil
+}
+
+// Next returns the tokens of a generation from an offset on.
+func (r *Receiver) Next(args NextArgs, reply *NextReply) (err error) {
+	s := r.steward
+	s.mu.Lock()
+	st := s.streams[args.Ident]
+	s.mu.Unlock()
+	if st == nil {
+		reply.Failure = &upstream.Failure{
+			Reason: upstream.ReasonNotSteward, Progress: upstream.Written, Detail: "the attempt isn't known here",
+		}
+	} else {
+		*reply = st.next(args.Offset, min(args.Wait, maxWait))
+	}
+	reply.Ident = args.Ident
+	return nil
+}
+
+// Cancel ends an attempt.
+func (r *Receiver) Cancel(args CancelArgs, reply *CancelReply) (err error) {
+	s := r.steward
+	s.mu.Lock()
+	st, call := s.streams[args.Ident], s.calls[args.Ident]
+	delete(s.streams, args.Ident)
+	s.mu.Unlock()
+	if st != nil {
+		st.idle.Stop()
+		st.cancel()
+	}
+	if call != nil {
+		call()
+	}
+	reply.Known = st != nil || call != nil
+	return nil
+}
+
+// Call makes one call to a plain service and waits for its answer.
+func (r *Receiver) Call(args CallArgs, reply *CallReply) (err error) {
+	*reply = r.steward.call(args)
+	reply.Ident = args.Ident
+	return nil
+}
+
+// Crash counts the upstreams that a request crashed.
+func (r *Receiver) Crash(args CrashArgs, reply *CrashReply) (err error) {
+	s := r.steward
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if args.Upstream != "" {
+		s.crashes.Report(args.Fingerprint, args.Upstream, now)
+	}
+	reply.Upstreams = s.crashes.Count(args.Fingerprint, now)
+	return nil
+}
+
+func (s *Steward) open(args OpenArgs) (load Load, failure *upstream.Failure) {
+	l, spec, failure := s.admit(args.Upstream, args.Origin)
+	if failure != nil {
+		s.count("refused", failure.Reason)
+		return load, failure
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, args.Remaining)
+	st := newStream(args.Generation.Offset, cancel)
+	if !s.addStream(args.Ident, st) {
+		cancel()
+		return l.current(), nil
+	}
+	prompt := policy.Tokens(args.Generation.Prompt) + args.Generation.Offset
+	cost := policy.DefaultPrices.Cost(prompt, 0, args.Generation.MaxTokens-args.Generation.Offset)
+	j := newJob(args.Origin, args.Suspect, args.Generation.Offset > 0, cost)
+	j.start = func() {
+		defer cancel()
+		defer l.finished(j)
+		if failure := s.startable(l, args.Origin); failure != nil {
+			st.finish(upstream.Usage{}, failure)
+			return
+		}
+		usage, err := s.engine(spec).Generate(ctx, args.Generation, func(token upstream.Token) error {
+			return st.append(ctx, token)
+		})
+		st.finish(usage, s.failureOf(ctx, l, j, err))
+	}
+	j.refused = func(reason upstream.Reason) {
+		s.count("refused", reason)
+		st.finish(upstream.Usage{}, refuse(reason, "the request left the queue before it ran"))
+		cancel()
+	}
+	load, failure = l.submit(j, args.Remaining)
+	if failure != nil {
+		s.count("refused", failure.Reason)
+		s.removeStream(args.Ident, st)
+		return load, failure
+	}
+	context.AfterFunc(ctx, func() {
+		if l.withdraw(j) {
+			j.refused(waitEnd(ctx))
+		}
+	})
+	return load, nil
+}
+
+// addStream registers a stream, or reports that the attempt is already known.
+func (s *Steward) addStream(ident Ident, st *stream) (added bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.streams[ident] != nil {
+		return false
+	}
+	s.streams[ident] = st
+	st.idle = time.AfterFunc(idleLimit, func() { s.removeStream(ident, st) })
+	return true
+}
+
+func (s *Steward) removeStream(ident Ident, st *stream) {
+	s.mu.Lock()
+	if s.streams[ident] == st {
+		delete(s.streams, ident)
+	}
+	s.mu.Unlock()
+	st.idle.Stop()
+	st.cancel()
+}
+
+func (s *Steward) call(args CallArgs) (reply CallReply) {
+	l, spec, failure := s.admit(args.Upstream, args.Origin)
+	if failure != nil {
+		s.count("refused", failure.Reason)
+		reply.Failure = failure
+		return reply
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, args.Remaining)
+	defer cancel()
+	s.mu.Lock()
+	s.calls[args.Ident] = cancel
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.calls, args.Ident)
+		s.mu.Unlock()
+	}()
+
+	done := make(chan CallReply, 1)
+	j := newJob(args.Origin, args.Suspect, false, callCost)
+	j.start = func() {
+		defer l.finished(j)
+		if failure := s.startable(l, args.Origin); failure != nil {
+			done <- CallReply{Failure: failure}
+			return
+		}
+		answer, err := s.service(spec).Call(ctx, args.Call)
+		done <- CallReply{Answer: answer, Failure: s.failureOf(ctx, l, j, err)}
+	}
+	j.refused = func(reason upstream.Reason) {
+		s.count("refused", reason)
+		done <- CallReply{Failure: refuse(reason, "the request left the queue before it ran")}
+	}
+	if _, failure := l.submit(j, args.Remaining); failure != nil {
+		s.count("refused", failure.Reason)
+		return CallReply{Load: l.current(), Failure: failure}
+	}
+	stop := context.AfterFunc(ctx, func() {
+		if l.withdraw(j) {
+			j.refused(waitEnd(ctx))
+		}
+	})
+	defer stop()
+	reply = <-done
+	reply.Load = l.current()
+	return reply
+}
+
+// waitEnd says why a request that still waited has ended.
+func waitEnd(ctx context.Context) upstream.Reason {
+	if ctx.Err() == context.DeadlineExceeded {
+		return upstream.ReasonDeadline
+	}
+	return upstream.ReasonCanceled
+}
--- /dev/null
+++ b/steward/steward.go
@@ -0,0 +1,252 @@
+// Package steward runs requests on upstreams on behalf of the whole fleet. The
+// steward of an upstream is one node, so it knows what runs there without
+// waiting for reports; entry nodes reach it over package peer.
+//
+// # Usage
+//
+//	s := steward.New(ctx, options)
+//	s.Register(peerServer)          // serves Steward.Open, Next, Cancel, Call, Crash
+//	s.Apply(snapshot)               // on each change of the configuration
+//	s.Drain(ctx)                    // before the node stops
+//
+// Two nodes that both act as the steward of an upstream make its load figures
+// wrong, and nothing else.
+package steward
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/engine"
+	"github.com/guavagauge/guavagauge/fleet"
+	"github.com/guavagauge/guavagauge/invariant"
+	"github.com/guavagauge/guavagauge/peer"
+	"github.com/guavagauge/guavagauge/policy"
+	"github.com/guavagauge/guavagauge/service"
+	"github.com/guavagauge/guavagauge/upstream"
+)
+
+const (
+	maxUnconfirmed = 256              // tokens held for an entry node that doesn't pull
+	idleLimit      = 10 * time.Second // a stream that nobody pulls is canceled
+	maxWait        = 5 * time.Second  // longest wait of one pull
+	drainPoll      = 50 * time.Millisecond
+	callCost       = 256 // cost of a plain service call in the fair queue, in prompt tokens
+)
+
+type (
+	// Options of a Steward. The factories are called once per upstream and
+	// address.
+	Options struct {
+		Logger   *slog.Logger
+		Set      *metrics.Set
+		Checker  *invariant.Checker
+		Snapshot func() *fleet.Snapshot
+		Engine   func(spec *fleet.Upstream) engine.Client
+		Service  func(spec *fleet.Upstream) service.Client
+	}
+
+	// Steward runs requests on the upstreams that this node is responsible for.
+	Steward struct {
+		ctx     context.Context
+		options Options
+
+		mu       sync.Mutex
+		lanes    map[string]*lane
+		engines  map[string]cached[engine.Client]
+		services map[string]cached[service.Client]
+		streams  map[Ident]*stream
+		calls    map[Ident]context.CancelFunc
+		stopping bool
+		crashes  *policy.Crashes
+	}
+
+	cached[T any] struct {
+		spec   *fleet.Upstream
+		client T
+	}
+)
+
+// New returns a Steward whose work ends with ctx.
+func New(ctx context.Context, options Options) *Steward {
+	return &Steward{
+		ctx:      ctx,
+		options:  options,
+		lanes:    make(map[string]*lane),
+		engines:  make(map[string]cached[engine.Client]),
+		services: make(map[string]cached[service.Client]),
+		streams:  make(map[Ident]*stream),
+		calls:    make(map[Ident]context.CancelFunc),
+		crashes:  policy.NewCrashes(policy.CrashOptions{}),
+	}
+}
+
+// Register makes the steward callable by peers.
+func (s *Steward) Register(server *peer.Server) (err error) {
+	return server.Register("Steward", &Receiver{steward: s})
+}
+
+// Apply takes over upstream settings, such as slots and draining, from a new
+// configuration. Work that waits for an upstream that now drains is refused, so
+// that its entry nodes place it elsewhere.
+func (s *Steward) Apply(snapshot *fleet.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, l := range s.lanes {
+		spec, ok := snapshot.Upstream(key)
+		switch {
+		case ok:
+			l.update(spec)
+		case l.idle():
+			delete(s.lanes, key)
+			delete(s.engines, key)
+			delete(s.services, key)
+		default:
+			l.drain(upstream.ReasonDraining)
+		}
+	}
+}
+
+// Drain refuses new and waiting work and returns when the running work is done
+// or ctx ends. What runs then is failed, so that streams go on elsewhere.
+func (s *Steward) Drain(ctx context.Context) {
+	s.mu.Lock()
+	s.stopping = true
+	for _, l := range s.lanes {
+		l.drain(upstream.ReasonStopping)
+	}
+	s.mu.Unlock()
+	for !s.idle() {
+		select {
+		case <-time.After(drainPoll):
+		case <-ctx.Done():
+			s.failStreams()
+			return
+		}
+	}
+}
+
+// Running returns the number of requests that run or wait on this node's
+// upstreams.
+func (s *Steward) Running() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.lanes {
+		load := l.current()
+		n += load.Running + load.Waiting
+	}
+	return n
+}
+
+func (s *Steward) idle() bool { return s.Running() == 0 }
+
+func (s *Steward) failStreams() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, st := range s.streams {
+		st.finish(upstream.Usage{}, &upstream.Failure{
+			Reason: upstream.ReasonStopping, Progress: upstream.Answered, Detail: "the steward is stopping",
+		})
+	}
+}
+
+// admit checks what holds for every kind of work and returns the lane.
+func (s *Steward) admit(key string, origin Origin) (l *lane, spec *fleet.Upstream, failure *upstream.Failure) {
+	snapshot := s.options.Snapshot()
+	spec, ok := snapshot.Upstream(key)
+	if !ok {
+		return nil, nil, refuse(upstream.ReasonNoUpstream, "the upstream isn't in the configuration")
+	}
+	if s.withdrawn(origin) {
+		return nil, nil, refuse(upstream.ReasonWithdrawn, "the key was withdrawn")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return nil, nil, refuse(upstream.ReasonStopping, "the steward is stopping")
+	}
+	l = s.lanes[key]
+	if l == nil {
+		l = newLane(spec)
+		s.lanes[key] = l
+	}
+	return l, spec, nil
+}
+
+// withdrawn reports whether the request's key is known to be withdrawn. A
+// configuration older than the entry node's can't tell, since the key may be
+// newer.
+func (s *Steward) withdrawn(origin Origin) bool {
+	snapshot := s.options.Snapshot()
+	return origin.Workspace != "" && snapshot.Revision() >= origin.Revision && !snapshot.KeyActive(origin.Key)
+}
+
+// startable is checked when a job leaves the queue.
+func (s *Steward) startable(l *lane, origin Origin) (failure *upstream.Failure) {
+	if s.withdrawn(origin) {
+		s.count("refused", upstream.ReasonWithdrawn)
+		return refuse(upstream.ReasonWithdrawn, "the key was withdrawn while the request waited")
+	}
+	s.options.Checker.Check(!l.current().Draining, invariant.NoWorkWhenLeaving,
+		"work started on a draining upstream", "Upstream", l.spec.Key())
+	return nil
+}
+
+func (s *Steward) engine(spec *fleet.Upstream) engine.Client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c, ok := s.engines[spec.Key()]; ok && c.spec.Address == spec.Address {
+		return c.client
+	}
+	client := s.options.Engine(spec)
+	s.engines[spec.Key()] = cached[engine.Client]{spec, client}
+	return client
+}
+
+func (s *Steward) service(spec *fleet.Upstream) service.Client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c, ok := s.services[spec.Key()]; ok && c.spec.Address == spec.Address {
+		return c.client
+	}
+	client := s.options.Service(spec)
+	s.services[spec.Key()] = cached[service.Client]{spec, client}
+	return client
+}
+
+// failureOf turns the error of a run into the failure reported to the entry
+// node.
+func (s *Steward) failureOf(ctx context.Context, l *lane, j *job, err error) (failure *upstream.Failure) {
+	if err == nil {
+		return nil
+	}
+	var cause *upstream.Failure
+	if !errors.As(err, &cause) {
+		cause = &upstream.Failure{Reason: upstream.ReasonBroken, Progress: upstream.Written, Detail: err.Error()}
+	}
+	copied := *cause
+	failure = &copied
+	if failure.Crashed {
+		failure.Crashed = l.crashed(j)
+	}
+	switch context.Cause(ctx) {
+	case context.DeadlineExceeded:
+		failure.Reason, failure.Crashed = upstream.ReasonDeadline, false
+	case context.Canceled:
+		failure.Reason, failure.Crashed = upstream.ReasonCanceled, false
+	}
+	s.count("failed", failure.Reason)
+	s.options.Logger.Warn("upstream attempt failed", "Upstream", l.spec.Key(), "Reason", string(failure.Reason),
+		"Progress", failure.Progress.String(), "Crashed", failure.Crashed, "Detail", failure.Detail)
+	return failure
+}
+
+func (s *Steward) count(outcome string, reason upstream.Reason) {
+	s.options.Set.GetOrCreateCounter(
+		`guavagauge_steward_attempts_total{outcome="` + outcome + `",reason="` + string(reason) + `"}`).Inc()
+}
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -10,9 +10,9 @@
 
 const (
 	// HeaderWorkStatus of a refusal says whether the work ran.
-	HeaderWorkStatus = "WorkStatus"
+	HeaderWorkStatus = "Work-Status"
 	// HeaderReason of a refusal holds a Reason.
-	HeaderReason = "Reason"
+	HeaderReason = "Refusal-Reason"
 	// HeaderWorkspace tells an upstream which workspace a request runs for.
 	HeaderWorkspace = "Workspace"
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -34,7 +34,7 @@
 	Answered
 )
 
-// Whether a refused request ran, as the WorkStatus header of a refusal says.
+// Whether a refused request ran, as a refusal says in HeaderWorkStatus.
 const (
 	NotRun     Ran = "NotRun"
 	MayHaveRun Ran = "MayHaveRun"
