Add usage accounting: ledgers, witnesses, frozen windows

Cause: completed work must be billed once per window although any node may be killed at any moment. Change: package usage.

--- /dev/null
+++ b/usage/witness.go
@@ -0,0 +1,127 @@
+package usage
+
+import (
+	"time"
+
+	"github.com/guavagauge/guavagauge/rendezvous"
+)
+
+type (
+	// HoldArgs asks a witness to hold copies of cells. Repeats are harmless.
+	HoldArgs struct {
+		Source Source
+		Cells  []Cell
+		Final  bool // the source has stopped, and there will be no more
+	}
+
+	// HoldReply confirms the copies.
+	HoldReply struct{}
+
+	// CollectArgs asks for a window's cells of a shard: the node's own, and its
+	// copies for the sources in Copies.
+	CollectArgs struct {
+		Window int64
+		Shard  int
+		Shards int
+		Copies []Source
+	}
+
+	// CollectReply holds what the node has. Without Passed its own cells may
+	// still grow.
+	CollectReply struct {
+		Source Source
+		Passed bool
+		Cells  []Cell
+		Held   []Source // other sources of which it has copies for the window
+		Copies []Copy
+	}
+
+	// Copy is a witness's copy of a source's cells. It may lack the last ones,
+	// unless it is final.
+	Copy struct {
+		Source Source
+		Cells  []Cell
+		Final  bool
+	}
+
+	// Receiver has the methods that peers call, in the form of net/rpc.
+	Receiver struct{ ledger *Ledger }
+)
+
+// Hold takes copies of a peer's cells.
+func (r *Receiver) Hold(args HoldArgs, _ *HoldReply) (err error) {
+	l := r.ledger
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	c := l.copies[args.Source]
+	if c == nil {
+		l.expire(now)
+		c = &copied{cells: make(map[cellKey]Totals)}
+		l.copies[args.Source] = c
+	}
+	c.touched = now
+	c.final = c.final || args.Final
+	oldest := now.Add(-l.options.Retention).Unix()
+	for _, cell := range args.Cells {
+		key := cellKey{cell.Window, cell.Workspace}
+		c.cells[key] = c.cells[key].newer(cell.Totals)
+	}
+	for key := range c.cells {
+		if key.window < oldest {
+			delete(c.cells, key)
+		}
+	}
+	return nil
+}
+
+// Collect returns a window's cells to a reporter.
+func (r *Receiver) Collect(args CollectArgs, reply *CollectReply) (err error) {
+	l := r.ledger
+	reply.Source = l.options.Source
+	reply.Passed = l.passed(args.Window)
+	reply.Cells = l.cellsOf(args.Window, args.Shard, args.Shards)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for source, c := range l.copies {
+		if len(selectCells(c.cells, args.Window, args.Shard, args.Shards)) > 0 {
+			reply.Held = append(reply.Held, source)
+		}
+	}
+	for _, source := range args.Copies {
+		if c := l.copies[source]; c != nil {
+			reply.Copies = append(reply.Copies, Copy{
+				Source: source, Cells: selectCells(c.cells, args.Window, args.Shard, args.Shards), Final: c.final,
+			})
+		}
+	}
+	return nil
+}
+
+// witness returns the node that holds the i-th copy. The second is in another
+// failure domain than the first where there is one, so that the loss of a whole
+// domain leaves a copy.
+func (l *Ledger) witness(i int) (witness Member, ok bool) {
+	byName := make(map[string]Member)
+	var names []string
+	for _, m := range l.options.Members() {
+		if m.Node != l.options.Source.Node {
+			byName[m.Node] = m
+			names = append(names, m.Node)
+		}
+	}
+	order := rendezvous.Top(l.options.Source.Node, names, len(names))
+	if i >= len(order) {
+		return witness, false
+	}
+	first := byName[order[0]]
+	if i == 0 {
+		return first, true
+	}
+	for _, name := range order[1:] {
+		if byName[name].FailureDomain != first.FailureDomain {
+			return byName[name], true
+		}
+	}
+	return byName[order[1]], true
+}
