Add the platform's interface, HTTP client and stand-in

Cause: capacity orders, model loads and usage reports need the platform.

Change: package platform has the VM list, notices of reclaims, start and stop orders with idempotency tokens, the weight store's rate and usage reports. Its errors tell a call without effect from one whose outcome is unknown. platformtest keeps the fleet in memory, loses answers, delays and reclaims, and records orders and reports that a correct fleet never sends.

--- /dev/null
+++ b/platformtest/calls.go
@@ -0,0 +1,266 @@
+package platformtest
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/guavagauge/guavagauge/platform"
+)
+
+// The kinds of Record.
+const (
+	Start Kind = "Start"
+	Stop  Kind = "Stop"
+	Usage Kind = "Usage"
+)
+
+type (
+	// Kind says what a Record is of.
+	Kind string
+
+	// Record is one order or report that reached the platform.
+	Record struct {
+		Kind Kind
+		At   time.Time
+		// One of the three is set.
+		Start platform.StartOrder
+		Stop  platform.StopOrder
+		Usage platform.UsageReport
+		// Repeat means that it had taken effect before.
+		Repeat bool
+		Err    error
+	}
+
+	// applied is what a token stands for.
+	applied struct {
+		content any // the order without its epoch
+		vms     []string
+		err     error
+	}
+
+	faults struct {
+		down  bool
+		delay time.Duration
+		lose  int
+	}
+)
+
+// SetDown makes all calls fail without effect until it is set to false.
+func (s *Server) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults.down = down
+}
+
+// SetDelay delays each call before it takes effect.
+func (s *Server) SetDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults.delay = delay
+}
+
+// SetStartDelay changes the time from an order until its upstreams are live.
+func (s *Server) SetStartDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.options.StartDelay = delay
+}
+
+// LoseAnswers makes the next n orders and reports take effect and then fail
+// with an unknown outcome.
+func (s *Server) LoseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults.lose = n
+}
+
+// Records returns all orders and reports that reached the platform, in order.
+func (s *Server) Records() (records []Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.log)
+}
+
+// Conflicts describes the calls that a correct fleet never makes: a token or a
+// usage window with other content, a first order of an epoch below one that
+// gave orders in the domain, and the same VM stopped by two tokens.
+func (s *Server) Conflicts() (conflicts []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.conflicts)
+}
+
+// VMs implements platform.Client.
+func (s *Server) VMs(ctx context.Context) (vms []platform.VM, err error) {
+	return vms, s.call(ctx, false, func() error {
+		vms = s.lagging()
+		return nil
+	})
+}
+
+// Notices implements platform.Client.
+func (s *Server) Notices(ctx context.Context, failureDomain string) (leaving []platform.VM, err error) {
+	return leaving, s.call(ctx, false, func() error {
+		for _, vm := range views(s.current(), time.Now()) {
+			if vm.FailureDomain == failureDomain && vm.State == platform.Leaving {
+				leaving = append(leaving, vm)
+			}
+		}
+		return nil
+	})
+}
+
+// Start implements platform.Client.
+func (s *Server) Start(ctx context.Context, order platform.StartOrder) (started []platform.VM, err error) {
+	return started, s.call(ctx, true, func() error {
+		content := order
+		content.Epoch = 0
+		done, repeat, err := s.once(order.Token, order.FailureDomain, order.Epoch, content, func() ([]string, error) {
+			return s.start(order)
+		})
+		s.log = append(s.log, Record{Kind: Start, At: time.Now(), Start: order, Repeat: repeat, Err: err})
+		for _, name := range done.vms {
+			started = append(started, platform.VM{
+				Name: name, Kind: platform.Upstream, FailureDomain: order.FailureDomain, Capacity: order.Capacity,
+				State: platform.Starting, Token: order.Token,
+			})
+		}
+		return err
+	})
+}
+
+// Stop implements platform.Client.
+func (s *Server) Stop(ctx context.Context, order platform.StopOrder) (err error) {
+	return s.call(ctx, true, func() error {
+		content := order
+		content.Epoch = 0
+		_, repeat, err := s.once(order.Token, order.FailureDomain, order.Epoch, content, func() ([]string, error) {
+			for _, record := range s.log {
+				if record.Kind == Stop && record.Stop.VM == order.VM && record.Stop.Token != order.Token {
+					s.conflicts = append(s.conflicts, fmt.Sprintf("%s stopped by %q and %q", order.VM, record.Stop.Token, order.Token))
+				}
+			}
+			// The end is asynchronous, since it takes the lock again.
+			s.after(0, func() { s.end(order.VM) })
+			return nil, nil
+		})
+		s.log = append(s.log, Record{Kind: Stop, At: time.Now(), Stop: order, Repeat: repeat, Err: err})
+		return err
+	})
+}
+
+// ReserveWeights implements platform.Client.
+func (s *Server) ReserveWeights(ctx context.Context, request platform.WeightsRequest) (wait time.Duration, err error) {
+	return wait, s.call(ctx, false, func() error {
+		now := time.Now()
+		switch {
+		case s.granted[request.Token]:
+		case now.Before(s.weightsAt):
+			wait = s.weightsAt.Sub(now)
+		default:
+			s.granted[request.Token] = true
+			s.weightsAt = now.Add(s.options.WeightsEvery)
+		}
+		return nil
+	})
+}
+
+// ReportUsage implements platform.Client.
+func (s *Server) ReportUsage(ctx context.Context, report platform.UsageReport) (err error) {
+	return s.call(ctx, true, func() (err error) {
+		report.Start = report.Start.UTC()
+		key := window{report.Workspace, report.Start}
+		billed, repeat := s.usage[key]
+		switch {
+		case !repeat:
+			s.usage[key] = report
+		case billed != report:
+			s.conflicts = append(s.conflicts, fmt.Sprintf("usage of %s at %s: %+v after %+v", report.Workspace, report.Start, report, billed))
+			err = platform.ErrConflict
+		}
+		s.log = append(s.log, Record{Kind: Usage, At: time.Now(), Usage: report, Repeat: repeat, Err: err})
+		return err
+	})
+}
+
+// call applies the faults to one call. Only calls with an effect lose answers.
+func (s *Server) call(ctx context.Context, effect bool, apply func() error) (err error) {
+	s.mu.Lock()
+	delay := s.faults.delay
+	s.mu.Unlock()
+	if delay > 0 {
+		timer := time.NewTimer(delay)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			// The call is under way: as over a network, it takes effect later.
+			if effect {
+				s.after(0, func() {
+					s.mu.Lock()
+					defer s.mu.Unlock()
+					if !s.faults.down {
+						apply()
+					}
+				})
+			}
+			return platform.ErrUnknownOutcome
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.down {
+		return platform.ErrUnavailable
+	}
+	err = apply()
+	if effect && s.faults.lose > 0 {
+		s.faults.lose--
+		return platform.ErrUnknownOutcome
+	}
+	return err
+}
+
+// once applies an order unless its token is known. The caller holds mu.
+func (s *Server) once(token, domain string, epoch uint64, content any, apply func() ([]string, error)) (done applied, repeat bool, err error) {
+	if done, repeat = s.tokens[token]; repeat {
+		if done.content != content {
+			s.conflicts = append(s.conflicts, fmt.Sprintf("token %q: %+v after %+v", token, content, done.content))
+			return applied{}, true, platform.ErrConflict
+		}
+		return done, true, done.err
+	}
+	if epoch < s.epochs[domain] {
+		s.conflicts = append(s.conflicts, fmt.Sprintf("order %q of epoch %d after epoch %d", token, epoch, s.epochs[domain]))
+	}
+	s.epochs[domain] = max(s.epochs[domain], epoch)
+	done.content = content
+	done.vms, done.err = apply()
+	s.tokens[token] = done
+	return done, false, done.err
+}
+
+func (s *Server) start(order platform.StartOrder) (names []string, err error) {
+	if order.Count <= 0 || order.Token == "" || order.FailureDomain == "" {
+		return nil, platform.ErrInvalid
+	}
+	key := pool{order.FailureDomain, order.Capacity}
+	if left, limited := s.available[key]; limited {
+		if left < order.Count {
+			return nil, platform.ErrNoneAvailable
+		}
+		s.available[key] = left - order.Count
+	}
+	for range order.Count {
+		name := fmt.Sprintf("%s-%d", order.FailureDomain, len(s.order)+1)
+		s.insert(platform.VM{
+			Name: name, Kind: platform.Upstream, FailureDomain: order.FailureDomain, Capacity: order.Capacity,
+			State: platform.Starting, Token: order.Token,
+		})
+		names = append(names, name)
+		s.after(s.options.StartDelay, func() { s.live(name) })
+	}
+	s.changed()
+	return names, nil
+}
--- /dev/null
+++ b/platformtest/platform_test.go
@@ -0,0 +1,132 @@
+package platformtest_test
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/nettest"
+	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/platformtest"
+)
+
+const domain = "limpopo-a"
+
+// run serves a platform over HTTP in a bubble.
+func run(t *testing.T, test func(t *testing.T, server *platformtest.Server, client platform.Client)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		network := nettest.New()
+		address := netip.MustParseAddrPort("10.0.0.2:80")
+		server := platformtest.New(ctx, platformtest.Options{})
+		client := platform.NewClient(network.Host("10.0.0.1"), address, platform.Options{})
+		if _, err := client.VMs(ctx); !errors.Is(err, platform.ErrUnavailable) {
+			t.Errorf("no platform: %v, want ErrUnavailable", err)
+		}
+		listener, err := network.Host("10.0.0.2").Listen(ctx, address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		serving := &http.Server{Handler: server.Handler()}
+		go serving.Serve(listener)
+		defer func() { client.Close(); serving.Close(); cancel(); synctest.Wait() }()
+		test(t, server, client)
+	})
+}
+
+// Guards against orders that take effect twice, failures that claim no effect
+// after one, and a list that is up to date when it must not be.
+func TestOrders(t *testing.T) {
+	run(t, func(t *testing.T, server *platformtest.Server, client platform.Client) {
+		ctx := t.Context()
+		order := platform.StartOrder{Token: "a", FailureDomain: domain, Capacity: platform.Reclaimable, Count: 2, Epoch: 4}
+		want := func(err, want error) {
+			t.Helper()
+			if !errors.Is(err, want) {
+				t.Errorf("%v, want %v", err, want)
+			}
+		}
+		server.SetDown(true)
+		_, err := client.Start(ctx, order)
+		want(err, platform.ErrUnavailable)
+		server.SetDown(false)
+		server.LoseAnswers(1)
+		_, err = client.Start(ctx, order)
+		want(err, platform.ErrUnknownOutcome)
+		order.Epoch = 5
+		started, err := client.Start(ctx, order)
+		want(err, nil)
+		if len(started) != 2 || len(server.Fleet()) != 2 {
+			t.Errorf("started %v, fleet %v", started, server.Fleet())
+		}
+		if vms, _ := client.VMs(ctx); len(vms) != 0 {
+			t.Errorf("list %v doesn't lag", vms)
+		}
+		time.Sleep(70 * time.Second)
+		if vms, _ := client.VMs(ctx); len(vms) != 2 || vms[0].State != platform.Live || !vms[0].Address.IsValid() {
+			t.Errorf("list %v", vms)
+		}
+		server.SetAvailable(domain, platform.Reclaimable, 1)
+		order.Token = "b"
+		_, err = client.Start(ctx, order)
+		want(err, platform.ErrNoneAvailable)
+		server.SetDelay(time.Minute)
+		want(client.Stop(ctx, platform.StopOrder{Token: "c", FailureDomain: domain, VM: started[0].Name, Epoch: 5}), platform.ErrUnknownOutcome)
+		server.SetDelay(0)
+		synctest.Wait()
+		if n := len(server.Fleet()); n != 1 {
+			t.Errorf("%d left after a stop with a late answer, want 1", n)
+		}
+		server.Reclaim(domain)
+		if notices, _ := client.Notices(ctx, domain); len(notices) != 1 || notices[0].Remaining != 5*time.Second {
+			t.Errorf("notices %v", notices)
+		}
+		time.Sleep(6 * time.Second)
+		if n := len(server.Fleet()); n != 0 {
+			t.Errorf("%d left after the reclaim", n)
+		}
+		if conflicts := server.Conflicts(); len(conflicts) != 0 {
+			t.Errorf("conflicts: %v", conflicts)
+		}
+	})
+}
+
+// Guards against conflicts that the record misses, and a rate limit that a
+// repeat uses up.
+func TestConflicts(t *testing.T) {
+	run(t, func(t *testing.T, server *platformtest.Server, client platform.Client) {
+		ctx := t.Context()
+		report := platform.UsageReport{Workspace: "o/alpha", Start: time.Now(), Length: time.Minute, PromptTokens: 5}
+		for i, want := range []error{nil, nil, platform.ErrConflict} {
+			if i == 2 {
+				report.PromptTokens++
+			}
+			if err := client.ReportUsage(ctx, report); !errors.Is(err, want) {
+				t.Errorf("report %d: %v, want %v", i, err, want)
+			}
+		}
+		start := platform.StartOrder{Token: "a", FailureDomain: domain, Capacity: platform.Reserved, Count: 1, Epoch: 7}
+		client.Start(ctx, start)
+		start.Count = 2
+		client.Start(ctx, start) // the token with other content
+		start.Token, start.Epoch = "b", 6
+		client.Start(ctx, start) // a former holder
+		for _, token := range []string{"c", "d"} {
+			client.Stop(ctx, platform.StopOrder{Token: token, FailureDomain: domain, VM: "x", Epoch: 7})
+		}
+		if conflicts := server.Conflicts(); len(conflicts) != 4 {
+			t.Errorf("%d conflicts, want 4: %q", len(conflicts), conflicts)
+		}
+		for i, token := range []string{"a", "a", "b"} {
+			wait, err := client.ReserveWeights(ctx, platform.WeightsRequest{Token: token})
+			if err != nil || (wait > 0) != (i == 2) {
+				t.Errorf("weights %s: wait %s, %v", token, wait, err)
+			}
+		}
+	})
+}
