--- a/policy/place.go
+++ b/policy/place.go
@@ -26,6 +26,17 @@
 	unusable Why = 255
 )
 
+// Where a candidate is, seen from the entry node.
+const (
+	elsewhere near = iota
+	inRegion
+	inDomain
+)
+
+// surveyed is the number of candidates whose location is kept between the two
+// passes. Comparing names again takes a third of the time of a placement.
+const surveyed = 128
+
 type (
 	// Why is the reason for a choice.
 	Why uint8
@@ -65,10 +76,13 @@
 		Why   Why
 	}
 
+	near uint8
+
 	ranked struct {
 		why    Why
 		load   int64
 		weight uint64
+		index  int
 	}
 )
 
@@ -78,13 +92,18 @@
 // Draining upstreams are never chosen. Other regions are used only if no
 // upstream of the home region is below the request's limit.
 func Place(dst []Choice, request PlaceRequest, candidates []Candidate, weights Weights) []Choice {
-	bound, spill := survey(&request, candidates, weights)
+	var nears [surveyed]near
+	bound, spill := survey(&request, candidates, weights, &nears)
 	key, hasPrefix := placementKey(&request, weights)
 	var top [MaxChoices]ranked
-	first, n := len(dst), 0
+	n := 0
 	for i := range candidates {
 		c := &candidates[i]
-		r := ranked{why: classify(c, &request, bound, spill)}
+		at := nears[i%surveyed]
+		if i >= surveyed {
+			at = request.near(c)
+		}
+		r := ranked{why: classify(c, at, request.Limit, bound, spill)}
 		if r.why == unusable || (n == MaxChoices && r.why > top[n-1].why) {
 			continue
 		}
@@ -92,39 +111,50 @@
 		// Within the bound the prefix alone decides, so that equal prefixes
 		// meet on the same upstream.
 		if !hasPrefix || r.why > PrefixRegion {
-			r.load = c.perSlot() + c.Crossing
+			r.load = (c.Queued+c.Running)/int64(max(c.Slots, 1)) + c.Crossing
 		}
-		at := n
-		for at > 0 && r.before(top[at-1]) {
-			at--
-		}
-		if at == MaxChoices {
-			continue
-		}
-		if n < MaxChoices {
-			n++
-			dst = append(dst, Choice{})
-		}
-		copy(top[at+1:n], top[at:n-1])
-		copy(dst[first+at+1:first+n], dst[first+at:first+n-1])
-		top[at], dst[first+at] = r, Choice{i, r.why}
+		r.index = i
+		n = insert(&top, n, r)
+	}
+	for _, r := range top[:n] {
+		dst = append(dst, Choice{r.index, r.why})
 	}
 	return dst
 }
 
+// insert keeps the best choices in order and returns their number.
+func insert(top *[MaxChoices]ranked, n int, r ranked) int {
+	if n == MaxChoices {
+		if !r.before(&top[n-1]) {
+			return n
+		}
+		n--
+	}
+	at := n
+	for ; at > 0 && r.before(&top[at-1]); at-- {
+		top[at] = top[at-1]
+	}
+	top[at] = r
+	return n + 1
+}
+
 // survey returns the highest load per slot that counts as within the bound,
 // and whether other regions may be used.
-func survey(request *PlaceRequest, candidates []Candidate, weights Weights) (bound int64, spill bool) {
+func survey(request *PlaceRequest, candidates []Candidate, weights Weights, nears *[surveyed]near) (bound int64, spill bool) {
 	var load, slots int64
 	spill = true
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Draining || c.Suspected || c.Region != request.Region {
+		at := request.near(c)
+		if i < surveyed {
+			nears[i] = at
+		}
+		if at == elsewhere || c.Draining || c.Suspected {
 			continue
 		}
 		load += c.Queued + c.Running
 		slots += int64(max(c.Slots, 1))
-		if request.Limit == 0 || c.perSlot() <= request.Limit {
+		if request.Limit == 0 || !c.above(request.Limit) {
 			spill = false
 		}
 	}
@@ -144,38 +174,45 @@
 	return request.Prefix[depth-1], true
 }
 
-func classify(c *Candidate, request *PlaceRequest, bound int64, spill bool) Why {
-	home := c.Domain == request.Domain
-	sameRegion := home || c.Region == request.Region
-	load := c.perSlot()
+func classify(c *Candidate, at near, limit, bound int64, spill bool) Why {
 	switch {
 	case c.Draining:
 		return unusable
-	case !sameRegion && !spill:
+	case at == elsewhere && !spill:
 		return unusable
 	case c.Suspected:
 		return Suspected
-	case request.Limit > 0 && load > request.Limit:
+	case limit > 0 && c.above(limit):
 		return Overloaded
-	case !sameRegion:
+	case at == elsewhere:
 		return Spilled
-	case load > bound:
+	case c.above(bound):
 		return LeastLoaded
-	case home:
+	case at == inDomain:
 		return PrefixHome
 	default:
 		return PrefixRegion
 	}
 }
 
-func (c *Candidate) perSlot() int64 {
-	if c.Slots <= 1 {
-		return c.Queued + c.Running
+func (r *PlaceRequest) near(c *Candidate) near {
+	switch {
+	case c.Domain == r.Domain:
+		return inDomain
+	case c.Region == r.Region:
+		return inRegion
+	default:
+		return elsewhere
 	}
-	return (c.Queued + c.Running) / int64(c.Slots)
 }
 
-func (r ranked) before(other ranked) bool {
+// above compares the load per slot without a division, which would dominate
+// the time per candidate.
+func (c *Candidate) above(perSlot int64) bool {
+	return c.Queued+c.Running > perSlot*int64(max(c.Slots, 1))
+}
+
+func (r *ranked) before(other *ranked) bool {
 	if r.why != other.why {
 		return r.why < other.why
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,6 +30,26 @@
 		// PrefixDepth is the number of leading pieces that requests have to
 		// share to prefer the same upstream.
 		PrefixDepth int
+		// SpillValue is what a request served in time is worth, in the currency
+		// of the price by volume between regions.
+		SpillValue float64
+		// RoleGain is the least gain of a role change, as a multiple of the work
+		// that the engine doesn't do while it changes.
+		RoleGain float64
+		// RoleHorizon is how long a role is expected to stay useful.
+		RoleHorizon time.Duration
+		// MaxRoleChanges is the number of changes of one engine within Swing.
+		MaxRoleChanges int
+		Swing          time.Duration
+		// Headroom is the fleet's size as a multiple of the measured need.
+		Headroom float64
+		// StartAfter and StopAfter are how long a deficit or an idle upstream
+		// lasts before an order follows.
+		StartAfter time.Duration
+		StopAfter  time.Duration
+		// ReclaimableShare is the largest share of reclaimable upstreams in a
+		// failure domain.
+		ReclaimableShare float64
 	}
 
 	// Prices are the costs of a prompt token and an answer token in units of
@@ -47,13 +67,22 @@
 // Goodput returns the preset that favours the share of requests that meet
 // their objective.
 func Goodput() Weights {
-	return Weights{LoadBound: 1.25, PrefixDepth: 1}
+	return Weights{
+		LoadBound: 1.25, PrefixDepth: 1, SpillValue: 1,
+		RoleGain: 1.5, RoleHorizon: time.Minute, MaxRoleChanges: 2, Swing: 5 * time.Minute,
+		Headroom: 1.1, StartAfter: 20 * time.Second, StopAfter: 2 * time.Minute, ReclaimableShare: 0.67,
+	}
 }
 
 // WorstServed returns the preset that favours the worst-served workspace and
-// spends more.
+// spends more: it keeps more headroom, orders earlier and stops later.
 func WorstServed() Weights {
-	return Weights{LoadBound: 1.25, PrefixDepth: 1}
+	w := Goodput()
+	w.SpillValue = 2
+	w.Headroom = 1.25
+	w.StartAfter = 10 * time.Second
+	w.StopAfter = 3 * time.Minute
+	return w
 }
 
 // Cost returns the cost of a request. Cached prompt tokens are free.
--- /dev/null
+++ b/policy/roles.go
@@ -0,0 +1,164 @@
+package policy
+
+import "time"
+
+// What an engine does.
+const (
+	// Mixed engines prefill and decode in the same steps.
+	Mixed Role = iota
+	// Prefill engines hand requests over after the first token.
+	Prefill
+	// Decode engines continue requests that were prefilled elsewhere.
+	Decode
+)
+
+type (
+	// Role is what an engine does.
+	Role uint8
+
+	// Demand is the work of a failure domain in engines, measured on engines of
+	// the fitting role: a prefill need of 2 keeps two prefill engines busy.
+	Demand struct {
+		Prefill float64 // arriving work
+		Decode  float64
+		// QueuedPrefill and QueuedDecode are seconds of one engine's work that
+		// already wait.
+		QueuedPrefill time.Duration
+		QueuedDecode  time.Duration
+	}
+
+	// EngineRole is the state of an engine for PlanRoles.
+	EngineRole struct {
+		Role Role
+		// Changes are the times of the last role changes.
+		Changes []time.Time
+		// Unavailable engines are starting, draining or changing their role.
+		Unavailable bool
+	}
+
+	// RolesRequest is what PlanRoles reads. MixedPrefill and MixedDecode are
+	// the work of a mixed engine that does only one of the two, relative to an
+	// engine with that role.
+	RolesRequest struct {
+		Now          time.Time
+		Demand       Demand
+		Engines      []EngineRole
+		ChangeTime   time.Duration // out of service for a change
+		MixedPrefill float64
+		MixedDecode  float64
+	}
+
+	// RoleChange is an order to one engine.
+	RoleChange struct {
+		Engine int
+		To     Role
+		// Gain is the work gained within the horizon, in seconds of one engine.
+		Gain float64
+	}
+
+	// counts is the number of engines by role.
+	counts [3]float64
+)
+
+// PlanRoles returns the role change to make now, if any. It changes one engine
+// at a time, so that each further change is decided on its effect.
+//
+// A change must gain more work within the horizon than the engine loses while
+// it is out of service. Since the horizon is longer than the change, mixed
+// engines serve the first minutes of a swing by themselves.
+func PlanRoles(request RolesRequest, weights Weights) (change RoleChange, ok bool) {
+	need := request.Demand.needs(weights.RoleHorizon)
+	var now counts
+	for i := range request.Engines {
+		if request.Engines[i].Unavailable {
+			return change, false
+		}
+		now[request.Engines[i].Role]++
+	}
+	total := need[Prefill] + need[Decode]
+	horizon := weights.RoleHorizon.Seconds()
+	lost := request.ChangeTime.Seconds()
+	before := request.served(now, need)
+	for i := range request.Engines {
+		e := &request.Engines[i]
+		if e.recent(request.Now, weights.Swing) >= weights.MaxRoleChanges {
+			continue
+		}
+		for to := Mixed; to <= Decode; to++ {
+			if to == e.Role {
+				continue
+			}
+			after := now
+			after[e.Role]--
+			out := request.served(after, need)
+			after[to]++
+			in := request.served(after, need)
+			// During the change the rest serves out, afterwards in.
+			gain := (in - before) * total * (horizon - lost)
+			loss := max((before-out)*total, 0) * lost
+			if gain > weights.RoleGain*loss+lost/10 && gain-loss > change.Gain {
+				change, ok = RoleChange{i, to, gain - loss}, true
+			}
+		}
+	}
+	return change, ok
+}
+
+// needs returns the engines needed by role so that waiting work is done within
+// the horizon.
+func (d Demand) needs(horizon time.Duration) (need counts) {
+	need[Prefill] = d.Prefill + d.QueuedPrefill.Seconds()/horizon.Seconds()
+	need[Decode] = d.Decode + d.QueuedDecode.Seconds()/horizon.Seconds()
+	return need
+}
+
+// Engines returns the total number of engines needed.
+func (d Demand) Engines(horizon time.Duration) float64 {
+	need := d.needs(horizon)
+	return need[Prefill] + need[Decode]
+}
+
+// served returns the largest factor by which the needs can be multiplied and
+// still be served, which is the share of requests served when below 1. Mixed
+// engines divide their time as needed, so the factor is limited by either kind
+// of work alone or by both together. Up to 1 it counts in full; room beyond it
+// counts a tenth, so that spare engines go where they are next needed.
+func (r *RolesRequest) served(n, need counts) float64 {
+	const spare = 0.1
+	factor := 2.0
+	if need[Prefill] > 0 {
+		factor = min(factor, (n[Prefill]+r.MixedPrefill*n[Mixed])/need[Prefill])
+	}
+	if need[Decode] > 0 {
+		factor = min(factor, (n[Decode]+r.MixedDecode*n[Mixed])/need[Decode])
+	}
+	if both := need[Prefill]/r.MixedPrefill + need[Decode]/r.MixedDecode; both > 0 {
+		factor = min(factor, (n[Mixed]+n[Prefill]/r.MixedPrefill+n[Decode]/r.MixedDecode)/both)
+	}
+	if factor > 1 {
+		return 1 + spare*(factor-1)
+	}
+	return factor
+}
+
+// recent counts the engine's changes within the swing.
+func (e *EngineRole) recent(now time.Time, swing time.Duration) (n int) {
+	for _, changed := range e.Changes {
+		if now.Sub(changed) < swing {
+			n++
+		}
+	}
+	return n
+}
+
+// String returns the name used in logs and orders.
+func (r Role) String() string {
+	switch r {
+	case Prefill:
+		return "Prefill"
+	case Decode:
+		return "Decode"
+	default:
+		return "Mixed"
+	}
+}
