--- /dev/null
+++ b/experiment/plan.go
@@ -0,0 +1,182 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/guavagauge/guavagauge/policy"
+)
+
+// Weights of the newest measurement in smoothed ones.
+const (
+	smoothing       = 0.3  // arriving work, each plan
+	answerSmoothing = 0.02 // length of an answer, each answer
+)
+
+// plan runs the role and capacity plans of each region.
+func (s *sim) plan() {
+	for region := range regions {
+		demand := s.demand[region].update()
+		var all []*engine
+		for _, e := range s.engines {
+			if e.region == region && !e.desk && e.state != gone {
+				all = append(all, e)
+				if e.state == up {
+					load := e.load()
+					demand.QueuedPrefill += seconds(float64(e.waiting) / prefillPerSecond)
+					demand.QueuedDecode += seconds(float64(load.decode) / policy.DefaultPrices.Decode * decodeSeconds * 0.1)
+				}
+			}
+		}
+		s.planRoles(all, demand)
+		if s.fixed == 0 {
+			s.planCapacity(region, all, demand)
+		}
+	}
+}
+
+func (s *sim) planRoles(all []*engine, demand policy.Demand) {
+	request := policy.RolesRequest{
+		Now: clock(s.now), Demand: demand, ChangeTime: roleChangeTime,
+		MixedPrefill: mixedPrefill, MixedDecode: mixedDecode,
+	}
+	var serving []*engine
+	for _, e := range all {
+		if e.state == starting || e.stopping() {
+			continue
+		}
+		serving = append(serving, e)
+		request.Engines = append(request.Engines, policy.EngineRole{
+			Role: e.role, Changes: e.changes, Unavailable: e.state != up,
+		})
+	}
+	change, ok := policy.PlanRoles(request, s.weights)
+	if !ok {
+		return
+	}
+	e := serving[change.Engine]
+	e.changes = append(e.changes, clock(s.now))
+	s.drain(e, func() {
+		s.after(roleChangeTime, func() {
+			if e.state == leaving {
+				e.role, e.state = change.To, up
+			}
+		})
+	})
+}
+
+func (s *sim) planCapacity(region int, all []*engine, demand policy.Demand) {
+	request := policy.CapacityRequest{
+		Now: clock(s.now), Need: demand.Engines(s.weights.RoleHorizon), Eligible: 1,
+		Max: s.place.engines * 4 / 3, NoReclaimable: s.noneAt[region],
+	}
+	for _, e := range all {
+		switch {
+		case e.stopping():
+		case e.reclaimable:
+			request.Reclaimable++
+		default:
+			request.Reserved++
+		}
+	}
+	plan, next := policy.PlanCapacity(s.capacity[region], request, s.weights)
+	s.capacity[region] = next
+	for i := range plan.StartReserved + plan.StartReclaimable {
+		e := s.add(region, i >= plan.StartReserved)
+		s.after(startTime, func() {
+			if e.state == starting {
+				e.state, e.since = up, s.now
+			}
+		})
+	}
+	s.stop(all, plan.StopReserved, false)
+	s.stop(all, plan.StopReclaimable, true)
+}
+
+// stop drains the n least loaded engines of the kind.
+func (s *sim) stop(all []*engine, n int, reclaimable bool) {
+	for range n {
+		var least *engine
+		for _, e := range all {
+			if e.state == up && e.reclaimable == reclaimable &&
+				(least == nil || e.load().decode+e.load().prefill < least.load().decode+least.load().prefill) {
+				least = e
+			}
+		}
+		if least != nil {
+			least.stopped = true
+			s.drain(least, func() { least.leave(s.now) })
+		}
+	}
+}
+
+// drain places waiting work elsewhere, lets running work end, then calls then.
+func (s *sim) drain(e *engine, then func()) {
+	e.state, e.then = leaving, then
+	for _, r := range e.take() {
+		s.resume(r)
+	}
+	e.run()
+}
+
+// resume sends a request to another engine. Its cache stays behind.
+func (s *sim) resume(r *request) {
+	r.moved = false
+	s.dispatch(r)
+}
+
+// reclaim takes the reclaimable engines of a region after the notice. Streams
+// that can't end before are resumed elsewhere at once.
+func (s *sim) reclaim(region int) {
+	s.noneAt[region] = true
+	for _, e := range s.engines {
+		if e.region != region || !e.reclaimable || e.state == gone {
+			continue
+		}
+		if e.state == starting {
+			e.leave(s.now)
+			continue
+		}
+		e.stopped = true
+		s.drain(e, func() { e.leave(s.now) })
+		kept := e.decoding[:0]
+		for _, r := range e.decoding {
+			if time.Duration(r.answer-r.emitted)*stepLimit < notice*9/10 {
+				kept = append(kept, r)
+			} else {
+				s.resume(r)
+			}
+		}
+		e.decoding = kept
+		s.after(notice, func() {
+			for _, r := range append(e.decoding, e.prefilling...) {
+				r.lost = true
+			}
+			e.leave(s.now)
+		})
+	}
+}
+
+// leave ends the service and the spend.
+func (e *engine) leave(now time.Duration) {
+	if e.state != starting && e.state != gone {
+		e.spent = max(now-e.since, 0)
+	}
+	e.state = gone
+}
+
+// stopping engines don't count as capacity.
+func (e *engine) stopping() bool { return e.stopped }
+
+// update returns the smoothed demand and starts a new measurement.
+func (m *meter) update() (d policy.Demand) {
+	m.promptRate += smoothing * (m.prompt/planEvery.Seconds() - m.promptRate)
+	m.rate += smoothing * (m.requests/planEvery.Seconds() - m.rate)
+	m.prompt, m.requests = 0, 0
+	d.Prefill = m.promptRate / prefillPerSecond
+	d.Decode = m.rate * m.answer * decodeSeconds
+	return d
+}
+
+func clock(now time.Duration) time.Time { return time.Unix(0, 0).Add(now) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
