Judge waiting time at the speed of the engine itself

Cause: long prompts were admitted to mixed engines that can't prefill them within the objective, while an engine that only prefills could. Change: Admit exempts work from its objective only if the fastest upstream can't meet it either; Place adds the request's cost before it compares a load with the limit, and Stay keeps it in its region.

--- a/experiment/run.go
+++ b/experiment/run.go
@@ -20,6 +20,11 @@
 	regions     = 3
 	pricePerGB  = 0.02
 	tokenBytes  = 200 // of a streamed answer token, with framing
+
+	// speedSlots is the number of slots that stand for the speed of an engine
+	// that only prefills, and limit the load per slot that it does in time.
+	speedSlots = 8
+	limit      = int64(firstTokenObjective) * prefillPerSecond / speedSlots / int64(time.Second)
 )
 
 type (
@@ -140,9 +145,7 @@
 	request := policy.PlaceRequest{
 		Prefix: r.prefix, Spread: r.id, Domain: domain(r.region), Region: domain(r.region), Cost: own,
 	}
-	if s.spills(r) {
-		request.Limit = max(s.limit(r), 1)
-	}
+	request.Limit, request.Stay = limit, !s.spills(r)
 	var buffer [policy.MaxChoices]policy.Choice
 	choices := policy.Place(buffer[:0], request, s.candidates, s.weights)
 	targets := make([]*engine, 0, policy.MaxChoices)
@@ -199,7 +202,8 @@
 	admission := policy.Admit(policy.AdmitRequest{
 		Ahead: ahead + e.pending(), Rate: speed,
 		FirstToken: time.Duration(float64(left) / speed * float64(time.Second)),
-		Objective:  firstTokenObjective - (e.sim.now - r.arrived),
+		Objective:  firstTokenObjective - (e.sim.now - r.arrived) - e.sim.place.clientHop,
+		Best:       time.Duration(left) * time.Second / prefillPerSecond,
 	})
 	full := e.role != policy.Prefill && len(e.decoding)+len(e.prefilling)+e.queue.Len() >= e.slots()
 	return admission.OK() && !full
@@ -238,28 +242,22 @@
 		c := policy.Candidate{Hash: e.hash, Domain: domain(e.region), Region: domain(e.region)}
 		if stage == policy.Prefill {
 			// Slots stand for speed: a mixed engine prefills more slowly.
-			c.Queued, c.Slots = e.digest.prefill, max(int(e.speed(int(e.digest.batch))*8/prefillPerSecond), 1)
+			c.Queued, c.Slots = e.digest.prefill, max(int(e.speed(int(e.digest.batch))*speedSlots/prefillPerSecond), 1)
 		} else {
 			c.Queued, c.Slots = e.digest.decode, e.slots()
 		}
 		if e.region != r.region {
-			c.Crossing = int64(s.place.betweenHops.Seconds() * 2 * prefillPerSecond / 8)
+			c.Crossing = int64(s.place.betweenHops.Seconds() * 2 * prefillPerSecond / speedSlots)
 		}
 		s.candidates = append(s.candidates, c)
 		s.targets = append(s.targets, e)
 	}
 }
 
-// limit is the load per slot at which the request would just be in time.
-func (s *sim) limit(r *request) int64 {
-	left := firstTokenObjective.Seconds() - float64(r.prompt)/prefillPerSecond
-	return int64(left * prefillPerSecond / 8)
-}
-
 func (s *sim) spills(r *request) bool {
 	home, away := time.Hour, time.Hour
 	for i, c := range s.candidates {
-		wait := time.Duration(float64(c.Queued+int64(r.prompt)) / float64(c.Slots) * 8 / prefillPerSecond * float64(time.Second))
+		wait := time.Duration(float64(c.Queued+int64(r.prompt)) / float64(c.Slots) * speedSlots / prefillPerSecond * float64(time.Second))
 		if s.targets[i].region == r.region {
 			home = min(home, wait)
 		} else {
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -9,7 +9,8 @@
 	// TooLate work would miss its objective or deadline behind the waiting
 	// work. It may be tried again later.
 	TooLate
-	// NeverInTime work takes longer than its deadline even on an idle upstream.
+	// NeverInTime work takes too long on this upstream even without waiting.
+	// Another one may be faster.
 	NeverInTime
 )
 
@@ -23,10 +24,14 @@
 		Ahead int64
 		// Rate is the cost that the upstream serves per second.
 		Rate float64
-		// FirstToken is the work's own time to its first token on an idle
-		// upstream, and Total to its last.
+		// FirstToken is the work's own time to its first token on this upstream
+		// without waiting, and Total to its last.
 		FirstToken time.Duration
 		Total      time.Duration
+		// Best is the time to the first token on the fastest idle upstream. Work
+		// that can't meet its objective even there is served late rather than
+		// never.
+		Best time.Duration
 		// Objective is the longest useful time to the first token, counted from
 		// now; 0 means none.
 		Objective time.Duration
@@ -72,13 +77,12 @@
 // OK reports whether the work is admitted.
 func (a Admission) OK() bool { return a.Verdict == Admitted }
 
-// slack is how long the work may wait. An objective that can't be met even
-// without waiting doesn't refuse the work: a long prompt is still answered, and
-// waits no longer than the objective.
+// slack is how long the work may wait. Work that can't meet its objective on
+// any upstream waits no longer than the objective.
 func (r *AdmitRequest) slack() (slack time.Duration, bounded bool) {
 	if r.Objective > 0 {
 		slack, bounded = r.Objective-r.FirstToken, true
-		if slack < 0 {
+		if r.Best > r.Objective {
 			slack = r.Objective
 		}
 	}
--- a/policy/place.go
+++ b/policy/place.go
@@ -65,9 +65,12 @@
 		Domain string
 		Region string
 		Cost   int64
-		// Limit is the load per slot above which an upstream can't serve the
-		// request in time; 0 means that any can.
+		// Limit is the load per slot, with the request, above which an upstream
+		// can't serve it in time; 0 means that any can.
 		Limit int64
+		// Stay keeps the request in its region although no upstream there can
+		// serve it in time: crossing isn't worth its price.
+		Stay bool
 	}
 
 	// Choice is an upstream, by its index among the candidates.
@@ -103,7 +106,7 @@
 		if i >= surveyed {
 			at = request.near(c)
 		}
-		r := ranked{why: classify(c, at, request.Limit, bound, spill)}
+		r := ranked{why: classify(c, at, &request, bound, spill)}
 		if r.why == unusable || (n == MaxChoices && r.why > top[n-1].why) {
 			continue
 		}
@@ -142,7 +145,7 @@
 // and whether other regions may be used.
 func survey(request *PlaceRequest, candidates []Candidate, weights Weights, nears *[surveyed]near) (bound int64, spill bool) {
 	var load, slots int64
-	spill = true
+	spill = !request.Stay
 	for i := range candidates {
 		c := &candidates[i]
 		at := request.near(c)
@@ -154,7 +157,7 @@
 		}
 		load += c.Queued + c.Running
 		slots += int64(max(c.Slots, 1))
-		if request.Limit == 0 || !c.above(request.Limit) {
+		if request.Limit == 0 || !c.above(request.Cost, request.Limit) {
 			spill = false
 		}
 	}
@@ -174,7 +177,7 @@
 	return request.Prefix[depth-1], true
 }
 
-func classify(c *Candidate, at near, limit, bound int64, spill bool) Why {
+func classify(c *Candidate, at near, request *PlaceRequest, bound int64, spill bool) Why {
 	switch {
 	case c.Draining:
 		return unusable
@@ -182,11 +185,11 @@
 		return unusable
 	case c.Suspected:
 		return Suspected
-	case limit > 0 && c.above(limit):
+	case request.Limit > 0 && c.above(request.Cost, request.Limit):
 		return Overloaded
 	case at == elsewhere:
 		return Spilled
-	case c.above(bound):
+	case c.above(0, bound):
 		return LeastLoaded
 	case at == inDomain:
 		return PrefixHome
@@ -206,10 +209,10 @@
 	}
 }
 
-// above compares the load per slot without a division, which would dominate
+// above compares the load per slot, with extra load, without a division, which would dominate
 // the time per candidate.
-func (c *Candidate) above(perSlot int64) bool {
-	return c.Queued+c.Running > perSlot*int64(max(c.Slots, 1))
+func (c *Candidate) above(extra, perSlot int64) bool {
+	return c.Queued+c.Running+extra > perSlot*int64(max(c.Slots, 1))
 }
 
 func (r *ranked) before(other *ranked) bool {
