Admit by the wait of the next stage too

Cause: after a reclaim, prefill engines went on admitting while 450 streams waited for the one engine that decoded; all of them missed their pace. Change: Admit takes the expected wait of the stage after the first token, and the load of a prefill engine includes it, so that other engines come first.

--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -64,11 +64,15 @@
 	}
 
 	// digest is the load as the entry nodes know it.
-	digest struct{ prefill, decode, batch int64 }
+	digest struct {
+		prefill, decode, batch int64
+		over                   int64 // streams beyond the slots; negative when some are free
+	}
 )
 
 func (e *engine) load() digest {
 	d := digest{prefill: e.waiting + e.pending(), decode: e.queue.Cost(), batch: int64(len(e.decoding))}
+	d.over = int64(len(e.decoding) + len(e.prefilling) + e.queue.Len() - e.slots())
 	for _, r := range e.decoding {
 		d.decode += int64(policy.DefaultPrices.Decode * float64(r.answer-r.emitted))
 	}
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -204,9 +204,29 @@
 		FirstToken: time.Duration(float64(left) / speed * float64(time.Second)),
 		Objective:  firstTokenObjective - (e.sim.now - r.arrived) - e.sim.place.clientHop,
 		Best:       time.Duration(left) * time.Second / prefillPerSecond,
+		Next:       e.next(), NextLimit: time.Duration(r.answer) * (paceObjective - stepLimit),
 	})
-	full := e.role != policy.Prefill && len(e.decoding)+len(e.prefilling)+e.queue.Len() >= e.slots()
-	return admission.OK() && !full
+	return admission.OK()
+}
+
+// next is the expected wait for a slot that decodes, on the engine itself or
+// on those that it hands over to.
+func (e *engine) next() time.Duration {
+	if e.desk {
+		return 0
+	}
+	var over, engines float64
+	for _, other := range e.sim.engines {
+		if other == e && e.role == policy.Mixed {
+			over, engines = float64(e.load().over), 1
+			break
+		}
+		if e.role == policy.Prefill && other.region == e.region && !other.desk && other.state == up && other.role != policy.Prefill {
+			over += float64(other.digest.over)
+			engines++
+		}
+	}
+	return seconds(max(over, 0) * e.sim.demand[e.region].answer * decodeSeconds / max(engines, 0.1))
 }
 
 // handOver moves a prefilled request to an engine that decodes.
@@ -242,7 +262,8 @@
 		c := policy.Candidate{Hash: e.hash, Domain: domain(e.region), Region: domain(e.region)}
 		if stage == policy.Prefill {
 			// Slots stand for speed: a mixed engine prefills more slowly.
-			c.Queued, c.Slots = e.digest.prefill, max(int(e.speed(int(e.digest.batch))*speedSlots/prefillPerSecond), 1)
+			c.Queued = e.digest.prefill + int64(e.next().Seconds()*prefillPerSecond)
+			c.Slots = max(int(e.speed(int(e.digest.batch))*speedSlots/prefillPerSecond), 1)
 		} else {
 			c.Queued, c.Slots = e.digest.decode, e.slots()
 		}
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -35,6 +35,10 @@
 		// Objective is the longest useful time to the first token, counted from
 		// now; 0 means none.
 		Objective time.Duration
+		// Next is the expected wait for the stage after the first token, and
+		// NextLimit the longest that keeps the pace; 0 means none.
+		Next      time.Duration
+		NextLimit time.Duration
 		// Deadline is the remaining time to the last token; 0 means none.
 		Deadline time.Duration
 	}
@@ -62,14 +66,15 @@
 		admission.Wait = seconds(float64(request.Ahead) / request.Rate)
 	}
 	switch {
+	case request.NextLimit > 0 && request.Next > request.NextLimit:
+		admission.Verdict = TooLate
+		admission.RetryAfter = roundUp(max(request.Next-request.NextLimit, admission.Wait-slack))
 	case !bounded:
 	case slack < 0:
 		admission.Verdict = NeverInTime
 	case admission.Wait > slack:
 		admission.Verdict = TooLate
-		// Rounding up to milliseconds keeps the promise true after rounding of
-		// the cost to whole units.
-		admission.RetryAfter = (admission.Wait - slack + 2*time.Millisecond).Truncate(time.Millisecond)
+		admission.RetryAfter = roundUp(admission.Wait - slack)
 	}
 	return admission
 }
@@ -94,6 +99,11 @@
 	return slack, bounded
 }
 
+// roundUp keeps a promise true after the rounding of costs to whole units.
+func roundUp(d time.Duration) time.Duration {
+	return (d + 2*time.Millisecond).Truncate(time.Millisecond)
+}
+
 // String returns the name used in logs.
 func (v Verdict) String() string {
 	switch v {
