fleet: check whole configurations, print, compare and distribute them

The TOML library stops at the first value that it can't convert and keeps one position for all elements of an array of tables. Decode therefore converts each setting by itself and takes lines from a scan of the text, so that all faults are found in one run with their lines; only a syntax error ends it.

Check covers names, duplicates, references, ranges, enumerations, labels, selectors on system labels, addresses, key hashes and overlapping routes. Values of hashes aren't shown, as they may be secrets put there by mistake.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -90,13 +90,13 @@
 	Meta struct {
 		Owner  string          `json:",omitempty"`
 		Name   string          `json:",omitempty"`
-		Labels selector.Labels `json:",omitempty"`
+		Labels selector.Labels `json:",omitempty" toml:",omitempty"`
 	}
 
 	// Owner is a party whose fleet was merged into this one.
 	Owner struct {
 		Name   string
-		Labels selector.Labels `json:",omitempty"`
+		Labels selector.Labels `json:",omitempty" toml:",omitempty"`
 	}
 
 	// Upstream is a model engine, or a worker of a plain service when Service
@@ -106,12 +106,14 @@
 		Address       netip.AddrPort
 		FailureDomain string
 		Region        string
-		Service       string   `json:",omitempty"`
+		Service       string   `json:",omitempty" toml:",omitempty"`
 		Capacity      Capacity // Reserved or Reclaimable
-		Fencing       Fencing  // engines only
+		Fencing       Fencing  `json:",omitempty" toml:",omitempty"` // engines only
 		Slots         int      // requests that run at the same time
-		Pieces        int      `json:",omitempty"` // KV cache size in pieces of 1,024 tokens
+		Pieces        int      `json:",omitempty" toml:",omitempty"` // KV cache size in pieces of 1,024 tokens
 		State         State
+
+		key string // what Key returns; set in snapshots, to save the allocation
 	}
 
 	// Workspace is a tenant. Models selects the models that it may use. Limits
@@ -123,6 +125,8 @@
 		Burst             int
 		Concurrent        int
 		Models            selector.Selector
+
+		key string // what Key returns; set in snapshots, to save the allocation
 	}
 
 	// Key lets requests in for a workspace of the same owner. Only the SHA-256
@@ -136,8 +140,8 @@
 	// Model is a language model that engines can load.
 	Model struct {
 		Meta
-		Version string `json:",omitempty"`
-		Adapter string `json:",omitempty"`
+		Version string `json:",omitempty" toml:",omitempty"`
+		Adapter string `json:",omitempty" toml:",omitempty"`
 	}
 
 	// Service is a plain application service.
@@ -173,19 +177,22 @@
 
 	// Config is the whole configuration of a fleet, as in one TOML file.
 	Config struct {
-		Owners     []Owner     `toml:"Owner"`
-		Upstreams  []Upstream  `toml:"Upstream"`
-		Workspaces []Workspace `toml:"Workspace"`
-		Keys       []Key       `toml:"Key"`
-		Models     []Model     `toml:"Model"`
-		Services   []Service   `toml:"Service"`
-		Routes     []Route     `toml:"Route"`
-		Rules      []Rule      `toml:"Rule"`
+		Owners     []Owner     `toml:"Owner,omitempty"`
+		Upstreams  []Upstream  `toml:"Upstream,omitempty"`
+		Workspaces []Workspace `toml:"Workspace,omitempty"`
+		Keys       []Key       `toml:"Key,omitempty"`
+		Models     []Model     `toml:"Model,omitempty"`
+		Services   []Service   `toml:"Service,omitempty"`
+		Routes     []Route     `toml:"Route,omitempty"`
+		Rules      []Rule      `toml:"Rule,omitempty"`
 	}
 )
 
 // String returns the form used on the command line and in logs.
 func (id ID) String() string {
+	if id.Kind == KindOwner {
+		return string(id.Kind) + " " + id.Name
+	}
 	return string(id.Kind) + " " + id.Owner + "/" + id.Name
 }
 
@@ -193,7 +200,12 @@
 func (u *Upstream) ID() ID { return ID{u.Owner, KindUpstream, u.Name} }
 
 // Key returns the upstream's identity as a hash key and metrics label.
-func (u *Upstream) Key() string { return u.Owner + "/" + u.Name }
+func (u *Upstream) Key() string {
+	if u.key != "" {
+		return u.key
+	}
+	return u.Owner + "/" + u.Name
+}
 
 // IsEngine reports whether the upstream is a model engine.
 func (u *Upstream) IsEngine() bool { return u.Service == "" }
@@ -202,7 +214,12 @@
 func (w *Workspace) ID() ID { return ID{w.Owner, KindWorkspace, w.Name} }
 
 // Key returns the workspace's identity as a hash key and metrics label.
-func (w *Workspace) Key() string { return w.Owner + "/" + w.Name }
+func (w *Workspace) Key() string {
+	if w.key != "" {
+		return w.key
+	}
+	return w.Owner + "/" + w.Name
+}
 
 // ID returns the key's identity.
 func (k *Key) ID() ID { return ID{k.Owner, KindKey, k.Name} }
--- /dev/null
+++ b/fleet/label.go
@@ -0,0 +1,83 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/selector"
+)
+
+// SetLabel sets one label of an object of config, or removes it if value is
+// empty.
+func SetLabel(config *Config, kind Kind, owner, name, key, value string) (err error) {
+	id := ID{owner, kind, name}
+	if !slices.Contains(kinds, kind) {
+		return errors.WithType(errors.Errorf("found kind %s; want one of %s%s", Show(kind), joinKinds(), didYouMean(nearestKind(kind))), errors.NotValid)
+	}
+	if kind == KindOwner {
+		id.Owner = name
+	}
+	if value != "" {
+		if found, allowed := labelFault(key, value); allowed != "" {
+			return errors.WithType(errors.Errorf("%s: label %s: found %s; want %s", id, Show(key), Show(found), allowed), errors.NotValid)
+		}
+	}
+	var names []string
+	for other, object := range config.objects() {
+		if other == id {
+			setLabel(labelsOf(object), key, value)
+			return nil
+		}
+		if other.Kind == kind && (other.Owner == id.Owner || kind == KindOwner) {
+			names = append(names, other.Name)
+		}
+	}
+	return errors.WithType(errors.Errorf("%s isn't configured%s", id, didYouMean(Nearest(name, names))), errors.NotFound)
+}
+
+func didYouMean(near string) string {
+	if near == "" {
+		return ""
+	}
+	return "; did you mean " + strconv.Quote(near) + "?"
+}
+
+// setLabel replaces the map, which other configurations may share.
+func setLabel(labels *selector.Labels, key, value string) {
+	changed := maps.Clone(*labels)
+	if changed == nil {
+		changed = selector.Labels{}
+	}
+	changed[key] = value
+	if value == "" {
+		delete(changed, key)
+	}
+	if len(changed) == 0 {
+		changed = nil
+	}
+	*labels = changed
+}
+
+func labelsOf(object any) *selector.Labels {
+	switch o := object.(type) {
+	case *Owner:
+		return &o.Labels
+	case *Upstream:
+		return &o.Labels
+	case *Workspace:
+		return &o.Labels
+	case *Key:
+		return &o.Labels
+	case *Model:
+		return &o.Labels
+	case *Service:
+		return &o.Labels
+	case *Route:
+		return &o.Labels
+	default:
+		return &o.(*Rule).Labels
+	}
+}
--- /dev/null
+++ b/fleet/nearest.go
@@ -0,0 +1,43 @@
+package fleet
+
+import "strings"
+
+// Nearest returns the known name that differs from word by the fewest edits,
+// or "" when none is near enough to be what was meant.
+func Nearest(word string, known []string) (near string) {
+	// A third of the word may be wrong; more suggests unrelated names.
+	best := max(2, len(word)/3) + 1
+	for _, name := range known {
+		if strings.EqualFold(name, word) {
+			return name
+		}
+		if max(len(name)-len(word), len(word)-len(name)) >= best {
+			continue
+		}
+		if d := editDistance(strings.ToLower(word), strings.ToLower(name)); d < best && d < len(name) {
+			best, near = d, name
+		}
+	}
+	return near
+}
+
+// editDistance is the Levenshtein distance.
+func editDistance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			substitute := diagonal
+			if a[i] != b[j] {
+				substitute++
+			}
+			diagonal = row[j+1]
+			row[j+1] = min(substitute, row[j+1]+1, row[j]+1)
+		}
+	}
+	return row[len(b)]
+}
--- a/fleet/parse.go
+++ b/fleet/parse.go
@@ -1,26 +1,41 @@
 package fleet
 
 import (
-	"github.com/BurntSushi/toml"
-	"github.com/juju/errors"
+	"cmp"
+	"slices"
 )
 
 // Parse reads a configuration and reports all of its problems. A configuration
-// with problems must not be put in force.
+// with problems must not be put in force. Objects are sorted by owner and name,
+// so that equal configurations compare as equal.
 func Parse(file string, text []byte) (config *Config, problems []Problem) {
 	config = &Config{}
-	metadata, err := toml.Decode(string(text), config)
-	if err != nil {
-		p := Problem{File: file, Allowed: err.Error()}
-		var parseError toml.ParseError
-		if errors.As(err, &parseError) {
-			p.Line, p.Allowed = parseError.Position.Line, parseError.Message
-		}
-		return config, []Problem{p}
-	}
-	for _, key := range metadata.Undecoded() {
-		problems = append(problems, Problem{File: file, Value: "unknown key " + key.String(), Allowed: "a known key"})
-	}
-	config.fillDefaults()
-	return config, problems
+	source := Decode(file, text, config)
+	check(config, source)
+	config.normalize()
+	return config, source.Sorted()
+}
+
+// Check reports the problems of a configuration that was changed in memory.
+func Check(file string, config *Config) (problems []Problem) {
+	source := &Source{File: file, lines: lineIndex{}, given: map[string]bool{}, faulty: map[string]bool{}}
+	check(config, source)
+	return source.Sorted()
+}
+
+// normalize fills in the defaults and sorts the objects.
+func (c *Config) normalize() {
+	c.fillDefaults()
+	slices.SortStableFunc(c.Owners, func(a, b Owner) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortStableFunc(c.Upstreams, func(a, b Upstream) int { return a.compare(&b.Meta) })
+	slices.SortStableFunc(c.Workspaces, func(a, b Workspace) int { return a.compare(&b.Meta) })
+	slices.SortStableFunc(c.Keys, func(a, b Key) int { return a.compare(&b.Meta) })
+	slices.SortStableFunc(c.Models, func(a, b Model) int { return a.compare(&b.Meta) })
+	slices.SortStableFunc(c.Services, func(a, b Service) int { return a.compare(&b.Meta) })
+	slices.SortStableFunc(c.Routes, func(a, b Route) int { return a.compare(&b.Meta) })
+	slices.SortStableFunc(c.Rules, func(a, b Rule) int { return a.compare(&b.Meta) })
+}
+
+func (m *Meta) compare(other *Meta) int {
+	return cmp.Or(cmp.Compare(m.Owner, other.Owner), cmp.Compare(m.Name, other.Name))
 }
--- a/fleet/problem.go
+++ b/fleet/problem.go
@@ -33,8 +33,5 @@
 		text += "found " + p.Value + "; "
 	}
 	text += "want " + p.Allowed
-	if p.Near != "" {
-		text += "; did you mean " + strconv.Quote(p.Near) + "?"
-	}
-	return text
+	return text + didYouMean(p.Near)
 }
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -42,6 +42,12 @@
 		terms []term
 	}
 
+	// Term is one term as Terms returns it. Values is empty for existence terms.
+	Term struct {
+		Key    string
+		Values []string
+	}
+
 	term struct {
 		key      string
 		operator operator
@@ -88,6 +94,26 @@
 	return err
 }
 
+// Terms returns the terms in their written order, for checks of the labels
+// that a selector refers to.
+func (s Selector) Terms() (terms []Term) {
+	for _, t := range s.terms {
+		terms = append(terms, Term{Key: t.key, Values: slices.Clone(t.values)})
+	}
+	return terms
+}
+
+// CheckWord fails if a label key or value could not be written in a selector.
+func CheckWord(word string) (err error) {
+	if word == "" {
+		return errors.New("it is empty")
+	}
+	if strings.IndexFunc(word, notWord) >= 0 {
+		return errors.New("it may hold letters, digits and -_./ only")
+	}
+	return nil
+}
+
 func (t term) matches(labels Labels) bool {
 	value, present := labels[t.key]
 	switch t.operator {
