--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -63,7 +63,6 @@
 		// These belong to the link's goroutine, but for dirty, which is guarded
 		// by the ledger's mu.
 		witness Source
-		address Member
 		dirty   map[cellKey]struct{}
 	}
 
@@ -187,7 +186,7 @@
 	}
 	l.mu.Lock()
 	if witness.Source != k.witness {
-		k.witness, k.address = witness.Source, witness
+		k.witness = witness.Source
 		for key := range l.cells {
 			k.dirty[key] = struct{}{}
 		}
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -11,7 +11,6 @@
 	"github.com/juju/errors"
 
 	"github.com/guavagauge/guavagauge/invariant"
-	"github.com/guavagauge/guavagauge/lease"
 	"github.com/guavagauge/guavagauge/peer"
 	"github.com/guavagauge/guavagauge/platform"
 	"github.com/guavagauge/guavagauge/store"
@@ -19,7 +18,8 @@
 
 const (
 	collectTimeout = 5 * time.Second
-	pollPeriod     = 2 * time.Second // between tries to close a window
+	pollPeriod     = 2 * time.Second // between tries to close a window, at first
+	pollLimit      = time.Minute     // and while nodes don't answer
 	keepFrozen     = 48              // windows that stay in the store after their report
 )
 
@@ -45,7 +45,8 @@
 	// it holds the shard's lease.
 	Reporter struct{ options ReporterOptions }
 
-	// Authority is the part of a lease that a reporter needs.
+	// Authority is the part of a lease that a reporter needs. Do refuses to send
+	// without it.
 	Authority interface {
 		Do(ctx context.Context, send func(ctx context.Context) error) (err error)
 	}
@@ -81,12 +82,7 @@
 // LeaseKey returns the key of the lease under which the shard is reported.
 func (r *Reporter) LeaseKey() string { return fmt.Sprintf("lease/usage/%d", r.options.Shard) }
 
-// Run reports windows until ctx ends or the lease is lost.
-func (r *Reporter) Run(ctx context.Context, held *lease.Held) (err error) {
-	return r.Report(ctx, held)
-}
-
-// Report is Run for any kind of authority.
+// Report reports windows until ctx ends or the authority is lost.
 func (r *Reporter) Report(ctx context.Context, authority Authority) (err error) {
 	defer errors.DeferredAnnotatef(&err, "report usage of shard %d", r.options.Shard)
 	next, version, err := r.loadProgress(ctx)
@@ -114,14 +110,15 @@
 func (r *Reporter) freeze(ctx context.Context, window int64) (frozen *Frozen, err error) {
 	key := frozenKey(r.options.Shard, window)
 	end := time.Unix(window, 0).Add(r.options.Window)
-	for {
+	c := collection{final: make(map[Source][]Cell)}
+	for wait := time.Duration(0); ; wait = min(max(2*wait, pollPeriod), pollLimit) {
 		if frozen, err = readFrozen(ctx, r.options.Store, key); err == nil || !errors.Is(err, store.ErrNotFound) {
 			return frozen, err
 		}
-		if !pause(ctx, max(pollPeriod, time.Until(end))) {
+		if !pause(ctx, max(wait, time.Until(end))) {
 			return nil, ctx.Err()
 		}
-		c := r.collect(ctx, window)
+		r.collect(ctx, window, &c)
 		if !c.all && time.Now().Before(end.Add(r.options.Lateness)) {
 			continue
 		}
@@ -138,13 +135,13 @@
 }
 
 // collect asks all live nodes for their own figures, and then for their copies
-// of the sources that didn't answer.
-func (r *Reporter) collect(ctx context.Context, window int64) (c collection) {
-	c = collection{final: make(map[Source][]Cell), copies: make(map[Source]Copy), all: true}
+// of the sources that didn't answer. Figures that are final aren't asked for
+// again.
+func (r *Reporter) collect(ctx context.Context, window int64, c *collection) {
+	c.copies, c.all = make(map[Source]Copy), true
 	args := CollectArgs{Window: window, Shard: r.options.Shard, Shards: r.options.Shards}
 	holders := make(map[Source][]Member)
-	members := r.options.Members()
-	for _, m := range members {
+	for _, m := range r.options.Members() {
 		reply, ok := r.ask(ctx, m, args)
 		if !ok || !reply.Passed {
 			c.all = false
@@ -171,7 +168,6 @@
 			}
 		}
 	}
-	return c
 }
 
 func (r *Reporter) ask(ctx context.Context, m Member, args CollectArgs) (reply CollectReply, ok bool) {
@@ -197,11 +193,10 @@
 			if err == nil {
 				break
 			}
-			conflict := errors.Is(err, platform.ErrConflict)
-			r.options.Checker.Check(!conflict, invariant.UsageOnce, "the platform has other figures for a window",
-				"Workspace", workspace, "Window", frozen.Window)
-			if conflict || errors.Is(err, platform.ErrInvalid) || ctx.Err() != nil || lostAuthority(err) {
-				return err
+			r.options.Checker.Check(!errors.Is(err, platform.ErrConflict), invariant.UsageOnce,
+				"the platform has other figures for a window", "Workspace", workspace, "Window", frozen.Window)
+			if !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUnknownOutcome) {
+				return err // the authority is lost, or a repeat can't help
 			}
 			r.count("guavagauge_usage_reports_repeated_total")
 			if !pause(ctx, pollPeriod) {
@@ -299,7 +294,3 @@
 }
 
 func frozenKey(shard int, window int64) string { return fmt.Sprintf("usage/frozen/%d/%d", shard, window) }
-
-func lostAuthority(err error) bool {
-	return errors.Is(err, lease.ErrLost) || errors.Is(err, lease.ErrReleased)
-}
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -10,7 +10,9 @@
 //	err := ledger.Record(ctx, "north/alpha", used, elapsed) // before an answer's last byte
 //
 //	reporter := usage.NewReporter(usage.ReporterOptions{Shard: 0, Shards: 4, Store: client, Platform: platform})
-//	lease.Run(ctx, client, lease.Options{Key: reporter.LeaseKey()}, reporter.Run)
+//	lease.Run(ctx, client, lease.Options{Key: reporter.LeaseKey()}, func(ctx context.Context, held *lease.Held) error {
+//		return reporter.Report(ctx, held)
+//	})
 //
 // # Windows
 //
