--- a/peer/peer.go
+++ b/peer/peer.go
@@ -24,6 +24,7 @@
 	"net"
 	"net/netip"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"time"
 
@@ -159,15 +160,16 @@
 
 // Call makes one call and waits for its reply, the context's end or the loss of
 // the connection. Unless the error is ErrNotSent the peer may have processed
-// the call. The reply must not be read after an error, since it may still be
-// written to.
+// the call. The reply is only written to on success: an answer that arrives
+// after the context's end would otherwise race with the caller's next use of it.
 func (p *Pool) Call(ctx context.Context, address netip.AddrPort, method string, args, reply any) (err error) {
 	defer errors.DeferredAnnotatef(&err, "call %s at %s", method, address)
 	client, err := p.client(ctx, address)
 	if err != nil {
 		return err
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	fresh := reflect.New(reflect.TypeOf(reply).Elem())
+	call := client.Go(method, args, fresh.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
@@ -178,6 +180,9 @@
 			p.discard(address, client)
 		}
 	}
+	if call.Error == nil {
+		reflect.ValueOf(reply).Elem().Set(fresh.Elem())
+	}
 	return call.Error
 }
 
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -293,4 +293,6 @@
 	return frozen, errors.Annotatef(err, "key %s", key)
 }
 
-func frozenKey(shard int, window int64) string { return fmt.Sprintf("usage/frozen/%d/%d", shard, window) }
+func frozenKey(shard int, window int64) string {
+	return fmt.Sprintf("usage/frozen/%d/%d", shard, window)
+}
