usage: keep the first window durable, and prove the freeze under a pause

Cause: a first reporter that was killed before its first report left no progress, and its successor began at its own time: the test of a paused reporter found windows that were never billed. peer.Pool held a mutex while it dialed, so a call that waited for another one's dial outlived its context; in a test with fake time this stopped the clock and the run. Change: the first holder writes its progress before anything else, from the oldest window that any node has figures of; the pool's mutex became a token that is waited for together with the context.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -82,8 +82,11 @@
 		peers map[netip.AddrPort]*connection
 	}
 
+	// connection holds a peer's client. Whoever has taken the token may use the
+	// other fields; a channel is used in place of a mutex, so that a call that
+	// waits for another one's dial still ends with its context.
 	connection struct {
-		mu       sync.Mutex // held while dialing
+		token    chan struct{}
 		client   *rpc.Client
 		lastUsed time.Time
 	}
@@ -193,13 +196,17 @@
 	p.mu.Lock()
 	conn := p.peers[address]
 	if conn == nil {
-		conn = &connection{}
+		conn = &connection{token: make(chan struct{}, 1)}
 		p.peers[address] = conn
 	}
 	p.mu.Unlock()
 
-	conn.mu.Lock()
-	defer conn.mu.Unlock()
+	select {
+	case conn.token <- struct{}{}:
+	case <-ctx.Done():
+		return nil, notSent(ctx.Err())
+	}
+	defer conn.release()
 	conn.lastUsed = time.Now()
 	if conn.client != nil {
 		return conn.client, nil
@@ -233,20 +240,27 @@
 	if conn == nil {
 		return
 	}
-	conn.mu.Lock()
-	defer conn.mu.Unlock()
-	if conn.client == client {
-		conn.client = nil
-	}
 	client.Close()
+	select {
+	case conn.token <- struct{}{}:
+		defer conn.release()
+		if conn.client == client {
+			conn.client = nil
+		}
+	case <-p.ctx.Done():
+	}
 }
 
+func (c *connection) release() { <-c.token }
+
 // closeIdle closes the connections that were unused for at least idle.
 func (p *Pool) closeIdle(idle time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, conn := range p.peers {
-		if !conn.mu.TryLock() {
+		select {
+		case conn.token <- struct{}{}:
+		default:
 			continue // being dialed
 		}
 		if time.Since(conn.lastUsed) >= idle {
@@ -255,7 +269,7 @@
 			}
 			delete(p.peers, address)
 		}
-		conn.mu.Unlock()
+		conn.release()
 	}
 }
 
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -211,8 +211,11 @@
 func (r *Reporter) loadProgress(ctx context.Context) (next int64, version uint64, err error) {
 	entry, err := r.options.Store.Get(ctx, r.progressKey())
 	if errors.Is(err, store.ErrNotFound) {
-		// Work that ended while the first holder was being chosen counts too.
-		return windowStart(time.Now().Add(-r.options.Window), r.options.Window), 0, nil
+		// Written before anything else, so that the windows of a first holder
+		// that is killed aren't skipped by the next.
+		next = r.firstWindow(ctx)
+		version, err = r.saveProgress(ctx, next, 0)
+		return next, version, err
 	}
 	if err != nil {
 		return 0, 0, err
@@ -222,6 +225,19 @@
 	return p.Next, entry.Version, err
 }
 
+// firstWindow is the oldest that any node has figures of. Nodes may have served
+// for a while before a first reporter could take its lease.
+func (r *Reporter) firstWindow(ctx context.Context) (window int64) {
+	window = windowStart(time.Now(), r.options.Window)
+	for _, m := range r.options.Members() {
+		args := CollectArgs{Shard: r.options.Shard, Shards: r.options.Shards}
+		if reply, ok := r.ask(ctx, m, args); ok && reply.Oldest > 0 {
+			window = min(window, reply.Oldest)
+		}
+	}
+	return window
+}
+
 func (r *Reporter) saveProgress(ctx context.Context, next int64, version uint64) (saved uint64, err error) {
 	value, err := json.Marshal(progress{Next: next})
 	if err != nil {
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -19,6 +20,7 @@
 	"github.com/guavagauge/guavagauge/nettest"
 	"github.com/guavagauge/guavagauge/peer"
 	"github.com/guavagauge/guavagauge/platformtest"
+	"github.com/guavagauge/guavagauge/store"
 	"github.com/guavagauge/guavagauge/storetest"
 	"github.com/guavagauge/guavagauge/upstream"
 	"github.com/guavagauge/guavagauge/usage"
@@ -141,6 +143,21 @@
 	delete(f.alive, f.nodes[i].member.Source)
 }
 
+// cutOff separates the fourth node from the first three, until heal.
+func (f *fleet) cutOff() {
+	for i := range 3 {
+		f.network.Cut(fmt.Sprintf("10.0.0.%d", i+1), "10.0.0.4")
+		f.network.Cut("10.0.0.4", fmt.Sprintf("10.0.0.%d", i+1))
+	}
+}
+
+func (f *fleet) heal() {
+	for i := range 3 {
+		f.network.Heal(fmt.Sprintf("10.0.0.%d", i+1), "10.0.0.4")
+		f.network.Heal("10.0.0.4", fmt.Sprintf("10.0.0.%d", i+1))
+	}
+}
+
 // record bills some work at a node, and expects that it is held elsewhere too.
 func (f *fleet) record(i int, workspace string, tokens int) {
 	err := f.nodes[i].ledger.Record(f.ctx, workspace, upstream.Usage{CompletionTokens: tokens}, time.Second)
@@ -152,11 +169,15 @@
 
 // report runs reporters of all shards at a node until the time is over.
 func (f *fleet) report(i int, a usage.Authority, d time.Duration) {
+	f.reportWith(i, f.store.Client(fmt.Sprint("node-", i)), a, d)
+}
+
+func (f *fleet) reportWith(i int, client store.Client, a usage.Authority, d time.Duration) {
 	ctx, cancel := context.WithTimeout(f.ctx, d)
 	defer cancel()
 	for shard := range shards {
 		reporter := usage.NewReporter(usage.ReporterOptions{
-			Shard: shard, Shards: shards, Members: f.members, Peers: f.nodes[i].pool, Store: f.store.Client(fmt.Sprint("node-", i)),
+			Shard: shard, Shards: shards, Members: f.members, Peers: f.nodes[i].pool, Store: client,
 			Platform: f.platform, Logger: slog.New(slog.NewTextHandler(f.t.Output(), nil)), Window: window, Lateness: lateness,
 		})
 		go func() {
@@ -248,20 +269,14 @@
 		for i := range 4 {
 			f.record(i, workspaces[i], 10)
 		}
-		for i := range 3 {
-			f.network.Cut(fmt.Sprintf("10.0.0.%d", i+1), "10.0.0.4")
-			f.network.Cut("10.0.0.4", fmt.Sprintf("10.0.0.%d", i+1))
-		}
+		f.cutOff()
 		err := f.nodes[3].ledger.Record(f.ctx, workspaces[0], upstream.Usage{CompletionTokens: 99}, time.Second)
 		if !errors.Is(err, usage.ErrNotHeld) {
 			t.Errorf("record on a node that is cut off: %v, want ErrNotHeld", err)
 		}
 		f.recorded[workspaces[0]] += 99
 		f.report(0, held(), lateness+2*window)
-		for i := range 3 {
-			f.network.Heal(fmt.Sprintf("10.0.0.%d", i+1), "10.0.0.4")
-			f.network.Heal("10.0.0.4", fmt.Sprintf("10.0.0.%d", i+1))
-		}
+		f.heal()
 		carried, err := f.nodes[3].ledger.Settle(f.ctx, f.store.Client("node-3"), shards)
 		if carried != 1 || err != nil {
 			t.Errorf("carried %d, %v, want 1", carried, err)
@@ -325,3 +340,43 @@
 		}
 	})
 }
+
+// pausedStore holds writes back until resume is closed, like a process that is
+// paused between its decision and its write.
+type pausedStore struct {
+	store.Client
+	paused chan struct{} // gets a value when a write waits
+	resume chan struct{}
+}
+
+func (p pausedStore) Put(ctx context.Context, request store.PutRequest) (version uint64, err error) {
+	if strings.HasPrefix(request.Key, "usage/frozen/") {
+		select {
+		case p.paused <- struct{}{}:
+		default:
+		}
+		<-p.resume
+	}
+	return p.Client.Put(ctx, request)
+}
+
+// Guards against a paused reporter that, with figures of its own, reports a
+// window which its successor has frozen and reported with others.
+func TestPausedReporterSendsItsSuccessorsFigures(t *testing.T) {
+	inFleet(t, 4, func(f *fleet) {
+		for _, workspace := range workspaces {
+			f.record(3, workspace, 10)
+		}
+		f.cutOff()
+		f.nodes[3].ledger.Record(f.ctx, workspaces[0], upstream.Usage{CompletionTokens: 5}, time.Second)
+		f.recorded[workspaces[0]] += 5
+		paused := pausedStore{f.store.Client("paused"), make(chan struct{}, 1), make(chan struct{})}
+		go f.reportWith(0, paused, held(), lateness+6*window)
+		<-paused.paused
+		f.heal()
+		f.report(1, held(), 3*window)
+		close(paused.resume)
+		time.Sleep(lateness + 6*window)
+		f.check()
+	})
+}
--- a/usage/witness.go
+++ b/usage/witness.go
@@ -32,6 +32,7 @@
 		Source Source
 		Passed bool
 		Cells  []Cell
+		Oldest int64    // window of the oldest cells, own or copied; 0 if none
 		Held   []Source // other sources of which it has copies for the window
 		Copies []Copy
 	}
@@ -83,6 +84,10 @@
 	reply.Cells = l.cellsOf(args.Window, args.Shard, args.Shards)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	reply.Oldest = oldest(0, l.cells)
+	for _, c := range l.copies {
+		reply.Oldest = oldest(reply.Oldest, c.cells)
+	}
 	for source, c := range l.copies {
 		if len(selectCells(c.cells, args.Window, args.Shard, args.Shards)) > 0 {
 			reply.Held = append(reply.Held, source)
@@ -125,3 +130,13 @@
 	}
 	return byName[order[1]], true
 }
+
+// oldest returns the older of a window and those of the cells; 0 means none.
+func oldest(window int64, cells map[cellKey]Totals) int64 {
+	for key := range cells {
+		if window == 0 || key.window < window {
+			window = key.window
+		}
+	}
+	return window
+}
