fleet: match rules in advance and cache candidates

Decide looked at every rule and upstream for each request: 843 us and 69 allocations at 3,300 upstreams and 100 rules.

Compile now gives each workspace, route and target a bit for each rule that its labels satisfy, computed once per distinct label set and selector; a decision is the first common bit. Candidate lists are computed on first use and published atomically, per selector and capacity, target kind, and whether the call may be repeated.

--- a/fleet/decide.go
+++ b/fleet/decide.go
@@ -1,6 +1,6 @@
 package fleet
 
-import "github.com/guavagauge/guavagauge/selector"
+import "math/bits"
 
 // Why a rule doesn't apply.
 const (
@@ -29,7 +29,6 @@
 
 	// Target is what a request is for: a *Model or a *Service.
 	Target interface {
-		meta() *Meta
 		runsOn(*Upstream) bool
 	}
 
@@ -75,80 +74,105 @@
 // Decide returns the first rule that applies and the upstreams that it leaves,
 // or false when no rule applies.
 func (s *Snapshot) Decide(q Query) (placement Placement, ok bool) {
-	e := s.Explain(q)
-	return e.Placement, e.OK
+	if q.Target == nil {
+		return Placement{}, false
+	}
+	workspace, route := s.workspaceBits(q.Workspace), s.routeBits(q.Route)
+	target, kind := s.targetBits(q.Target)
+	for word, rules := range target {
+		if rules &= workspace[word] & route[word]; rules != 0 {
+			return s.place(64*word+bits.TrailingZeros64(rules), kind, q), true
+		}
+	}
+	return Placement{}, false
 }
 
 // Explain decides as Decide does, with the reason for each rule and upstream.
 func (s *Snapshot) Explain(q Query) (e Explanation) {
-	for _, rule := range s.rules {
-		reason := rule.reason(q)
-		if reason == RuleApplies && e.OK {
-			reason = RuleEarlierApplied
-		}
-		e.Rules = append(e.Rules, RuleOutcome{rule, reason})
-		if reason == RuleApplies {
-			e.OK = true
-			e.Placement = Placement{Rule: rule, Priority: rule.Priority, Capacity: rule.Capacity}
+	e.Placement, e.OK = s.Decide(q)
+	if q.Target == nil {
+		return e
+	}
+	workspace, route := s.workspaceBits(q.Workspace), s.routeBits(q.Route)
+	target, _ := s.targetBits(q.Target)
+	applied := -1
+	for i, rule := range s.rules {
+		outcome := RuleOutcome{rule, RuleApplies}
+		switch {
+		case !workspace.has(i):
+			outcome.Reason = RuleWorkspaces
+		case !route.has(i):
+			outcome.Reason = RuleRoutes
+		case !target.has(i):
+			outcome.Reason = RuleTargets
+		case applied >= 0:
+			outcome.Reason = RuleEarlierApplied
+		default:
+			applied = i
 		}
+		e.Rules = append(e.Rules, outcome)
 	}
-	if !e.OK {
+	if applied < 0 {
 		return e
 	}
-	for _, u := range s.upstreams {
-		reason := e.Placement.Rule.upstreamReason(q, u)
-		e.Upstreams = append(e.Upstreams, UpstreamOutcome{u, reason})
-		if reason == UpstreamKept {
-			e.Placement.Upstreams = append(e.Placement.Upstreams, u)
-		}
+	p := s.pools[applied]
+	groups := s.matchGroups(p)
+	for i, u := range s.upstreams {
+		e.Upstreams = append(e.Upstreams, UpstreamOutcome{u, p.reason(q, u, groups[s.upstreamGroups.of[i]])})
 	}
 	return e
 }
 
-func (r *Rule) reason(q Query) RuleReason {
-	var workspace, route selector.Labels
-	if q.Workspace != nil {
-		workspace = q.Workspace.systemLabels()
-	}
-	if q.Route != nil {
-		route = q.Route.systemLabels()
-	}
-	switch {
-	case !r.Workspaces.Matches(workspace):
-		return RuleWorkspaces
-	case !r.Routes.Matches(route):
-		return RuleRoutes
-	case !r.Targets.Matches(q.Target.meta().systemLabels()):
-		return RuleTargets
-	default:
-		return RuleApplies
+func (s *Snapshot) place(rule, kind int, q Query) Placement {
+	r := s.rules[rule]
+	return Placement{Rule: r, Upstreams: s.candidates(s.pools[rule], kind, q), Priority: r.Priority, Capacity: r.Capacity}
+}
+
+// workspaceBits also serves workspaces of another snapshot, which requests
+// hold that waited while the configuration changed.
+func (s *Snapshot) workspaceBits(w *Workspace) ruleBits {
+	if w == nil {
+		return s.noWorkspace
+	}
+	if info, ok := s.workspaceInfo[w]; ok {
+		return info.bits
 	}
+	return s.matchWorkspaces.match(w.systemLabels())
 }
 
-func (r *Rule) upstreamReason(q Query, u *Upstream) UpstreamReason {
-	never := q.Route != nil && q.Route.Repeat == Never
-	switch {
-	case !q.Target.runsOn(u):
-		return UpstreamService
-	case !r.Upstreams.Matches(u.systemLabels()):
-		return UpstreamSelector
-	case r.Capacity != AnyCapacity && r.Capacity != u.Capacity:
-		return UpstreamCapacity
-	case never && u.Capacity == Reclaimable:
-		return UpstreamReclaimable
-	case u.State == Draining:
-		return UpstreamDraining
+func (s *Snapshot) routeBits(r *Route) ruleBits {
+	if r == nil {
+		return s.noRoute
+	}
+	if info, ok := s.routeInfo[r]; ok {
+		return info.bits
+	}
+	return s.matchRoutes.match(r.systemLabels())
+}
+
+// targetBits also returns the target's number among the lists of a pool, or -1
+// for a service of another snapshot.
+func (s *Snapshot) targetBits(t Target) (bits ruleBits, kind int) {
+	switch t := t.(type) {
+	case *Model:
+		if bits, ok := s.modelBits[t]; ok {
+			return bits, engines
+		}
+		return s.matchTargets.match(t.systemLabels()), engines
+	case *Service:
+		if info, ok := s.serviceInfo[t]; ok {
+			return info.bits, info.kind
+		}
+		return s.matchTargets.match(t.systemLabels()), -1
 	default:
-		return UpstreamKept
+		panic("fleet: a target is a *Model or a *Service")
 	}
 }
 
-func (m *Model) meta() *Meta { return &m.Meta }
+func (q *Query) never() bool { return q.Route != nil && q.Route.Repeat == Never }
 
 // runsOn reports whether u is an engine. Engines of all owners are candidates
 // for a model; rules select by the owner label where that isn't wanted.
 func (m *Model) runsOn(u *Upstream) bool { return u.IsEngine() }
 
-func (s *Service) meta() *Meta { return &s.Meta }
-
 func (s *Service) runsOn(u *Upstream) bool { return u.Service == s.Name && u.Owner == s.Owner }
