settings: read and check a node's own settings file

Nodes need their addresses, failure domain, limits and intervals before they can reach the store.

An upstream's IPv4-mapped address now counts as the same address, too.

--- a/fleet/check.go
+++ b/fleet/check.go
@@ -138,10 +138,11 @@
 	if !u.Address.IsValid() || u.Address.Port() == 0 || u.Address.Addr().IsUnspecified() || u.Address.Addr().IsMulticast() {
 		s.report("Address", showAddress(u.Address), `the upstream's IP address and port, such as "10.0.0.7:9000"`, "")
 	}
-	if other, ok := s.addresses[u.Address]; ok && u.Address.IsValid() {
+	unmapped := netip.AddrPortFrom(u.Address.Addr().Unmap(), u.Address.Port())
+	if other, ok := s.addresses[unmapped]; ok && u.Address.IsValid() {
 		s.report("Address", showAddress(u.Address), "an address that no other upstream has; "+other+" has this one", "")
 	}
-	s.addresses[u.Address] = s.label
+	s.addresses[unmapped] = s.label
 	s.labelValue("FailureDomain", u.FailureDomain)
 	s.labelValue("Region", u.Region)
 	if region, ok := s.regions[u.FailureDomain]; ok && region != u.Region && u.Region != "" {
--- a/fleet/source.go
+++ b/fleet/source.go
@@ -55,7 +55,7 @@
 // Report adds a problem of the setting at path. Values of hashes are not
 // shown, because operators put the secret itself there by mistake.
 func (s *Source) Report(p Problem, path ...string) {
-	if strings.HasSuffix(p.Field, "SHA256") && p.Value != "" {
+	if strings.HasSuffix(p.Field, "SHA256") {
 		p.Value = "a value of " + strconv.Itoa(len(p.Value)) + " characters"
 	}
 	p.File, p.Line = s.File, s.lines.find(path...)
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,78 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+const smallNode = `
+Name = "entry-1"
+FailureDomain = "mbeya-a"
+Region = "mbeya"
+Seeds = ["10.0.0.2:7000"]
+
+[Listen]
+Peer = "10.0.0.1:7000"
+
+[Operator]
+CredentialSHA256 = "677509799af78b2efa2f2af71d0f906e0a0c50c048efd3b515625f788e92b99a"
+
+[Store]
+Addresses = ["10.0.1.1:2400"]
+
+[Intervals]
+ListenerWithdraw = "3s"
+`
+
+// Guards against faults that go unreported, or with the wrong line or value,
+// and against the credential being shown.
+func TestProblems(t *testing.T) {
+	text, err := os.ReadFile("testdata/faulty.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, problems := Parse("faulty.toml", text)
+	var lines strings.Builder
+	for _, p := range problems {
+		fmt.Fprintln(&lines, p)
+	}
+	goldie.New(t).Assert(t, "faulty", []byte(lines.String()))
+}
+
+// Guards against a setting without a default, and against defaults that the
+// checks refuse.
+func TestDefaults(t *testing.T) {
+	s, problems := Parse("node.toml", []byte(smallNode))
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	if s.Intervals.ListenerWithdraw != 3*time.Second || s.Intervals.KeyConfirmation != 4*time.Second || s.Listen.Caller.Port() != 8080 {
+		t.Errorf("settings: %+v", s)
+	}
+	if problems := s.Check(); len(problems) > 0 {
+		t.Errorf("the defaults have problems: %v", problems)
+	}
+	if fields := fmt.Sprintf("%+v", []any{s.Limits, s.Intervals}); strings.Contains(fields, ":0s") || strings.Contains(fields, ":0 ") {
+		t.Errorf("a setting has no default: %s", fields)
+	}
+}
+
+// Guards against a panic on any text and against accepted settings that the
+// checks refuse once the defaults are filled in.
+func FuzzParse(f *testing.F) {
+	f.Add(smallNode)
+	f.Fuzz(func(t *testing.T, text string) {
+		s, problems := Parse("fuzz.toml", []byte(text))
+		if len(problems) > 0 {
+			return
+		}
+		if problems := s.Check(); len(problems) > 0 {
+			t.Errorf("%q was accepted, then refused: %v", text, problems)
+		}
+	})
+}
