--- a/fleet/check.go
+++ b/fleet/check.go
@@ -143,8 +143,8 @@
 		s.report("Address", showAddress(u.Address), "an address that no other upstream has; "+other+" has this one", "")
 	}
 	s.addresses[unmapped] = s.label
-	s.labelValue("FailureDomain", u.FailureDomain)
-	s.labelValue("Region", u.Region)
+	s.name("FailureDomain", u.FailureDomain)
+	s.name("Region", u.Region)
 	if region, ok := s.regions[u.FailureDomain]; ok && region != u.Region && u.Region != "" {
 		s.report("Region", Show(u.Region), Show(region)+", the region of the other upstreams in failure domain "+Show(u.FailureDomain), "")
 	}
@@ -235,12 +235,6 @@
 	}
 }
 
-func (s subject) labelValue(field, value string) {
-	if len(value) > maxNameBytes || selector.CheckWord(value) != nil {
-		s.report(field, Show(value), labelRule, "")
-	}
-}
-
 func (s subject) labelPair(key, value string) {
 	if problem, allowed := labelFault(key, value); allowed != "" {
 		path := s.path("Labels", key)
--- a/fleet/snapshot_test.go
+++ b/fleet/snapshot_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"sync"
 	"testing"
 )
 
@@ -238,6 +239,29 @@
 	}
 }
 
+// Guards against a data race where requests are the first to need a list of
+// candidates, and against one of them seeing an incomplete list.
+func TestDecideConcurrently(t *testing.T) {
+	for range 20 {
+		s := small(t)
+		entries, _ := s.MatchRoute("POST", "/desk/entries")
+		desk, _ := s.ServiceFor(entries)
+		w, _ := s.Workspace("mopani/alpha")
+		rulings, _ := s.ModelFor(w, "rulings")
+		var group sync.WaitGroup
+		for range 8 {
+			group.Go(func() {
+				call, _ := s.Decide(Query{w, entries, desk})
+				generation, _ := s.Decide(Query{w, nil, rulings})
+				if len(call.Upstreams) != 1 || len(generation.Upstreams) != 2 {
+					t.Errorf("candidates: %d and %d, want 1 and 2", len(call.Upstreams), len(generation.Upstreams))
+				}
+			})
+		}
+		group.Wait()
+	}
+}
+
 func sameKeys(upstreams []*Upstream, keys []string) bool {
 	found := map[string]bool{}
 	for _, u := range upstreams {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"os"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/sebdah/goldie/v2"
+
+	"github.com/guavagauge/guavagauge/fleet"
 )
 
 const smallNode = `
@@ -62,6 +65,49 @@
 	}
 }
 
+// Guards against settings and objects that the documentation doesn't mention,
+// and against an example that operators can't use.
+func TestDocumentation(t *testing.T) {
+	text, err := os.ReadFile("../docs/configuration.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	documented := func(name string) bool {
+		return strings.Contains(string(text), "`"+name+"`") || strings.Contains(string(text), "."+name+"`")
+	}
+	for _, object := range []any{
+		Settings{},
+		Listen{},
+		Operator{},
+		Store{},
+		Platform{},
+		TLS{},
+		Limits{},
+		Intervals{},
+		fleet.Upstream{},
+		fleet.Workspace{},
+		fleet.Key{},
+		fleet.Model{},
+		fleet.Route{},
+		fleet.Rule{},
+	} {
+		for _, field := range reflect.VisibleFields(reflect.TypeOf(object)) {
+			if field.IsExported() && !field.Anonymous && !documented(field.Name) && !strings.Contains(string(text), "`["+field.Name+"]`") {
+				t.Errorf("%T.%s isn't documented", object, field.Name)
+			}
+		}
+	}
+	var example strings.Builder
+	for line := range strings.Lines(string(text)) {
+		if code, ok := strings.CutPrefix(line, "    "); ok {
+			example.WriteString(code)
+		}
+	}
+	if _, problems := fleet.Parse("example", []byte(example.String())); len(problems) > 0 {
+		t.Error(problems)
+	}
+}
+
 // Guards against a panic on any text and against accepted settings that the
 // checks refuse once the defaults are filled in.
 func FuzzParse(f *testing.F) {
