fleet: refuse paths that a service could resolve to another route

A call to /open/../entries matched the prefix /open/ of an open route, needed no key, and was not claimed as a call of the route that the service would take it for. MatchRoute now finds no route for paths with an empty segment, "." or "..".

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -5,7 +5,10 @@
 //
 //	config, problems := fleet.Parse("fleet.toml", text)
 //	snapshot := fleet.Compile(config, revision)
-//	workspace, ok := snapshot.WorkspaceByKey(key)
+//	workspace, keyID, ok := snapshot.WorkspaceByKey(secret)
+//	route, ok := snapshot.MatchRoute(method, path)
+//	service, ok := snapshot.ServiceFor(route)
+//	placement, ok := snapshot.Decide(fleet.Query{Workspace: workspace, Route: route, Target: service})
 //
 // Two owners may use the same names, so an object is identified by its owner,
 // kind and name, and a reference by name means the same owner's object.
--- a/fleet/reference_test.go
+++ b/fleet/reference_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	pathpkg "path"
 	"reflect"
 	"slices"
 	"strings"
@@ -81,6 +82,13 @@
 }
 
 func matchPlainly(routes []Route, method, path string) (found *Route) {
+	clean := pathpkg.Clean("/" + path)
+	if strings.HasSuffix(path, "/") && clean != "/" {
+		clean += "/"
+	}
+	if path != "" && clean != path {
+		return nil
+	}
 	for i := range routes {
 		r := &routes[i]
 		prefix := strings.HasSuffix(r.Path, "/") && strings.HasPrefix(path, r.Path)
@@ -123,7 +131,7 @@
 				}
 			}
 		}
-		for _, path := range rapid.SliceOfN(rapid.StringMatching(`(/[ab]?){0,5}[ab]?`), 10, 10).Draw(t, "paths") {
+		for _, path := range rapid.SliceOfN(rapid.StringMatching(`(/(a|b|a\.|\.|\.\.|)){0,4}`), 10, 10).Draw(t, "paths") {
 			for _, method := range httpMethods[:3] {
 				got, ok := s.MatchRoute(method, path)
 				if want := matchPlainly(config.Routes, method, path); ok != (want != nil) || ok && got.ID() != want.ID() {
@@ -176,7 +184,7 @@
 	}
 	for i := range rapid.IntRange(0, 4).Draw(t, "routes") {
 		c.Routes = append(c.Routes, Route{
-			Meta: drawMeta(t, i), Path: rapid.StringMatching(`(/[ab]){0,2}/?`).Draw(t, "path"),
+			Meta: drawMeta(t, i), Path: rapid.StringMatching(`(/(a|b|a\.)){0,2}/?`).Draw(t, "path"),
 			Methods: rapid.SliceOfN(rapid.SampledFrom(httpMethods[:3]), 1, 2).Draw(t, "methods"),
 			Service: rapid.SampledFrom([]string{"0", "1"}).Draw(t, "service"),
 			Repeat:  rapid.SampledFrom(repeats).Draw(t, "repeat"),
--- a/fleet/routes.go
+++ b/fleet/routes.go
@@ -25,6 +25,9 @@
 }
 
 func (x *routeIndex) lookup(method, path string) (route *Route, ok bool) {
+	if !isClean(path) {
+		return nil, false
+	}
 	if route = withMethod(x.byPath[path], method); route != nil {
 		return route, true
 	}
@@ -40,6 +43,26 @@
 	return nil, false
 }
 
+// isClean reports whether path has no empty segment and no "." or "..". With
+// those, a call could match the prefix of an open route and be run by a service
+// that resolves them as a call of another route.
+func isClean(path string) bool {
+	if strings.Contains(path, "//") {
+		return false
+	}
+	for rest := path; ; {
+		at := strings.Index(rest, "/.")
+		if at < 0 {
+			return true
+		}
+		rest = rest[at+1:]
+		segment, _, _ := strings.Cut(rest, "/")
+		if segment == "." || segment == ".." {
+			return false
+		}
+	}
+}
+
 // cutAfterSlash returns path up to its nth slash.
 func cutAfterSlash(path string, n int) string {
 	end := 0
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -183,7 +183,9 @@
 }
 
 // MatchRoute returns the most specific route for a call: the exact path, else
-// the longest prefix. Routes without the method are passed over.
+// the longest prefix. Routes without the method are passed over. The path is
+// the decoded one, as in http.Request.URL.Path; one that isn't clean has no
+// route.
 func (s *Snapshot) MatchRoute(method, path string) (route *Route, ok bool) {
 	return s.routes.lookup(method, path)
 }
--- a/fleet/snapshot_test.go
+++ b/fleet/snapshot_test.go
@@ -158,8 +158,9 @@
 	}
 }
 
-// Guards against a prefix hiding an exact route and against a route taking
-// methods that it doesn't list.
+// Guards against a prefix hiding an exact route, against a route taking methods
+// that it doesn't list, and against a path that a service would resolve to
+// another route's.
 func TestMatchRoute(t *testing.T) {
 	s := small(t)
 	for _, test := range []struct{ method, path, want string }{
@@ -173,6 +174,11 @@
 		{"DELETE", "/desk/draw", ""},
 		{"GET", "/", ""},
 		{"GET", "", ""},
+		{"POST", "/desk/a/../fees", ""},
+		{"POST", "/desk/./a", ""},
+		{"POST", "/desk//a", ""},
+		{"POST", "/desk/a/..", ""},
+		{"POST", "/desk/..a/.b/c..", "entries"},
 	} {
 		name := ""
 		if route, ok := s.MatchRoute(test.method, test.path); ok {
