--- a/fleet/snapshot_test.go
+++ b/fleet/snapshot_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"sync"
 	"testing"
 )
 
@@ -157,8 +158,9 @@
 	}
 }
 
-// Guards against a prefix hiding an exact route and against a route taking
-// methods that it doesn't list.
+// Guards against a prefix hiding an exact route, against a route taking methods
+// that it doesn't list, and against a path that a service would resolve to
+// another route's.
 func TestMatchRoute(t *testing.T) {
 	s := small(t)
 	for _, test := range []struct{ method, path, want string }{
@@ -172,6 +174,11 @@
 		{"DELETE", "/desk/draw", ""},
 		{"GET", "/", ""},
 		{"GET", "", ""},
+		{"POST", "/desk/a/../fees", ""},
+		{"POST", "/desk/./a", ""},
+		{"POST", "/desk//a", ""},
+		{"POST", "/desk/a/..", ""},
+		{"POST", "/desk/..a/.b/c..", "entries"},
 	} {
 		name := ""
 		if route, ok := s.MatchRoute(test.method, test.path); ok {
@@ -238,6 +245,29 @@
 	}
 }
 
+// Guards against a data race where requests are the first to need a list of
+// candidates, and against one of them seeing an incomplete list.
+func TestDecideConcurrently(t *testing.T) {
+	for range 20 {
+		s := small(t)
+		entries, _ := s.MatchRoute("POST", "/desk/entries")
+		desk, _ := s.ServiceFor(entries)
+		w, _ := s.Workspace("mopani/alpha")
+		rulings, _ := s.ModelFor(w, "rulings")
+		var group sync.WaitGroup
+		for range 8 {
+			group.Go(func() {
+				call, _ := s.Decide(Query{w, entries, desk})
+				generation, _ := s.Decide(Query{w, nil, rulings})
+				if len(call.Upstreams) != 1 || len(generation.Upstreams) != 2 {
+					t.Errorf("candidates: %d and %d, want 1 and 2", len(call.Upstreams), len(generation.Upstreams))
+				}
+			})
+		}
+		group.Wait()
+	}
+}
+
 func sameKeys(upstreams []*Upstream, keys []string) bool {
 	found := map[string]bool{}
 	for _, u := range upstreams {
