Change up to a third of the engines' roles at once

Cause: one change at a time took over a minute for the three engines that a swing has to change in a domain of six. Change: PlanRoles counts an engine that changes with its new role and allows a third of the engines to be out of service.

--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -47,6 +47,7 @@
 		desk        bool // a worker of the plain service
 		reclaimable bool
 		role        policy.Role
+		target      policy.Role // differs from role during a change
 		state       state
 		changes     []time.Time
 		queue       *policy.Queue
--- a/experiment/plan.go
+++ b/experiment/plan.go
@@ -46,7 +46,7 @@
 		}
 		serving = append(serving, e)
 		request.Engines = append(request.Engines, policy.EngineRole{
-			Role: e.role, Changes: e.changes, Unavailable: e.state != up,
+			Role: e.target, Changes: e.changes, Unavailable: e.state != up,
 		})
 	}
 	change, ok := policy.PlanRoles(request, s.weights)
@@ -55,6 +55,7 @@
 	}
 	e := serving[change.Engine]
 	e.changes = append(e.changes, clock(s.now))
+	e.target = change.To
 	s.drain(e, func() {
 		s.after(roleChangeTime, func() {
 			if e.state == leaving {
--- a/policy/roles.go
+++ b/policy/roles.go
@@ -29,7 +29,7 @@
 
 	// EngineRole is the state of an engine for PlanRoles.
 	EngineRole struct {
-		Role Role
+		Role Role // the new one while it changes
 		// Changes are the times of the last role changes.
 		Changes []time.Time
 		// Unavailable engines are starting, draining or changing their role.
@@ -60,8 +60,8 @@
 	counts [3]float64
 )
 
-// PlanRoles returns the role change to make now, if any. It changes one engine
-// at a time, so that each further change is decided on its effect.
+// PlanRoles returns the role change to make now, if any. At most a third of the
+// engines are out of service at the same time, and always at least one may be.
 //
 // A change must gain more work within the horizon than the engine loses while
 // it is out of service. Since the horizon is longer than the change, mixed
@@ -69,19 +69,23 @@
 func PlanRoles(request RolesRequest, weights Weights) (change RoleChange, ok bool) {
 	need := request.Demand.needs(weights.RoleHorizon)
 	var now counts
+	unavailable := 0
 	for i := range request.Engines {
 		if request.Engines[i].Unavailable {
-			return change, false
+			unavailable++
 		}
 		now[request.Engines[i].Role]++
 	}
+	if unavailable >= max(len(request.Engines)/3, 1) {
+		return change, false
+	}
 	total := need[Prefill] + need[Decode]
 	horizon := weights.RoleHorizon.Seconds()
 	lost := request.ChangeTime.Seconds()
 	before := request.served(now, need)
 	for i := range request.Engines {
 		e := &request.Engines[i]
-		if e.recent(request.Now, weights.Swing) >= weights.MaxRoleChanges {
+		if e.Unavailable || e.recent(request.Now, weights.Swing) >= weights.MaxRoleChanges {
 			continue
 		}
 		for to := Mixed; to <= Decode; to++ {
