Refuse what became late while it waited

Cause: requests that were overtaken in the fair queue ran although they could no longer meet their objective, and made others late. Change: a request is judged again, with nothing ahead of it, when it leaves the queue.

--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -131,6 +131,10 @@
 	for e.queue.Len() > 0 && len(e.prefilling)+len(e.decoding) < e.slots() && e.pending() < e.admits() {
 		r := e.queue.Next().Value.(*request)
 		e.waiting -= int64(r.left)
+		if !e.sim.naive && r.emitted == 0 && !e.judge(r, int64(r.left), 0).OK() {
+			r.refused = true // it would be late by now, so it isn't run
+			continue
+		}
 		r.attempts++
 		if r.left == 0 {
 			e.decoding = append(e.decoding, r)
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -198,15 +198,20 @@
 	if total := e.queue.Cost(); total > 0 {
 		ahead = int64(float64(ahead) / float64(total) * float64(e.waiting))
 	}
+	return e.judge(r, left, ahead).OK()
+}
+
+// judge decides on a request with left tokens to prefill behind the work that
+// is ahead of it in the queue.
+func (e *engine) judge(r *request, left, ahead int64) policy.Admission {
 	speed := e.speed(len(e.decoding))
-	admission := policy.Admit(policy.AdmitRequest{
+	return policy.Admit(policy.AdmitRequest{
 		Ahead: ahead + e.pending(), Rate: speed,
 		FirstToken: time.Duration(float64(left) / speed * float64(time.Second)),
 		Objective:  firstTokenObjective - (e.sim.now - r.arrived) - e.sim.place.clientHop,
 		Best:       time.Duration(left) * time.Second / prefillPerSecond,
 		Next:       e.next(), NextLimit: time.Duration(r.answer) * (paceObjective - stepLimit),
 	})
-	return admission.OK()
 }
 
 // next is the expected wait for a slot that decodes, on the engine itself or
