Refuse work whose objective has passed

Change: Admit takes the whole objective and the time waited; a past deadline is negative and no longer means none. Three requests are lost in the reclaims, which is open.

--- a/experiment/run.go
+++ b/experiment/run.go
@@ -177,10 +177,10 @@
 	}
 	e := targets[0]
 	hop := s.hop(r.region, e.region)
+	r.hop = hop + s.place.clientHop
 	s.after(hop, func() {
 		last := r.emitted > 0 && len(targets) == 1
 		if e.state == up && (last || e.admit(r)) || last && e.state == leaving {
-			r.hop = hop + s.place.clientHop
 			e.push(r)
 			return
 		}
@@ -208,9 +208,9 @@
 	return policy.Admit(policy.AdmitRequest{
 		Ahead: ahead + e.pending(), Rate: speed,
 		FirstToken: time.Duration(float64(left) / speed * float64(time.Second)),
-		Objective:  firstTokenObjective - (e.sim.now - r.arrived) - e.sim.place.clientHop,
-		Best:       time.Duration(left) * time.Second / prefillPerSecond,
-		Next:       e.next(), NextLimit: time.Duration(r.answer) * (paceObjective - stepLimit),
+		Objective:  firstTokenObjective, Waited: e.sim.now - r.arrived + r.hop,
+		Best: time.Duration(left) * time.Second / prefillPerSecond,
+		Next: e.next(), NextLimit: time.Duration(r.answer) * (paceObjective - stepLimit),
 	})
 }
 
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -33,13 +33,15 @@
 		// never.
 		Best time.Duration
 		// Objective is the longest useful time to the first token, counted from
-		// now; 0 means none.
+		// the request's arrival, and Waited the time since; 0 means no objective.
 		Objective time.Duration
+		Waited    time.Duration
 		// Next is the expected wait for the stage after the first token, and
 		// NextLimit the longest that keeps the pace; 0 means none.
 		Next      time.Duration
 		NextLimit time.Duration
-		// Deadline is the remaining time to the last token; 0 means none.
+		// Deadline is the remaining time to the last token, negative when it is
+		// past; 0 means none.
 		Deadline time.Duration
 	}
 
@@ -86,12 +88,12 @@
 // any upstream waits no longer than the objective.
 func (r *AdmitRequest) slack() (slack time.Duration, bounded bool) {
 	if r.Objective > 0 {
-		slack, bounded = r.Objective-r.FirstToken, true
-		if r.Best > r.Objective {
-			slack = r.Objective
+		slack, bounded = r.Objective-r.Waited, true
+		if r.Best <= r.Objective {
+			slack -= r.FirstToken
 		}
 	}
-	if r.Deadline > 0 {
+	if r.Deadline != 0 {
 		if left := r.Deadline - max(r.Total, r.FirstToken); !bounded || left < slack {
 			slack, bounded = left, true
 		}
