Lose no request in a reclaim

Cause: a request that a reclaimed engine was still prefilling at the notice began to decode there and was cut off; a resumed request whose candidates had all gone was given up. Change: such a request is resumed elsewhere after its prefill, and a resumed request is placed again after half a second. A request that never ends counts as lost too.

--- a/experiment/bound.go
+++ b/experiment/bound.go
@@ -68,10 +68,11 @@
 // leastFleet returns the spend per good request of the smallest fleet of
 // constant size, with the same decisions but for capacity, with which 95 in 100
 // requests of the workspaces that don't flood meet the objective. It is NaN if
-// none does. A larger fleet is taken to serve no less.
+// no fleet of up to twice the size does. A larger fleet is taken to serve no
+// less.
 func leastFleet(options Options, d deployment, s scenario, preset policy.Weights) float64 {
 	spend := math.NaN()
-	for low, high := regions, d.most(); low <= high; {
+	for low, high := regions, 2*regions*d.engines; low <= high; {
 		n := (low + high) / 2
 		one := newSim(options.Seed, d, s, preset, false, n)
 		requests := generate(options.Seed, d, s)
--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -205,6 +205,9 @@
 		case e.sim.emit(r):
 		case e.role == policy.Prefill:
 			e.sim.handOver(e, r)
+		case e.stopped && e.reclaimable:
+			// It started before the notice and can't end before the reclaim.
+			e.sim.resume(r)
 		default:
 			e.decoding = append(e.decoding, r)
 		}
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -140,7 +140,7 @@
 		if q.good() {
 			ok = 1
 		}
-		if q.lost {
+		if q.lost || !q.refused && q.emitted < q.answer {
 			r.lost++
 		}
 		if q.desk {
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -169,10 +169,11 @@
 // try asks the stewards of the targets in turn.
 func (s *sim) try(r *request, targets []*engine) {
 	if len(targets) == 0 {
-		r.refused = true
 		if r.emitted > 0 {
-			r.lost = true
+			s.after(planEvery/10, func() { s.dispatch(r) })
+			return
 		}
+		r.refused = true
 		return
 	}
 	e := targets[0]
