Plan for the work that caches leave, with headroom

Cause: the role plan took need for served when engines were busy all the time; at that point a tenth of the requests waited too long. The need counted prompt tokens that caches held, which favoured prefill engines. Change: the need excludes cached prompt tokens; RoleHeadroom 1.5 plans roles for 1.5 times the need; Headroom is 1.5 and 1.75 of the smaller need, before 1.1 and 1.25 of the larger one.

--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -113,7 +113,10 @@
 func (e *engine) push(r *request) {
 	r.left = 0
 	if !r.moved {
-		r.left = max(r.prompt+r.emitted-e.cached(r)*policy.PieceTokens, 1)
+		cached := e.cached(r) * policy.PieceTokens
+		r.left = max(r.prompt+r.emitted-cached, 1)
+		m := &e.sim.demand[r.region]
+		m.cached += answerSmoothing * (float64(cached)/float64(r.prompt) - m.cached)
 	}
 	r.cost = policy.DefaultPrices.Cost(r.left, 0, r.answer-r.emitted)
 	if e.role == policy.Prefill {
--- a/experiment/plan.go
+++ b/experiment/plan.go
@@ -9,7 +9,7 @@
 // Weights of the newest measurement in smoothed ones.
 const (
 	smoothing       = 0.3  // arriving work, each plan
-	answerSmoothing = 0.02 // length of an answer, each answer
+	answerSmoothing = 0.02 // length and cached share, each answer
 )
 
 // plan runs the role and capacity plans of each region.
@@ -173,7 +173,7 @@
 	m.promptRate += smoothing * (m.prompt/planEvery.Seconds() - m.promptRate)
 	m.rate += smoothing * (m.requests/planEvery.Seconds() - m.rate)
 	m.prompt, m.requests = 0, 0
-	d.Prefill = m.promptRate / prefillPerSecond
+	d.Prefill = m.promptRate * (1 - m.cached) / prefillPerSecond
 	d.Decode = m.rate * m.answer * decodeSeconds
 	return d
 }
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -64,6 +64,7 @@
 		prompt, requests float64 // since the last plan
 		promptRate, rate float64 // smoothed, per second
 		answer           float64 // smoothed mean
+		cached           float64 // smoothed share of prompt tokens found in a cache
 	}
 )
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,6 +36,9 @@
 		// RoleGain is the least gain of a role change, as a multiple of the work
 		// that the engine doesn't do while it changes.
 		RoleGain float64
+		// RoleHeadroom is the multiple of the need that roles are planned for.
+		// Waiting times grow long before an engine is busy all the time.
+		RoleHeadroom float64
 		// RoleHorizon is how long a role is expected to stay useful.
 		RoleHorizon time.Duration
 		// MaxRoleChanges is the number of changes of one engine within Swing.
@@ -69,8 +72,8 @@
 func Goodput() Weights {
 	return Weights{
 		LoadBound: 1.25, PrefixDepth: 1, SpillValue: 1,
-		RoleGain: 1.5, RoleHorizon: time.Minute, MaxRoleChanges: 2, Swing: 5 * time.Minute,
-		Headroom: 1.1, StartAfter: 20 * time.Second, StopAfter: 2 * time.Minute, ReclaimableShare: 0.67,
+		RoleGain: 1.5, RoleHeadroom: 1.5, RoleHorizon: time.Minute, MaxRoleChanges: 2, Swing: 5 * time.Minute,
+		Headroom: 1.5, StartAfter: 20 * time.Second, StopAfter: 2 * time.Minute, ReclaimableShare: 0.67,
 	}
 }
 
@@ -79,7 +82,7 @@
 func WorstServed() Weights {
 	w := Goodput()
 	w.SpillValue = 2
-	w.Headroom = 1.25
+	w.Headroom = 1.75
 	w.StartAfter = 10 * time.Second
 	w.StopAfter = 3 * time.Minute
 	return w
--- a/policy/roles.go
+++ b/policy/roles.go
@@ -82,7 +82,7 @@
 	total := need[Prefill] + need[Decode]
 	horizon := weights.RoleHorizon.Seconds()
 	lost := request.ChangeTime.Seconds()
-	before := request.served(now, need)
+	before := request.served(now, need, weights.RoleHeadroom)
 	for i := range request.Engines {
 		e := &request.Engines[i]
 		if e.Unavailable || e.recent(request.Now, weights.Swing) >= weights.MaxRoleChanges {
@@ -94,9 +94,9 @@
 			}
 			after := now
 			after[e.Role]--
-			out := request.served(after, need)
+			out := request.served(after, need, weights.RoleHeadroom)
 			after[to]++
-			in := request.served(after, need)
+			in := request.served(after, need, weights.RoleHeadroom)
 			// During the change the rest serves out, afterwards in.
 			gain := (in - before) * total * (horizon - lost)
 			loss := max((before-out)*total, 0) * lost
@@ -125,11 +125,11 @@
 // served returns the largest factor by which the needs can be multiplied and
 // still be served, which is the share of requests served when below 1. Mixed
 // engines divide their time as needed, so the factor is limited by either kind
-// of work alone or by both together. Up to 1 it counts in full; room beyond it
-// counts a tenth, so that spare engines go where they are next needed.
-func (r *RolesRequest) served(n, need counts) float64 {
+// of work alone or by both together. Up to full it counts in full; room beyond
+// it counts a tenth, so that spare engines go where they are next needed.
+func (r *RolesRequest) served(n, need counts, full float64) float64 {
 	const spare = 0.1
-	factor := 2.0
+	factor := 2 * full
 	if need[Prefill] > 0 {
 		factor = min(factor, (n[Prefill]+r.MixedPrefill*n[Mixed])/need[Prefill])
 	}
@@ -139,8 +139,8 @@
 	if both := need[Prefill]/r.MixedPrefill + need[Decode]/r.MixedDecode; both > 0 {
 		factor = min(factor, (n[Mixed]+n[Prefill]/r.MixedPrefill+n[Decode]/r.MixedDecode)/both)
 	}
-	if factor > 1 {
-		return 1 + spare*(factor-1)
+	if factor > full {
+		return full + spare*(factor-full)
 	}
 	return factor
 }
