Let an upstream carry twice the mean load for its prefix

Cause: a bound of 1.25 sent a request away from the upstream that held its prefix at loads that it could still serve in time; the limit by time decides that anyway. Change: LoadBound 2 instead of 1.25.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,7 +25,7 @@
 	// them from here.
 	Weights struct {
 		// LoadBound is how far above the mean load per slot of its region an
-		// upstream may be and still be chosen for its prefix (1.25 is 25% above).
+		// upstream may be and still be chosen for its prefix (2 is twice the mean).
 		LoadBound float64
 		// PrefixDepth is the number of leading pieces that requests have to
 		// share to prefer the same upstream.
@@ -71,7 +71,7 @@
 // their objective.
 func Goodput() Weights {
 	return Weights{
-		LoadBound: 1.25, PrefixDepth: 1, SpillValue: 1,
+		LoadBound: 2, PrefixDepth: 1, SpillValue: 1,
 		RoleGain: 1.5, RoleHeadroom: 1.5, RoleHorizon: time.Minute, MaxRoleChanges: 2, Swing: 5 * time.Minute,
 		Headroom: 1.5, StartAfter: 20 * time.Second, StopAfter: 2 * time.Minute, ReclaimableShare: 0.67,
 	}
