Stop idle upstreams only after longer than a start takes

Cause: upstreams were stopped after two minutes of idling and ordered again, four minutes late, in the next swing or flood. Change: StopAfter 5 min (goodput) and 6 min (worst served), before 2 and 3.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,7 +47,8 @@
 		// Headroom is the fleet's size as a multiple of the measured need.
 		Headroom float64
 		// StartAfter and StopAfter are how long a deficit or an idle upstream
-		// lasts before an order follows.
+		// lasts before an order follows. Stopping sooner than a start takes gives
+		// away what the next swing needs.
 		StartAfter time.Duration
 		StopAfter  time.Duration
 		// ReclaimableShare is the largest share of reclaimable upstreams in a
@@ -73,7 +74,7 @@
 	return Weights{
 		LoadBound: 2, PrefixDepth: 1, SpillValue: 1,
 		RoleGain: 1.5, RoleHeadroom: 1.5, RoleHorizon: time.Minute, MaxRoleChanges: 2, Swing: 5 * time.Minute,
-		Headroom: 1.5, StartAfter: 20 * time.Second, StopAfter: 2 * time.Minute, ReclaimableShare: 0.67,
+		Headroom: 1.5, StartAfter: 20 * time.Second, StopAfter: 5 * time.Minute, ReclaimableShare: 0.67,
 	}
 }
 
@@ -84,7 +85,7 @@
 	w.SpillValue = 2
 	w.Headroom = 1.75
 	w.StartAfter = 10 * time.Second
-	w.StopAfter = 3 * time.Minute
+	w.StopAfter = 6 * time.Minute
 	return w
 }
 
