Plan role changes by role instead of by engine

Cause: in a flood each single change gains too little to be made, although three prefill and three decode engines would serve more; a search over pairs of changes was tried.

--- a/policy/roles.go
+++ b/policy/roles.go
@@ -1,6 +1,10 @@
 package policy
 
-import "time"
+import (
+	"time"
+
+	"github.com/guavagauge/guavagauge/fleet"
+)
 
 // What an engine does.
 const (
@@ -32,6 +36,7 @@
 		Role Role // the new one while it changes
 		// Changes are the times of the last role changes.
 		Changes []time.Time
+		Fencing fleet.Fencing
 		// Unavailable engines are starting, draining or changing their role.
 		Unavailable bool
 	}
@@ -56,6 +61,13 @@
 		Gain float64
 	}
 
+	rolePlan struct {
+		request *RolesRequest
+		need    counts
+		weights Weights
+		lost    float64 // seconds out of service for a change
+	}
+
 	// counts is the number of engines by role.
 	counts [3]float64
 )
@@ -79,33 +91,59 @@
 	if unavailable >= max(len(request.Engines)/3, 1) {
 		return change, false
 	}
-	total := need[Prefill] + need[Decode]
-	horizon := weights.RoleHorizon.Seconds()
-	lost := request.ChangeTime.Seconds()
-	before := request.served(now, need, weights.RoleHeadroom)
-	for i := range request.Engines {
-		e := &request.Engines[i]
-		if e.Unavailable || e.recent(request.Now, weights.Swing) >= weights.MaxRoleChanges {
+	plan := rolePlan{&request, need, weights, request.ChangeTime.Seconds()}
+	change = plan.best(now)
+	return change, change.Gain > 0
+}
+
+// best returns the change that gains most, if any is worth it.
+func (p *rolePlan) best(now counts) (best RoleChange) {
+	total := p.need[Prefill] + p.need[Decode]
+	before := p.served(now)
+	for from := Mixed; from <= Decode; from++ {
+		engine := p.request.pick(from, p.weights)
+		if engine < 0 {
 			continue
 		}
+		out := now
+		out[from]--
+		// During the change the rest serves out, afterwards in.
+		loss := max((before-p.served(out))*total, 0) * p.lost
 		for to := Mixed; to <= Decode; to++ {
-			if to == e.Role {
+			if to == from {
 				continue
 			}
-			after := now
-			after[e.Role]--
-			out := request.served(after, need, weights.RoleHeadroom)
-			after[to]++
-			in := request.served(after, need, weights.RoleHeadroom)
-			// During the change the rest serves out, afterwards in.
-			gain := (in - before) * total * (horizon - lost)
-			loss := max((before-out)*total, 0) * lost
-			if gain > weights.RoleGain*loss+lost/10 && gain-loss > change.Gain {
-				change, ok = RoleChange{i, to, gain - loss}, true
+			in := out
+			in[to]++
+			gain := (p.served(in) - before) * total * (p.weights.RoleHorizon.Seconds() - p.lost)
+			if gain > p.weights.RoleGain*loss+p.lost/10 && gain-loss > best.Gain {
+				best = RoleChange{engine, to, gain - loss}
 			}
 		}
 	}
-	return change, ok
+	return best
+}
+
+// pick returns the engine with the role that changed least often of late, or
+// -1 when none may change.
+func (r *RolesRequest) pick(role Role, weights Weights) (engine int) {
+	engine, least := -1, weights.MaxRoleChanges
+	for i := range r.Engines {
+		e := &r.Engines[i]
+		if e.Role != role || e.Unavailable {
+			continue
+		}
+		n := e.recent(r.Now, weights.Swing)
+		if e.Fencing == fleet.FencingIgnored {
+			// An order that arrives late can't be refused, so these change last
+			// and half as often.
+			n = 2*n + 1
+		}
+		if n < least {
+			engine, least = i, n
+		}
+	}
+	return engine
 }
 
 // needs returns the engines needed by role so that waiting work is done within
@@ -127,8 +165,9 @@
 // engines divide their time as needed, so the factor is limited by either kind
 // of work alone or by both together. Up to full it counts in full; room beyond
 // it counts a tenth, so that spare engines go where they are next needed.
-func (r *RolesRequest) served(n, need counts, full float64) float64 {
+func (p *rolePlan) served(n counts) float64 {
 	const spare = 0.1
+	r, need, full := p.request, p.need, p.weights.RoleHeadroom
 	factor := 2 * full
 	if need[Prefill] > 0 {
 		factor = min(factor, (n[Prefill]+r.MixedPrefill*n[Mixed])/need[Prefill])
