Count the work sent since the last load report

Cause: reports are 0.5 to 1 s old when used, and until the next one every request without a cached prefix went to the same upstream. Change: Sent keeps what an entry node sent to an upstream lately; placement adds it to the reported load.

--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -62,17 +62,19 @@
 		stopped     bool   // not counted as capacity
 		then        func() // what to do when the last work is done
 		digest      digest
+		sent        [entryNodes]policy.Sent
 	}
 
 	// digest is the load as the entry nodes know it.
 	digest struct {
+		taken                  time.Duration
 		prefill, decode, batch int64
 		over                   int64 // streams beyond the slots; negative when some are free
 	}
 )
 
 func (e *engine) load() digest {
-	d := digest{prefill: e.waiting + e.pending(), decode: e.queue.Cost(), batch: int64(len(e.decoding))}
+	d := digest{taken: e.sim.now, prefill: e.waiting + e.pending(), decode: e.queue.Cost(), batch: int64(len(e.decoding))}
 	d.over = int64(len(e.decoding) + len(e.prefilling) + e.queue.Len() - e.slots())
 	for _, r := range e.decoding {
 		d.decode += int64(policy.DefaultPrices.Decode * float64(r.answer-r.emitted))
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -18,6 +18,7 @@
 	planEvery   = 5 * time.Second
 	notice      = 5 * time.Second // before a reclaim
 	regions     = 3
+	entryNodes  = 9
 	pricePerGB  = 0.02
 	tokenBytes  = 200 // of a streamed answer token, with framing
 
@@ -178,6 +179,7 @@
 		return
 	}
 	e := targets[0]
+	e.sent[r.node()].Add(clock(s.now), int64(r.prompt))
 	hop := s.hop(r.region, e.region)
 	r.hop = hop + s.place.clientHop
 	s.after(hop, func() {
@@ -269,7 +271,8 @@
 		c := policy.Candidate{Hash: e.hash, Domain: domain(e.region), Region: domain(e.region)}
 		if stage == policy.Prefill {
 			// Slots stand for speed: a mixed engine prefills more slowly.
-			c.Queued = e.digest.prefill + int64(e.next().Seconds()*prefillPerSecond)
+			sent := e.sent[r.node()].Since(clock(e.digest.taken), clock(s.now))
+			c.Queued = e.digest.prefill + sent + int64(e.next().Seconds()*prefillPerSecond)
 			c.Slots = max(int(e.speed(int(e.digest.batch))*speedSlots/prefillPerSecond), 1)
 		} else {
 			c.Queued, c.Slots = e.digest.decode, e.slots()
--- a/experiment/workload.go
+++ b/experiment/workload.go
@@ -129,6 +129,9 @@
 	return r
 }
 
+// node is the entry node that the load balancer chose, of three in the region.
+func (r *request) node() int { return r.region*entryNodes/regions + int(r.id%(entryNodes/regions)) }
+
 // good reports whether the caller got the complete answer in time.
 func (r *request) good() bool {
 	return r.emitted >= r.answer && r.first-r.arrived <= firstTokenObjective &&
