--- a/experiment/bound.go
+++ b/experiment/bound.go
@@ -74,7 +74,7 @@
 	spend := math.NaN()
 	for low, high := regions, 2*regions*d.engines; low <= high; {
 		n := (low + high) / 2
-		one := newSim(options.Seed, d, s, preset, false, n)
+		one := newSim(d, s, preset, false, n)
 		requests := generate(options.Seed, d, s)
 		one.run(requests)
 		if r := one.result(requests); r.others >= share95 {
@@ -95,3 +95,6 @@
 	}
 	return float64(r.prompt-shared*policy.PieceTokens)/prefillPerSecond + float64(r.answer)*decodeSeconds
 }
+
+// most is the largest fleet that may be ordered.
+func (d deployment) most() int { return regions * (d.engines * 4 / 3) }
--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -82,6 +82,8 @@
 	return d
 }
 
+func (d digest) total() int64 { return d.prefill + d.decode }
+
 // pending returns the prompt tokens of admitted requests.
 func (e *engine) pending() (n int64) {
 	for _, r := range e.prefilling {
@@ -114,7 +116,9 @@
 // engine and have a cost of decoding only.
 func (e *engine) push(r *request) {
 	r.left = 0
-	if !r.moved {
+	if r.moved {
+		r.moved = false // when it is placed again, its cache stays behind
+	} else {
 		cached := e.cached(r) * policy.PieceTokens
 		r.left = max(r.prompt+r.emitted-cached, 1)
 		m := &e.sim.demand[r.region]
@@ -212,7 +216,7 @@
 			e.sim.handOver(e, r)
 		case e.stopped && e.reclaimable:
 			// It started before the notice and can't end before the reclaim.
-			e.sim.resume(r)
+			e.sim.dispatch(r)
 		default:
 			e.decoding = append(e.decoding, r)
 		}
@@ -220,6 +224,69 @@
 	e.run()
 }
 
+func (e *engine) admit(r *request) bool {
+	left := int64(max(r.prompt+r.emitted-e.cached(r)*policy.PieceTokens, 1))
+	cost := left
+	if e.role != policy.Prefill {
+		cost = policy.DefaultPrices.Cost(int(left), 0, r.answer-r.emitted)
+	}
+	ahead := e.queue.Ahead(workspaceName(r.workspace), quotas[r.workspace], cost)
+	if total := e.queue.Cost(); total > 0 {
+		ahead = int64(float64(ahead) / float64(total) * float64(e.waiting))
+	}
+	return e.judge(r, left, ahead).OK()
+}
+
+// judge decides on a request with left tokens to prefill behind the work that
+// is ahead of it in the queue.
+func (e *engine) judge(r *request, left, ahead int64) policy.Admission {
+	speed := e.speed(len(e.decoding))
+	return policy.Admit(policy.AdmitRequest{
+		Ahead: ahead + e.pending(), Rate: speed,
+		FirstToken: time.Duration(float64(left) / speed * float64(time.Second)),
+		Objective:  firstTokenObjective, Waited: e.sim.now - r.arrived + r.hop,
+		Best: time.Duration(left) * time.Second / prefillPerSecond,
+		Next: e.next(), NextLimit: time.Duration(r.answer) * (paceObjective - stepLimit),
+	})
+}
+
+// next is the expected wait for a slot that decodes, on the engine itself or
+// on those that it hands over to.
+func (e *engine) next() time.Duration {
+	if e.desk {
+		return 0
+	}
+	var over, engines float64
+	for _, other := range e.sim.engines {
+		if other == e && e.role == policy.Mixed {
+			over, engines = float64(e.load().over), 1
+			break
+		}
+		if e.role == policy.Prefill && other.region == e.region && !other.desk && other.state == up && other.role != policy.Prefill {
+			over += float64(other.digest.over)
+			engines++
+		}
+	}
+	return seconds(max(over, 0) * e.sim.demand[e.region].answer * decodeSeconds / max(engines, 0.1))
+}
+
+// emit records a token and reports whether it was the last.
+func (s *sim) emit(r *request) bool {
+	r.last = s.now + r.hop
+	if r.emitted == 0 {
+		r.first = r.last
+	}
+	r.emitted++
+	if r.emitted < r.answer {
+		return false
+	}
+	// Planning knows the length of answers only from those that ended.
+	if m := &s.demand[r.region]; !r.desk {
+		m.answer += answerSmoothing * (float64(r.answer) - m.answer)
+	}
+	return true
+}
+
 // take removes and returns all waiting work.
 func (e *engine) take() (all []*request) {
 	for item := e.queue.Next(); item != nil; item = e.queue.Next() {
@@ -255,3 +322,7 @@
 		}
 	}
 }
+
+func clock(now time.Duration) time.Time { return time.Unix(0, 0).Add(now) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -16,6 +16,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/guavagauge/guavagauge/policy"
 )
@@ -105,7 +106,7 @@
 	share := float64(full.MaxReclaimable(d.engines, preset)) / float64(d.engines)
 	run := func(naive bool) result {
 		requests := generate(options.Seed, d, s)
-		one := newSim(options.Seed, d, s, preset, naive, 0)
+		one := newSim(d, s, preset, naive, 0)
 		one.run(requests)
 		return one.result(requests)
 	}
@@ -190,3 +191,9 @@
 
 // swings counts the start of the load as one.
 func (s scenario) swings() float64 { return float64(len(s.mixes)) }
+
+// good reports whether the caller got the complete answer in time.
+func (r *request) good() bool {
+	return r.emitted >= r.answer && r.first-r.arrived <= firstTokenObjective &&
+		r.last-r.first <= time.Duration(r.answer-1)*paceObjective
+}
--- a/experiment/plan.go
+++ b/experiment/plan.go
@@ -41,7 +41,7 @@
 	}
 	var serving []*engine
 	for _, e := range all {
-		if e.state == starting || e.stopping() {
+		if e.state == starting || e.stopped {
 			continue
 		}
 		serving = append(serving, e)
@@ -72,7 +72,7 @@
 	}
 	for _, e := range all {
 		switch {
-		case e.stopping():
+		case e.stopped:
 		case e.reclaimable:
 			request.Reclaimable++
 		default:
@@ -98,53 +98,49 @@
 	for range n {
 		var least *engine
 		for _, e := range all {
-			if e.state == up && e.reclaimable == reclaimable &&
-				(least == nil || e.load().decode+e.load().prefill < least.load().decode+least.load().prefill) {
+			if e.state == up && e.reclaimable == reclaimable && (least == nil || e.load().total() < least.load().total()) {
 				least = e
 			}
 		}
 		if least != nil {
-			least.stopped = true
-			s.drain(least, func() { least.leave(s.now) })
+			s.release(least)
 		}
 	}
 }
 
+func (s *sim) release(e *engine) {
+	e.stopped = true
+	s.drain(e, func() { e.leave(s.now) })
+}
+
 // drain places waiting work elsewhere, lets running work end, then calls then.
 func (s *sim) drain(e *engine, then func()) {
 	e.state, e.then = leaving, then
 	for _, r := range e.take() {
-		s.resume(r)
+		s.dispatch(r)
 	}
 	e.run()
 }
 
-// resume sends a request to another engine. Its cache stays behind.
-func (s *sim) resume(r *request) {
-	r.moved = false
-	s.dispatch(r)
-}
-
 // reclaim takes the reclaimable engines of a region after the notice. Streams
 // that can't end before are resumed elsewhere at once.
 func (s *sim) reclaim(region int) {
 	s.noneAt[region] = true
 	for _, e := range s.engines {
-		if e.region != region || !e.reclaimable || e.state == gone {
+		switch {
+		case e.region != region || !e.reclaimable || e.state == gone:
 			continue
-		}
-		if e.state == starting {
+		case e.state == starting:
 			e.leave(s.now)
 			continue
 		}
-		e.stopped = true
-		s.drain(e, func() { e.leave(s.now) })
+		s.release(e)
 		kept := e.decoding[:0]
 		for _, r := range e.decoding {
 			if time.Duration(r.answer-r.emitted)*stepLimit < notice*9/10 {
 				kept = append(kept, r)
 			} else {
-				s.resume(r)
+				s.dispatch(r)
 			}
 		}
 		e.decoding = kept
@@ -165,9 +161,6 @@
 	e.state = gone
 }
 
-// stopping engines don't count as capacity.
-func (e *engine) stopping() bool { return e.stopped }
-
 // update returns the smoothed demand and starts a new measurement.
 func (m *meter) update() (d policy.Demand) {
 	m.promptRate += smoothing * (m.prompt/planEvery.Seconds() - m.promptRate)
@@ -177,7 +170,3 @@
 	d.Decode = m.rate * m.answer * decodeSeconds
 	return d
 }
-
-func clock(now time.Duration) time.Time { return time.Unix(0, 0).Add(now) }
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -2,9 +2,7 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -35,21 +33,19 @@
 		do  func()
 	}
 
-	events []event
-
 	// sim runs one scenario with one set of decisions.
 	sim struct {
 		now      time.Duration
 		seq      int
-		events   events
-		random   *rand.Rand
+		events   []event // the next one last
 		weights  policy.Weights
 		naive    bool
 		fixed    int // engines in service all the time; 0 lets the capacity plan decide
 		place    deployment
 		scenario scenario
 		engines  []*engine
-		next     int // round robin
+		next     int // round robin over engines
+		nextDesk int // and over workers of the plain service
 		demand   [regions]meter
 		capacity [regions]policy.CapacityState
 		noneAt   [regions]bool // no reclaimable upstreams in the region
@@ -69,10 +65,8 @@
 	}
 )
 
-func newSim(seed uint64, d deployment, s scenario, weights policy.Weights, naive bool, fixed int) *sim {
-	run := &sim{
-		random: rand.New(rand.NewPCG(seed, 2)), weights: weights, naive: naive, fixed: fixed, place: d, scenario: s,
-	}
+func newSim(d deployment, s scenario, weights policy.Weights, naive bool, fixed int) *sim {
+	run := &sim{weights: weights, naive: naive, fixed: fixed, place: d, scenario: s}
 	request := policy.CapacityRequest{Eligible: 1}
 	total := d.engines * regions
 	if fixed > 0 {
@@ -101,7 +95,7 @@
 }
 
 func (s *sim) run(requests []*request) {
-	for _, r := range requests {
+	for _, r := range slices.Backward(requests) {
 		s.at(r.arrived, func() { s.arrive(r) })
 	}
 	s.every(reportEvery, func() {
@@ -117,7 +111,8 @@
 		s.at(s.scenario.reclaim, func() { s.reclaim(0) })
 	}
 	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(event)
+		e := s.events[len(s.events)-1]
+		s.events = s.events[:len(s.events)-1]
 		s.now = e.at
 		e.do()
 	}
@@ -143,14 +138,13 @@
 		return
 	}
 	s.collect(r, policy.Prefill)
-	own := int64(r.prompt)
 	request := policy.PlaceRequest{
-		Prefix: r.prefix, Spread: r.id, Domain: domain(r.region), Region: domain(r.region), Cost: own,
+		Prefix: r.prefix, Spread: r.id, Domain: domain(r.region), Region: domain(r.region),
+		Cost: int64(r.prompt), Limit: limit, Stay: !s.spills(r),
 	}
-	request.Limit, request.Stay = limit, !s.spills(r)
 	var buffer [policy.MaxChoices]policy.Choice
 	choices := policy.Place(buffer[:0], request, s.candidates, s.weights)
-	targets := make([]*engine, 0, policy.MaxChoices)
+	var targets []*engine
 	for _, choice := range choices {
 		targets = append(targets, s.targets[choice.Index])
 	}
@@ -158,9 +152,13 @@
 }
 
 func (s *sim) roundRobin(r *request) {
+	next := &s.next
+	if r.desk {
+		next = &s.nextDesk
+	}
 	for range s.engines {
-		s.next = (s.next + 1) % len(s.engines)
-		if e := s.engines[s.next]; e.desk == r.desk {
+		*next = (*next + 1) % len(s.engines)
+		if e := s.engines[*next]; e.desk == r.desk {
 			r.hop = s.hop(r.region, e.region) + s.place.clientHop
 			s.after(r.hop, func() { e.push(r) })
 			return
@@ -171,11 +169,9 @@
 // try asks the stewards of the targets in turn.
 func (s *sim) try(r *request, targets []*engine) {
 	if len(targets) == 0 {
-		if r.emitted > 0 {
+		if r.refused = r.emitted == 0; !r.refused {
 			s.after(planEvery/10, func() { s.dispatch(r) })
-			return
 		}
-		r.refused = true
 		return
 	}
 	e := targets[0]
@@ -186,58 +182,12 @@
 		last := r.emitted > 0 && len(targets) == 1
 		if e.state == up && (last || e.admit(r)) || last && e.state == leaving {
 			e.push(r)
-			return
+		} else {
+			s.after(hop, func() { s.try(r, targets[1:]) })
 		}
-		s.after(hop, func() { s.try(r, targets[1:]) })
 	})
 }
 
-func (e *engine) admit(r *request) bool {
-	left := int64(max(r.prompt+r.emitted-e.cached(r)*policy.PieceTokens, 1))
-	cost := left
-	if e.role != policy.Prefill {
-		cost = policy.DefaultPrices.Cost(int(left), 0, r.answer-r.emitted)
-	}
-	ahead := e.queue.Ahead(workspaceName(r.workspace), weights[r.workspace], cost)
-	if total := e.queue.Cost(); total > 0 {
-		ahead = int64(float64(ahead) / float64(total) * float64(e.waiting))
-	}
-	return e.judge(r, left, ahead).OK()
-}
-
-// judge decides on a request with left tokens to prefill behind the work that
-// is ahead of it in the queue.
-func (e *engine) judge(r *request, left, ahead int64) policy.Admission {
-	speed := e.speed(len(e.decoding))
-	return policy.Admit(policy.AdmitRequest{
-		Ahead: ahead + e.pending(), Rate: speed,
-		FirstToken: time.Duration(float64(left) / speed * float64(time.Second)),
-		Objective:  firstTokenObjective, Waited: e.sim.now - r.arrived + r.hop,
-		Best: time.Duration(left) * time.Second / prefillPerSecond,
-		Next: e.next(), NextLimit: time.Duration(r.answer) * (paceObjective - stepLimit),
-	})
-}
-
-// next is the expected wait for a slot that decodes, on the engine itself or
-// on those that it hands over to.
-func (e *engine) next() time.Duration {
-	if e.desk {
-		return 0
-	}
-	var over, engines float64
-	for _, other := range e.sim.engines {
-		if other == e && e.role == policy.Mixed {
-			over, engines = float64(e.load().over), 1
-			break
-		}
-		if e.role == policy.Prefill && other.region == e.region && !other.desk && other.state == up && other.role != policy.Prefill {
-			over += float64(other.digest.over)
-			engines++
-		}
-	}
-	return seconds(max(over, 0) * e.sim.demand[e.region].answer * decodeSeconds / max(engines, 0.1))
-}
-
 // handOver moves a prefilled request to an engine that decodes.
 func (s *sim) handOver(from *engine, r *request) {
 	s.collect(r, policy.Decode)
@@ -301,30 +251,12 @@
 	}, s.weights).Spill
 }
 
-// emit records a token and reports whether it was the last.
-func (s *sim) emit(r *request) bool {
-	r.last = s.now + r.hop
-	if r.emitted == 0 {
-		r.first = r.last
-	}
-	r.emitted++
-	if r.emitted < r.answer {
-		return false
-	}
-	// Planning knows the length of answers only from those that ended.
-	if m := &s.demand[r.region]; !r.desk {
-		m.answer += answerSmoothing * (float64(r.answer) - m.answer)
-	}
-	return true
-}
-
 func (s *sim) item(r *request) *policy.Item {
-	if s.naive {
-		// One workspace for all is first come, first served.
-		return &policy.Item{Workspace: "all", Weight: 1, Cost: r.cost, Value: r}
-	}
-	item := &policy.Item{Workspace: workspaceName(r.workspace), Weight: weights[r.workspace], Cost: r.cost, Value: r}
-	if r.emitted > 0 {
+	item := &policy.Item{Workspace: workspaceName(r.workspace), Weight: quotas[r.workspace], Cost: r.cost, Value: r}
+	switch {
+	case s.naive:
+		item.Workspace, item.Weight = "all", 1 // one for all is first come, first served
+	case r.emitted > 0:
 		item.Priority = 9
 	}
 	return item
@@ -339,7 +271,11 @@
 
 func (s *sim) at(at time.Duration, do func()) {
 	s.seq++
-	heap.Push(&s.events, event{at, s.seq, do})
+	e := event{at, s.seq, do}
+	i, _ := slices.BinarySearchFunc(s.events, e, func(a, b event) int {
+		return cmp.Or(cmp.Compare(b.at, a.at), cmp.Compare(b.seq, a.seq))
+	})
+	s.events = slices.Insert(s.events, i, e)
 }
 
 func (s *sim) after(delay time.Duration, do func()) { s.at(s.now+delay, do) }
@@ -354,36 +290,6 @@
 	})
 }
 
-func sortByArrival(all []*request) {
-	slices.SortStableFunc(all, func(a, b *request) int { return cmp.Compare(a.arrived, b.arrived) })
-}
-
 func domain(region int) string { return [regions]string{"domain-a", "domain-b", "domain-c"}[region] }
 
 func workspaceName(w int) string { return "workspace-" + string(rune('a'+w)) }
-
-// Len is part of heap.Interface.
-func (q events) Len() int { return len(q) }
-
-// Less is part of heap.Interface.
-func (q events) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
-	}
-	return q[i].seq < q[j].seq
-}
-
-// Swap is part of heap.Interface.
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push is part of heap.Interface.
-func (q *events) Push(x any) { *q = append(*q, x.(event)) }
-
-// Pop is part of heap.Interface.
-func (q *events) Pop() any {
-	last := len(*q) - 1
-	e := (*q)[last]
-	(*q)[last] = event{}
-	*q = (*q)[:last]
-	return e
-}
--- a/experiment/workload.go
+++ b/experiment/workload.go
@@ -1,7 +1,9 @@
 package experiment
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/guavagauge/guavagauge/policy"
@@ -69,10 +71,10 @@
 		{"reclaim", 2 * phase, 0.6, []mix{usual}, -1, 4 * time.Minute},
 	}
 
-	// A few large workspaces send most of the work. Weights follow the shares
-	// only roughly, as agreed quotas do.
-	shares  = [8]float64{0.30, 0.25, 0.15, 0.10, 0.08, 0.05, 0.04, 0.03}
-	weights = [8]int{4, 3, 2, 1, 1, 1, 1, 1}
+	// A few large workspaces send most of the work. Quotas follow the shares
+	// only roughly, as agreements do.
+	shares = [8]float64{0.30, 0.25, 0.15, 0.10, 0.08, 0.05, 0.04, 0.03}
+	quotas = [8]int{4, 3, 2, 1, 1, 1, 1, 1}
 )
 
 // generate returns the requests in the order of their arrival. It doesn't
@@ -99,13 +101,10 @@
 			}
 		}
 	}
-	sortByArrival(all)
+	slices.SortStableFunc(all, func(a, b *request) int { return cmp.Compare(a.arrived, b.arrived) })
 	return all
 }
 
-// most is the largest fleet that may be ordered.
-func (d deployment) most() int { return regions * (d.engines * 4 / 3) }
-
 // work returns the mean engine seconds of a request under ideal conditions.
 func (m mix) work() float64 {
 	return m.prompt/prefillPerSecond + m.answer*decodeSeconds
@@ -131,9 +130,3 @@
 
 // node is the entry node that the load balancer chose, of three in the region.
 func (r *request) node() int { return r.region*entryNodes/regions + int(r.id%(entryNodes/regions)) }
-
-// good reports whether the caller got the complete answer in time.
-func (r *request) good() bool {
-	return r.emitted >= r.answer && r.first-r.arrived <= firstTokenObjective &&
-		r.last-r.first <= time.Duration(r.answer-1)*paceObjective
-}
