Count what running requests have left in the role and capacity plans

Cause: the experiment counted a tenth of the queued and running decode work, a factor without a reason, and none of the prefill work inside engines. Change: the plans see all work that waits or is left of running requests.

--- a/experiment/plan.go
+++ b/experiment/plan.go
@@ -22,8 +22,8 @@
 				all = append(all, e)
 				if e.state == up {
 					load := e.load()
-					demand.QueuedPrefill += seconds(float64(e.waiting) / prefillPerSecond)
-					demand.QueuedDecode += seconds(float64(load.decode) / policy.DefaultPrices.Decode * decodeSeconds * 0.1)
+					demand.QueuedPrefill += seconds(float64(load.prefill) / prefillPerSecond)
+					demand.QueuedDecode += seconds(float64(load.decode) / policy.DefaultPrices.Decode * decodeSeconds)
 				}
 			}
 		}
--- a/policy/roles.go
+++ b/policy/roles.go
@@ -26,7 +26,7 @@
 		Prefill float64 // arriving work
 		Decode  float64
 		// QueuedPrefill and QueuedDecode are seconds of one engine's work that
-		// already wait.
+		// already waits or is left of running requests.
 		QueuedPrefill time.Duration
 		QueuedDecode  time.Duration
 	}
