--- a/experiment/bound.go
+++ b/experiment/bound.go
@@ -68,12 +68,13 @@
 // leastFleet returns the spend per good request of the smallest fleet of
 // constant size, with the same decisions but for capacity, with which 95 in 100
 // requests of the workspaces that don't flood meet the objective. It is NaN if
-// none does. A larger fleet is taken to serve no less.
+// no fleet of up to twice the size does. A larger fleet is taken to serve no
+// less.
 func leastFleet(options Options, d deployment, s scenario, preset policy.Weights) float64 {
 	spend := math.NaN()
-	for low, high := regions, d.most(); low <= high; {
+	for low, high := regions, 2*regions*d.engines; low <= high; {
 		n := (low + high) / 2
-		one := newSim(options.Seed, d, s, preset, false, n)
+		one := newSim(d, s, preset, false, n)
 		requests := generate(options.Seed, d, s)
 		one.run(requests)
 		if r := one.result(requests); r.others >= share95 {
@@ -94,3 +95,6 @@
 	}
 	return float64(r.prompt-shared*policy.PieceTokens)/prefillPerSecond + float64(r.answer)*decodeSeconds
 }
+
+// most is the largest fleet that may be ordered.
+func (d deployment) most() int { return regions * (d.engines * 4 / 3) }
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -13,9 +13,11 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/guavagauge/guavagauge/policy"
 )
@@ -39,6 +41,8 @@
 		Seed uint64 // default 1
 		// Case is one deployment and case, as in "Mopani/flood"; default all.
 		Case string
+		// Brief leaves out the least spend, which takes most of the time.
+		Brief bool
 		// Weights replaces the preset of each deployment.
 		Weights *policy.Weights
 	}
@@ -105,13 +109,16 @@
 	share := float64(full.MaxReclaimable(d.engines, preset)) / float64(d.engines)
 	run := func(naive bool) result {
 		requests := generate(options.Seed, d, s)
-		one := newSim(options.Seed, d, s, preset, naive, 0)
+		one := newSim(d, s, preset, naive, 0)
 		one.run(requests)
 		return one.result(requests)
 	}
 	naive, now := run(true), run(false)
 	goodput, fluid := bound(generate(options.Seed, d, s), d.most(), s.length, share)
-	least := leastFleet(options, d, s, preset)
+	least := math.NaN()
+	if !options.Brief {
+		least = leastFleet(options, d, s, preset)
+	}
 	rows := []Row{
 		{Measure: measureGoodput, Naive: naive.goodput, Now: now.goodput, Bound: goodput},
 		{Measure: measureWorst, Naive: naive.worst, Now: now.worst, Bound: 1},
@@ -140,7 +147,7 @@
 		if q.good() {
 			ok = 1
 		}
-		if q.lost {
+		if q.lost || !q.refused && q.emitted < q.answer {
 			r.lost++
 		}
 		if q.desk {
@@ -190,3 +197,9 @@
 
 // swings counts the start of the load as one.
 func (s scenario) swings() float64 { return float64(len(s.mixes)) }
+
+// good reports whether the caller got the complete answer in time.
+func (r *request) good() bool {
+	return r.emitted >= r.answer && r.first-r.arrived <= firstTokenObjective &&
+		r.last-r.first <= time.Duration(r.answer-1)*paceObjective
+}
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -33,13 +33,15 @@
 		// never.
 		Best time.Duration
 		// Objective is the longest useful time to the first token, counted from
-		// now; 0 means none.
+		// the request's arrival, and Waited the time since; 0 means no objective.
 		Objective time.Duration
+		Waited    time.Duration
 		// Next is the expected wait for the stage after the first token, and
 		// NextLimit the longest that keeps the pace; 0 means none.
 		Next      time.Duration
 		NextLimit time.Duration
-		// Deadline is the remaining time to the last token; 0 means none.
+		// Deadline is the remaining time to the last token, negative when it is
+		// past; 0 means none.
 		Deadline time.Duration
 	}
 
@@ -68,13 +70,13 @@
 	switch {
 	case request.NextLimit > 0 && request.Next > request.NextLimit:
 		admission.Verdict = TooLate
-		admission.RetryAfter = roundUp(max(request.Next-request.NextLimit, admission.Wait-slack))
+		admission.RetryAfter = request.roundUp(max(request.Next-request.NextLimit, admission.Wait-slack))
 	case !bounded:
 	case slack < 0:
 		admission.Verdict = NeverInTime
 	case admission.Wait > slack:
 		admission.Verdict = TooLate
-		admission.RetryAfter = roundUp(admission.Wait - slack)
+		admission.RetryAfter = request.roundUp(admission.Wait - slack)
 	}
 	return admission
 }
@@ -86,12 +88,12 @@
 // any upstream waits no longer than the objective.
 func (r *AdmitRequest) slack() (slack time.Duration, bounded bool) {
 	if r.Objective > 0 {
-		slack, bounded = r.Objective-r.FirstToken, true
-		if r.Best > r.Objective {
-			slack = r.Objective
+		slack, bounded = r.Objective-r.Waited, true
+		if r.Best <= r.Objective {
+			slack -= r.FirstToken
 		}
 	}
-	if r.Deadline > 0 {
+	if r.Deadline != 0 {
 		if left := r.Deadline - max(r.Total, r.FirstToken); !bounded || left < slack {
 			slack, bounded = left, true
 		}
@@ -99,8 +101,13 @@
 	return slack, bounded
 }
 
-// roundUp keeps a promise true after the rounding of costs to whole units.
-func roundUp(d time.Duration) time.Duration {
+// roundUp adds the time of one unit of cost and rounds to milliseconds. Costs
+// are whole units, so that the load shrinks up to one unit later than the rate
+// says.
+func (r *AdmitRequest) roundUp(d time.Duration) time.Duration {
+	if r.Rate > 0 {
+		d += seconds(1 / r.Rate)
+	}
 	return (d + 2*time.Millisecond).Truncate(time.Millisecond)
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,7 +25,7 @@
 	// them from here.
 	Weights struct {
 		// LoadBound is how far above the mean load per slot of its region an
-		// upstream may be and still be chosen for its prefix (1.25 is 25% above).
+		// upstream may be and still be chosen for its prefix (2 is twice the mean).
 		LoadBound float64
 		// PrefixDepth is the number of leading pieces that requests have to
 		// share to prefer the same upstream.
@@ -36,6 +36,9 @@
 		// RoleGain is the least gain of a role change, as a multiple of the work
 		// that the engine doesn't do while it changes.
 		RoleGain float64
+		// RoleHeadroom is the multiple of the need that roles are planned for.
+		// Waiting times grow long before an engine is busy all the time.
+		RoleHeadroom float64
 		// RoleHorizon is how long a role is expected to stay useful.
 		RoleHorizon time.Duration
 		// MaxRoleChanges is the number of changes of one engine within Swing.
@@ -44,7 +47,8 @@
 		// Headroom is the fleet's size as a multiple of the measured need.
 		Headroom float64
 		// StartAfter and StopAfter are how long a deficit or an idle upstream
-		// lasts before an order follows.
+		// lasts before an order follows. Stopping sooner than a start takes gives
+		// away what the next swing needs.
 		StartAfter time.Duration
 		StopAfter  time.Duration
 		// ReclaimableShare is the largest share of reclaimable upstreams in a
@@ -68,9 +72,9 @@
 // their objective.
 func Goodput() Weights {
 	return Weights{
-		LoadBound: 1.25, PrefixDepth: 1, SpillValue: 1,
-		RoleGain: 1.5, RoleHorizon: time.Minute, MaxRoleChanges: 2, Swing: 5 * time.Minute,
-		Headroom: 1.1, StartAfter: 20 * time.Second, StopAfter: 2 * time.Minute, ReclaimableShare: 0.67,
+		LoadBound: 2, PrefixDepth: 1, SpillValue: 1,
+		RoleGain: 1.5, RoleHeadroom: 1.5, RoleHorizon: time.Minute, MaxRoleChanges: 2, Swing: 5 * time.Minute,
+		Headroom: 1.5, StartAfter: 20 * time.Second, StopAfter: 5 * time.Minute, ReclaimableShare: 0.67,
 	}
 }
 
@@ -79,9 +83,9 @@
 func WorstServed() Weights {
 	w := Goodput()
 	w.SpillValue = 2
-	w.Headroom = 1.25
+	w.Headroom = 1.75
 	w.StartAfter = 10 * time.Second
-	w.StopAfter = 3 * time.Minute
+	w.StopAfter = 6 * time.Minute
 	return w
 }
 
--- a/policy/roles.go
+++ b/policy/roles.go
@@ -1,6 +1,10 @@
 package policy
 
-import "time"
+import (
+	"time"
+
+	"github.com/guavagauge/guavagauge/fleet"
+)
 
 // What an engine does.
 const (
@@ -22,16 +26,17 @@
 		Prefill float64 // arriving work
 		Decode  float64
 		// QueuedPrefill and QueuedDecode are seconds of one engine's work that
-		// already wait.
+		// already waits or is left of running requests.
 		QueuedPrefill time.Duration
 		QueuedDecode  time.Duration
 	}
 
 	// EngineRole is the state of an engine for PlanRoles.
 	EngineRole struct {
-		Role Role
+		Role Role // the new one while it changes
 		// Changes are the times of the last role changes.
 		Changes []time.Time
+		Fencing fleet.Fencing
 		// Unavailable engines are starting, draining or changing their role.
 		Unavailable bool
 	}
@@ -56,12 +61,19 @@
 		Gain float64
 	}
 
+	rolePlan struct {
+		request *RolesRequest
+		need    counts
+		weights Weights
+		lost    float64 // seconds out of service for a change
+	}
+
 	// counts is the number of engines by role.
 	counts [3]float64
 )
 
-// PlanRoles returns the role change to make now, if any. It changes one engine
-// at a time, so that each further change is decided on its effect.
+// PlanRoles returns the role change to make now, if any. At most a third of the
+// engines are out of service at the same time, and always at least one may be.
 //
 // A change must gain more work within the horizon than the engine loses while
 // it is out of service. Since the horizon is longer than the change, mixed
@@ -69,39 +81,69 @@
 func PlanRoles(request RolesRequest, weights Weights) (change RoleChange, ok bool) {
 	need := request.Demand.needs(weights.RoleHorizon)
 	var now counts
+	unavailable := 0
 	for i := range request.Engines {
 		if request.Engines[i].Unavailable {
-			return change, false
+			unavailable++
 		}
 		now[request.Engines[i].Role]++
 	}
-	total := need[Prefill] + need[Decode]
-	horizon := weights.RoleHorizon.Seconds()
-	lost := request.ChangeTime.Seconds()
-	before := request.served(now, need)
-	for i := range request.Engines {
-		e := &request.Engines[i]
-		if e.recent(request.Now, weights.Swing) >= weights.MaxRoleChanges {
+	if unavailable >= max(len(request.Engines)/3, 1) {
+		return change, false
+	}
+	plan := rolePlan{&request, need, weights, request.ChangeTime.Seconds()}
+	change = plan.best(now)
+	return change, change.Gain > 0
+}
+
+// best returns the change that gains most, if any is worth it.
+func (p *rolePlan) best(now counts) (best RoleChange) {
+	total := p.need[Prefill] + p.need[Decode]
+	before := p.served(now)
+	for from := Mixed; from <= Decode; from++ {
+		engine := p.request.pick(from, p.weights)
+		if engine < 0 {
 			continue
 		}
+		out := now
+		out[from]--
+		// During the change the rest serves out, afterwards in.
+		loss := max((before-p.served(out))*total, 0) * p.lost
 		for to := Mixed; to <= Decode; to++ {
-			if to == e.Role {
+			if to == from {
 				continue
 			}
-			after := now
-			after[e.Role]--
-			out := request.served(after, need)
-			after[to]++
-			in := request.served(after, need)
-			// During the change the rest serves out, afterwards in.
-			gain := (in - before) * total * (horizon - lost)
-			loss := max((before-out)*total, 0) * lost
-			if gain > weights.RoleGain*loss+lost/10 && gain-loss > change.Gain {
-				change, ok = RoleChange{i, to, gain - loss}, true
+			in := out
+			in[to]++
+			gain := (p.served(in) - before) * total * (p.weights.RoleHorizon.Seconds() - p.lost)
+			if gain > p.weights.RoleGain*loss+p.lost/10 && gain-loss > best.Gain {
+				best = RoleChange{engine, to, gain - loss}
 			}
 		}
 	}
-	return change, ok
+	return best
+}
+
+// pick returns the engine with the role that changed least often of late, or
+// -1 when none may change.
+func (r *RolesRequest) pick(role Role, weights Weights) (engine int) {
+	engine, least := -1, weights.MaxRoleChanges
+	for i := range r.Engines {
+		e := &r.Engines[i]
+		if e.Role != role || e.Unavailable {
+			continue
+		}
+		n := e.recent(r.Now, weights.Swing)
+		if e.Fencing == fleet.FencingIgnored {
+			// An order that arrives late can't be refused, so these change last
+			// and half as often.
+			n = 2*n + 1
+		}
+		if n < least {
+			engine, least = i, n
+		}
+	}
+	return engine
 }
 
 // needs returns the engines needed by role so that waiting work is done within
@@ -121,11 +163,12 @@
 // served returns the largest factor by which the needs can be multiplied and
 // still be served, which is the share of requests served when below 1. Mixed
 // engines divide their time as needed, so the factor is limited by either kind
-// of work alone or by both together. Up to 1 it counts in full; room beyond it
-// counts a tenth, so that spare engines go where they are next needed.
-func (r *RolesRequest) served(n, need counts) float64 {
+// of work alone or by both together. Up to full it counts in full; room beyond
+// it counts a tenth, so that spare engines go where they are next needed.
+func (p *rolePlan) served(n counts) float64 {
 	const spare = 0.1
-	factor := 2.0
+	r, need, full := p.request, p.need, p.weights.RoleHeadroom
+	factor := 2 * full
 	if need[Prefill] > 0 {
 		factor = min(factor, (n[Prefill]+r.MixedPrefill*n[Mixed])/need[Prefill])
 	}
@@ -135,8 +178,8 @@
 	if both := need[Prefill]/r.MixedPrefill + need[Decode]/r.MixedDecode; both > 0 {
 		factor = min(factor, (n[Mixed]+n[Prefill]/r.MixedPrefill+n[Decode]/r.MixedDecode)/both)
 	}
-	if factor > 1 {
-		return 1 + spare*(factor-1)
+	if factor > full {
+		return full + spare*(factor-full)
 	}
 	return factor
 }
