Add the planner of roles and models and durable intents

Cause: role changes and model loads need one holder per failure domain whose death, pause or replacement neither cuts requests nor leaves conflicting orders.

Change: package intent keeps the holder's decisions in one document that is taken over, and written by compare-and-swap with the epoch. Package planner moves each change through drain, apply and resume; a stage is durable before its order is sent. Checking engines get the epoch first; engines that ignore it get orders only after the hand-over wait and a read of their state. Orders carry a sequence number besides the epoch, so that a checking engine refuses one that the network held back until after a later one of the same holder. intenttest is a stand-in lease whose holders are replaced, paused and duplicated.

--- a/engine/control.go
+++ b/engine/control.go
@@ -24,7 +24,7 @@
 
 	// refusals maps HeaderRefusal to errors.
 	refusals = map[string]error{
-		"StaleEpoch": ErrStaleEpoch, "Restarted": ErrRestarted, "Changing": ErrChanging,
+		"StaleEpoch": ErrStaleEpoch, "Restarted": ErrRestarted, "Changing": ErrChanging, "Overtaken": ErrOvertaken,
 	}
 )
 
--- a/engine/controller.go
+++ b/engine/controller.go
@@ -39,6 +39,8 @@
 	// ErrRestarted means that the engine restarted after the state on which the
 	// order is based was read.
 	ErrRestarted = errors.ConstError("order for an earlier incarnation")
+	// ErrOvertaken means that the engine accepted a later order of the same epoch.
+	ErrOvertaken = errors.ConstError("order overtaken by a later one")
 	// ErrChanging means that another change is under way.
 	ErrChanging = errors.ConstError("engine is changing")
 )
@@ -49,13 +51,16 @@
 	// OrderKind says what an order changes.
 	OrderKind string
 
-	// Order changes an engine. The same ID again has no further effect. Epoch is
-	// the fencing token: a checking engine refuses orders below the highest that
-	// it has seen, and orders for another incarnation, since it forgets the
-	// highest epoch when it restarts.
+	// Order changes an engine. The same ID again has no further effect. Epoch and
+	// Sequence are the fencing token: a checking engine refuses an order with a
+	// lower epoch than it has seen, and one with a lower sequence number than it
+	// accepted in the same epoch, which the network held back. It also refuses
+	// orders for another incarnation, since it forgets the token when it
+	// restarts. OrderFence has no sequence number.
 	Order struct {
 		ID          string
 		Epoch       uint64
+		Sequence    uint64
 		Incarnation uint64
 		Kind        OrderKind
 		Role        Role   `json:",omitempty"`
--- a/enginetest/http.go
+++ b/enginetest/http.go
@@ -174,6 +174,8 @@
 		name = "StaleEpoch"
 	case engine.ErrRestarted:
 		name = "Restarted"
+	case engine.ErrOvertaken:
+		name = "Overtaken"
 	default:
 		name = "Changing"
 	}
--- a/enginetest/orders.go
+++ b/enginetest/orders.go
@@ -28,6 +28,7 @@
 		changingID string
 		cancel     context.CancelFunc
 		epoch      uint64
+		sequence   uint64
 		ids        []string
 		applied    []Applied
 	}
@@ -71,8 +72,12 @@
 			return engine.ErrStaleEpoch
 		case order.Incarnation != e.incarnation:
 			return engine.ErrRestarted
+		case order.Kind != engine.OrderFence && order.Epoch == state.epoch && order.Sequence < state.sequence:
+			return engine.ErrOvertaken
+		case order.Epoch > state.epoch:
+			state.sequence = 0
 		}
-		state.epoch = order.Epoch
+		state.epoch, state.sequence = order.Epoch, max(state.sequence, order.Sequence)
 	}
 	repeat := slices.Contains(state.ids, order.ID)
 	starts := order.Kind == engine.OrderRole || order.Kind == engine.OrderLoad || order.Kind == engine.OrderUnload
--- /dev/null
+++ b/planner/holder.go
@@ -0,0 +1,384 @@
+package planner
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/guavagauge/guavagauge/engine"
+	"github.com/guavagauge/guavagauge/fleet"
+	"github.com/guavagauge/guavagauge/intent"
+	"github.com/guavagauge/guavagauge/invariant"
+	"github.com/guavagauge/guavagauge/platform"
+)
+
+type (
+	// holder plans under one authority.
+	holder struct {
+		options   Options
+		authority intent.Authority
+		document  *intent.Document
+		settled   atomic.Bool // operations of the previous holder have ended
+
+		plan     plan
+		surveyed time.Time
+		reports  map[string]engine.Report
+		fenced   map[string]uint64 // incarnation that knows the epoch, by engine
+		drained  map[string]bool   // engines that stewards were told to drain
+		sending
+
+		mu sync.Mutex // guards the maps while engines are called in parallel
+	}
+
+	// sending is what became of the orders of this holder.
+	sending struct {
+		accepted map[string]bool // by order ID
+		granted  map[string]bool // by change ID
+	}
+
+	// observation is the state of an engine in this tick.
+	observation struct {
+		Engine
+		state engine.State
+	}
+)
+
+func newHolder(options Options, authority intent.Authority) *holder {
+	return &holder{
+		options: options, authority: authority,
+		document: intent.New(options.Store, Key(options.FailureDomain), authority, intent.Options{
+			Checker: options.Checker, Invariant: invariant.SingleOrders,
+		}),
+		reports: make(map[string]engine.Report), fenced: make(map[string]uint64), drained: make(map[string]bool),
+		sending: sending{accepted: make(map[string]bool), granted: make(map[string]bool)},
+	}
+}
+
+// tick reads the engines, writes down what follows, and sends the orders for
+// what is written.
+func (h *holder) tick(ctx context.Context) (err error) {
+	var durable plan
+	read, err := h.document.Sync(ctx, &durable)
+	if err != nil {
+		return err
+	}
+	if read {
+		h.plan = durable.clone()
+	}
+	survey := time.Since(h.surveyed) >= h.options.SurveyEvery
+	engines, observed := h.observe(ctx, survey)
+	next := h.plan.clone()
+	now := time.Now()
+	h.advance(&next, engines, observed, now)
+	if survey {
+		h.surveyed = now
+		h.adopt(&next, engines, observed, now)
+	}
+	if !reflect.DeepEqual(next, h.plan) {
+		if err := h.document.Save(ctx, next); err != nil {
+			return err
+		}
+		h.finish(ctx, next)
+		h.plan = next
+	}
+	return h.act(ctx, observed)
+}
+
+// observe reads the state of all engines, or of those that are changing. An
+// engine that may not get orders yet isn't read, so that its state is known
+// only from after the hand-over.
+func (h *holder) observe(ctx context.Context, survey bool) (engines []Engine, observed map[string]observation) {
+	engines = h.options.Engines()
+	observed = make(map[string]observation, len(engines))
+	var group errgroup.Group
+	group.SetLimit(parallel)
+	for _, e := range engines {
+		_, changing := h.plan.Changes[e.Key]
+		if (!survey && !changing) || (e.Fencing == fleet.FencingIgnored && !h.settled.Load()) {
+			continue
+		}
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, h.options.ReadTimeout)
+			defer cancel()
+			state, err := e.Control.State(ctx)
+			if err != nil {
+				h.count("failures", "state")
+				return nil
+			}
+			var report engine.Report
+			if survey {
+				report, _ = e.Control.Report(ctx)
+			}
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			observed[e.Key] = observation{e, state}
+			if survey {
+				h.reports[e.Key] = report
+			}
+			return nil
+		})
+	}
+	group.Wait()
+	return engines, observed
+}
+
+// advance moves each change on by what its engine shows.
+func (h *holder) advance(next *plan, engines []Engine, observed map[string]observation, now time.Time) {
+	for key, c := range next.Changes {
+		if !slices.ContainsFunc(engines, func(e Engine) bool { return e.Key == key }) {
+			h.drop(next, key, "gone")
+			continue
+		}
+		if o, ok := observed[key]; ok {
+			h.advanceOne(next, key, c, o.state, now)
+		}
+	}
+	// A former holder's late order may have drained an engine for no change.
+	for key, o := range observed {
+		if _, changing := next.Changes[key]; o.state.Draining && !changing {
+			next.add(key, h.authority.Epoch(), Wish{Kind: engine.OrderResume}, o.state.Incarnation, now)
+		}
+	}
+}
+
+func (h *holder) advanceOne(next *plan, key string, c change, state engine.State, now time.Time) {
+	if c.Incarnation != state.Incarnation {
+		// The engine restarted, with the role and models that it starts with.
+		h.drop(next, key, "restarted")
+		return
+	}
+	order, _ := c.order(0)
+	shows, waited := c.shows(state), now.Sub(c.Since)
+	switch {
+	case c.Stage == stageWeights:
+		if h.granted[c.ID] {
+			next.enter(key, stageApply, now)
+		}
+	case c.Stage == stageDrain && idle(state):
+		next.enter(key, stageApply, now)
+		if c.Kind == engine.OrderRole {
+			next.applied(key, now)
+		}
+	case c.Stage == stageDrain && waited > h.options.DrainTimeout:
+		h.count("changes", "drain timeout")
+		next.enter(key, stageResume, now)
+	case c.Stage == stageApply && shows && c.Kind != engine.OrderLoad:
+		next.enter(key, stageResume, now)
+	case shows && c.Stage != stageDrain:
+		h.drop(next, key, "done")
+	case c.Stage == stageApply && c.Kind != engine.OrderLoad && state.Changing == "" && !idle(state):
+		next.enter(key, stageDrain, now) // a stray order resumed it
+	case c.Stage == stageApply && state.Changing == "" && waited > h.options.ApplyTimeout:
+		h.count("changes", "apply timeout")
+		next.enter(key, stageResume, now)
+	case !shows && h.accepted[order.ID] && state.Changing == "":
+		next.again(key)
+	}
+}
+
+// drop ends a change.
+func (h *holder) drop(next *plan, key, reason string) {
+	c := next.Changes[key]
+	h.options.Logger.Info("change ended", "Engine", key, "ID", c.ID, "Kind", c.Kind, "Stage", c.Stage, "Reason", reason)
+	h.count("changes", reason)
+	delete(next.Changes, key)
+}
+
+// adopt begins the changes that the decision asks for.
+func (h *holder) adopt(next *plan, engines []Engine, observed map[string]observation, now time.Time) {
+	view := View{Now: now, FailureDomain: h.options.FailureDomain}
+	for _, e := range engines {
+		o, ok := observed[e.Key]
+		_, changing := next.Changes[e.Key]
+		view.Engines = append(view.Engines, EngineView{
+			Key: e.Key, Fencing: e.Fencing, State: o.state, Report: h.reports[e.Key], Changes: next.History[e.Key],
+			Unavailable: !ok || changing || o.state.Changing != "", Unreachable: !ok,
+		})
+	}
+	for _, wish := range h.options.Decide(view) {
+		i := slices.IndexFunc(view.Engines, func(e EngineView) bool { return e.Key == wish.Engine })
+		if i < 0 || !h.allowed(wish, view.Engines[i], next, now) {
+			h.count("changes", "not allowed")
+			continue
+		}
+		next.add(wish.Engine, h.authority.Epoch(), wish, view.Engines[i].State.Incarnation, now)
+		h.options.Logger.Info("change begins", "Engine", wish.Engine, "ID", next.Changes[wish.Engine].ID, "Kind", wish.Kind,
+			"Role", wish.Role, "Model", wish.Model, "Epoch", h.authority.Epoch())
+	}
+}
+
+func (h *holder) allowed(wish Wish, e EngineView, next *plan, now time.Time) bool {
+	if _, changing := next.Changes[wish.Engine]; changing || e.Unavailable || reached(wish.Kind, wish.Role, wish.Model, e.State) {
+		return false
+	}
+	switch wish.Kind {
+	case engine.OrderRole:
+		last := len(e.Changes) - 1
+		return e.Fencing == fleet.FencingChecked || last < 0 || now.Sub(e.Changes[last]) >= h.options.UncheckedEvery
+	case engine.OrderLoad:
+		return h.options.Weights != nil
+	case engine.OrderUnload:
+		return true
+	}
+	return false
+}
+
+// finish lets stewards send requests again to engines whose change has ended.
+func (h *holder) finish(ctx context.Context, next plan) {
+	for key := range h.plan.Changes {
+		if _, changing := next.Changes[key]; !changing {
+			h.tellStewards(ctx, key, false)
+			h.accepted, h.granted = h.still(next)
+		}
+	}
+}
+
+// still returns what is known of the orders of the changes that remain.
+func (h *holder) still(next plan) (accepted, granted map[string]bool) {
+	accepted, granted = make(map[string]bool), make(map[string]bool)
+	for _, c := range next.Changes {
+		if order, ok := c.order(0); ok && h.accepted[order.ID] {
+			accepted[order.ID] = true
+		}
+		if h.granted[c.ID] {
+			granted[c.ID] = true
+		}
+	}
+	return accepted, granted
+}
+
+func (h *holder) tellStewards(ctx context.Context, key string, drain bool) {
+	h.mu.Lock()
+	told, known := h.drained[key]
+	h.mu.Unlock()
+	if known && told == drain {
+		return
+	}
+	if err := h.options.Drain(ctx, key, drain); err != nil {
+		h.count("failures", "drain")
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.drained[key] = drain
+}
+
+// act sends the orders that belong to the stages written.
+func (h *holder) act(ctx context.Context, observed map[string]observation) (err error) {
+	var group errgroup.Group
+	group.SetLimit(parallel)
+	for _, key := range slices.Sorted(maps.Keys(observed)) {
+		o := observed[key]
+		group.Go(func() error { return h.actOne(ctx, o) })
+	}
+	return group.Wait()
+}
+
+func (h *holder) actOne(ctx context.Context, o observation) (err error) {
+	c, changing := h.plan.Changes[o.Key]
+	if changing && c.Incarnation != o.state.Incarnation {
+		return nil
+	}
+	if err := h.fence(ctx, o); err != nil {
+		return err
+	}
+	if !changing {
+		// A former holder may have ended a change without telling the stewards.
+		h.tellStewards(ctx, o.Key, false)
+		return nil
+	}
+	if c.Stage == stageWeights {
+		h.reserve(ctx, c)
+		return nil
+	}
+	if c.Stage == stageDrain {
+		h.tellStewards(ctx, o.Key, true)
+	}
+	if order, ok := c.order(h.authority.Epoch()); ok && !c.shows(o.state) && o.state.Changing == "" {
+		if c.Stage == stageApply && c.Kind != engine.OrderLoad && !idle(o.state) {
+			return nil // advance goes back to draining in the next tick
+		}
+		return h.send(ctx, o, order)
+	}
+	return nil
+}
+
+// fence makes a checking engine remember the epoch before anything else.
+func (h *holder) fence(ctx context.Context, o observation) (err error) {
+	h.mu.Lock()
+	known := h.fenced[o.Key] == o.state.Incarnation
+	h.mu.Unlock()
+	if known || o.Fencing == fleet.FencingIgnored {
+		return nil
+	}
+	epoch := h.authority.Epoch()
+	err = h.send(ctx, o, engine.Order{
+		ID:    fmt.Sprintf("fence-%d-%d", epoch, o.state.Incarnation),
+		Epoch: epoch, Incarnation: o.state.Incarnation, Kind: engine.OrderFence,
+	})
+	if err == nil {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if h.accepted[fmt.Sprintf("fence-%d-%d", epoch, o.state.Incarnation)] {
+			h.fenced[o.Key] = o.state.Incarnation
+		}
+	}
+	return err
+}
+
+// send gives one order. It fails only if the engine knows a higher epoch.
+func (h *holder) send(ctx context.Context, o observation, order engine.Order) (err error) {
+	held := order.Epoch
+	h.options.Checker.Check(o.Fencing == fleet.FencingIgnored || o.state.Epoch <= held || h.authority.Check() != nil,
+		invariant.SingleOrders, "the engine knows a higher epoch", "Engine", o.Key, "Epoch", held, "Found", o.state.Epoch)
+	h.options.Checker.Check(order.Kind != engine.OrderRole || idle(o.state),
+		invariant.NoPlannedCut, "role change of a busy engine", "Engine", o.Key, "ID", order.ID)
+	err = h.authority.Do(ctx, func(ctx context.Context) error { return o.Control.Order(ctx, order) })
+	outcome := "accepted"
+	switch {
+	case err == nil:
+		h.mu.Lock()
+		h.accepted[order.ID] = true
+		h.mu.Unlock()
+	case errors.Is(err, engine.ErrOvertaken):
+		outcome = "overtaken"
+	case errors.Is(err, engine.ErrStaleEpoch):
+		h.options.Checker.Check(h.authority.Check() != nil, invariant.SingleOrders,
+			"an engine refused the epoch of the holder", "Engine", o.Key, "Epoch", held)
+		outcome = "stale epoch"
+	default:
+		outcome = "failed"
+	}
+	h.count("orders", outcome)
+	h.options.Logger.Info("order", "Engine", o.Key, "ID", order.ID, "Kind", order.Kind, "Epoch", held, "Outcome", outcome, "Err", err)
+	if errors.Is(err, engine.ErrStaleEpoch) {
+		return err
+	}
+	return nil
+}
+
+// reserve asks the weight store for leave to load a model.
+func (h *holder) reserve(ctx context.Context, c change) {
+	wait, err := time.Duration(0), error(nil)
+	err = h.authority.Do(ctx, func(ctx context.Context) (err error) {
+		wait, err = h.options.Weights.ReserveWeights(ctx, platform.WeightsRequest{
+			Token: c.ID, FailureDomain: h.options.FailureDomain, Model: c.Model,
+		})
+		return err
+	})
+	if err != nil || wait > 0 {
+		h.count("weights", "wait")
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.granted[c.ID] = true
+}
--- /dev/null
+++ b/planner/planner.go
@@ -0,0 +1,198 @@
+// Package planner gives the engines of one failure domain their roles and
+// models, as the holder of the domain's planner lease.
+//
+// # Usage
+//
+//	p := planner.New(planner.Options{
+//		FailureDomain: "limpopo-a", Store: client, Engines: engines, Decide: decide, Weights: platform,
+//	})
+//	err := lease.Run(ctx, client, options, func(ctx context.Context, held *lease.Held) error {
+//		return p.Run(ctx, held)
+//	})
+//
+// # Orders
+//
+// Each change of an engine goes through stages: it is drained, ordered to
+// change, and resumed. A stage is written to the store with the holder's epoch
+// before the order that belongs to it is sent, and ends when the engine's own
+// state shows it. A holder that takes over continues from the stages and from
+// what the engines say; repeated orders carry the same ID and have no further
+// effect.
+//
+// A checking engine gets the epoch first in an order without any other effect.
+// An engine that ignores epochs gets no order until the previous holder's last
+// orders have ended, and then only on the basis of its state read after that.
+package planner
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/engine"
+	"github.com/guavagauge/guavagauge/fleet"
+	"github.com/guavagauge/guavagauge/intent"
+	"github.com/guavagauge/guavagauge/invariant"
+	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/store"
+)
+
+const (
+	defaultPeriod         = time.Second
+	defaultSurveyEvery    = 5 * time.Second
+	defaultDrainTimeout   = 2 * time.Minute
+	defaultApplyTimeout   = 10 * time.Minute // a large model from a rate-limited store
+	defaultUncheckedEvery = 30 * time.Minute
+	defaultReadTimeout    = 2 * time.Second
+
+	historyKept = time.Hour // of role changes; longer than a swing
+	parallel    = 16        // calls to engines at the same time
+)
+
+type (
+	// Engine is one engine of the failure domain.
+	Engine struct {
+		Key     string // Upstream.Key
+		Control engine.Controller
+		Fencing fleet.Fencing
+	}
+
+	// View is what a decision is based on.
+	View struct {
+		Now           time.Time
+		FailureDomain string
+		Engines       []EngineView // in the order of Options.Engines
+	}
+
+	// EngineView is one engine in a View.
+	EngineView struct {
+		Key     string
+		Fencing fleet.Fencing
+		State   engine.State
+		Report  engine.Report
+		// Unavailable engines can't be read, are changing, or may not be changed
+		// yet.
+		Unavailable bool
+		Unreachable bool        // State and Report are unknown
+		Changes     []time.Time // of the role, within the last hour
+	}
+
+	// Wish is a change that a decision asks for. Kind is OrderRole, OrderLoad or
+	// OrderUnload.
+	Wish struct {
+		Engine string
+		Kind   engine.OrderKind
+		Role   engine.Role
+		Model  string
+	}
+
+	// Weights is the part of platform.Client that limits loads of models.
+	Weights interface {
+		ReserveWeights(ctx context.Context, request platform.WeightsRequest) (wait time.Duration, err error)
+	}
+
+	// Options of a Planner. Zero values mean defaults.
+	Options struct {
+		FailureDomain string
+		Store         store.Client
+		// Engines returns the engines of the failure domain.
+		Engines func() []Engine
+		// Decide returns the changes to make. The default is NewBalance.
+		Decide func(view View) []Wish
+		// Drain tells the stewards of an engine to send it no new requests, or to
+		// send them again. It may be nil, as a drained engine refuses them itself.
+		Drain func(ctx context.Context, engine string, on bool) (err error)
+		// Weights may be nil when no model is ever loaded.
+		Weights Weights
+
+		// Period is the time between two looks at engines that are changing, 1 s.
+		Period time.Duration
+		// SurveyEvery is the time between two looks at all engines, 5 s.
+		SurveyEvery time.Duration
+		// DrainTimeout ends a change whose requests don't end, 2 min.
+		DrainTimeout time.Duration
+		// ApplyTimeout ends a change that an engine doesn't carry out, 10 min.
+		ApplyTimeout time.Duration
+		// UncheckedEvery is the least time between two role changes of an engine
+		// that ignores epochs, 30 min.
+		UncheckedEvery time.Duration
+		// ReadTimeout bounds one read of an engine's state, 2 s.
+		ReadTimeout time.Duration
+
+		Logger  *slog.Logger
+		Set     *metrics.Set
+		Checker *invariant.Checker
+	}
+
+	// Planner plans one failure domain whenever it holds the authority.
+	Planner struct{ options Options }
+)
+
+// New returns a planner that does nothing until Run.
+func New(options Options) *Planner {
+	for value, fallback := range map[*time.Duration]time.Duration{
+		&options.Period: defaultPeriod, &options.SurveyEvery: defaultSurveyEvery, &options.DrainTimeout: defaultDrainTimeout,
+		&options.ApplyTimeout: defaultApplyTimeout, &options.UncheckedEvery: defaultUncheckedEvery,
+		&options.ReadTimeout: defaultReadTimeout,
+	} {
+		if *value == 0 {
+			*value = fallback
+		}
+	}
+	if options.Decide == nil {
+		options.Decide = NewBalance(BalanceOptions{})
+	}
+	if options.Drain == nil {
+		options.Drain = func(context.Context, string, bool) error { return nil }
+	}
+	if options.Logger == nil {
+		options.Logger = slog.New(slog.DiscardHandler)
+	}
+	if options.Set == nil {
+		options.Set = metrics.NewSet()
+	}
+	options.Logger = options.Logger.With("Role", "Planner", "FailureDomain", options.FailureDomain)
+	return &Planner{options: options}
+}
+
+// Run plans until ctx or the authority ends. Failures of the store and of
+// engines are logged and tried again; it returns early only when another holder
+// took over.
+func (p *Planner) Run(ctx context.Context, authority intent.Authority) (err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(authority.Context(), cancel)()
+	h := newHolder(p.options, authority)
+	go func() {
+		if authority.Settle(ctx) == nil {
+			h.settled.Store(true)
+		}
+	}()
+	ticker := time.NewTicker(p.options.Period)
+	defer ticker.Stop()
+	for {
+		switch err := h.tick(ctx); {
+		case errors.Is(err, intent.ErrSuperseded), errors.Is(err, engine.ErrStaleEpoch):
+			return err
+		case err != nil && ctx.Err() == nil:
+			p.options.Logger.Warn("planning failed", "Epoch", authority.Epoch(), "Err", err)
+			h.count("failures", "tick")
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// Key returns the key of the document of a failure domain's planner.
+func Key(failureDomain string) string { return "planner/" + failureDomain }
+
+func (h *holder) count(name, label string) {
+	h.options.Set.GetOrCreateCounter(fmt.Sprintf("guavagauge_planner_%s_total{kind=%q}", name, label)).Inc()
+}
