planner: end a change only after the stewards know

Cause: a new holder told the stewards of every engine to send requests again, one call each, since a former holder may have died between ending a change and telling them. A stream allocated a buffer of the longest line at once.

Change: a change ends only once the stewards were told, so what remains to be told is in the durable plan. An engine that restarted passes through the resume stage too. The event reader grows its buffer when a line needs it.

--- a/engine/sse.go
+++ b/engine/sse.go
@@ -14,12 +14,13 @@
 // eventReader reads the data of server-sent events with bounded lines.
 type eventReader struct {
 	reader *bufio.Reader
+	line   []byte // of a line longer than the reader's buffer
 	data   []byte
 	max    int
 }
 
 func newEventReader(body io.Reader, maxLineBytes int) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(body, maxLineBytes), max: maxLineBytes}
+	return &eventReader{reader: bufio.NewReader(body), max: maxLineBytes}
 }
 
 // next returns the data of the next event, which is valid until the next call.
@@ -28,16 +29,10 @@
 	r.data = r.data[:0]
 	seen := false
 	for {
-		line, err := r.reader.ReadSlice('\n')
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			return nil, errors.Annotatef(errBadStream, "line over %d bytes", r.max)
-		case err == io.EOF && len(line) > 0:
-			return nil, errors.Annotate(errBadStream, "last line cut short")
-		case err != nil:
+		line, err := r.readLine()
+		if err != nil {
 			return nil, err
 		}
-		line = bytes.TrimRight(line, "\r\n")
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch {
@@ -58,3 +53,26 @@
 		}
 	}
 }
+
+// readLine returns the next line without its end, valid until the next call.
+func (r *eventReader) readLine() (line []byte, err error) {
+	r.line = r.line[:0]
+	for {
+		part, err := r.reader.ReadSlice('\n')
+		if len(r.line)+len(part) > r.max {
+			return nil, errors.Annotatef(errBadStream, "line over %d bytes", r.max)
+		}
+		if err == nil && len(r.line) == 0 {
+			return bytes.TrimRight(part, "\r\n"), nil
+		}
+		r.line = append(r.line, part...)
+		switch {
+		case err == nil:
+			return bytes.TrimRight(r.line, "\r\n"), nil
+		case err == io.EOF && len(r.line) > 0:
+			return nil, errors.Annotate(errBadStream, "last line cut short")
+		case err != bufio.ErrBufferFull:
+			return nil, err
+		}
+	}
+}
--- a/planner/holder.go
+++ b/planner/holder.go
@@ -86,7 +86,7 @@
 		if err := h.document.Save(ctx, next); err != nil {
 			return err
 		}
-		h.finish(ctx, next)
+		h.forget(next)
 		h.plan = next
 	}
 	return h.act(ctx, observed)
@@ -152,7 +152,10 @@
 func (h *holder) advanceOne(next *plan, key string, c change, state engine.State, now time.Time) {
 	if c.Incarnation != state.Incarnation {
 		// The engine restarted, with the role and models that it starts with.
-		h.drop(next, key, "restarted")
+		h.count("changes", "restarted")
+		c.Kind, c.Incarnation = engine.OrderResume, state.Incarnation
+		next.Changes[key] = c
+		next.enter(key, stageResume, now)
 		return
 	}
 	order, _ := c.order(0)
@@ -172,8 +175,12 @@
 		next.enter(key, stageResume, now)
 	case c.Stage == stageApply && shows && c.Kind != engine.OrderLoad:
 		next.enter(key, stageResume, now)
-	case shows && c.Stage != stageDrain:
+	case shows && c.Stage == stageApply:
 		h.drop(next, key, "done")
+	case shows && c.Stage == stageResume:
+		if drained, known := h.drained[key]; known && !drained {
+			h.drop(next, key, "done")
+		}
 	case c.Stage == stageApply && c.Kind != engine.OrderLoad && state.Changing == "" && !idle(state):
 		next.enter(key, stageDrain, now) // a stray order resumed it
 	case c.Stage == stageApply && state.Changing == "" && waited > h.options.ApplyTimeout:
@@ -231,28 +238,21 @@
 	return false
 }
 
-// finish lets stewards send requests again to engines whose change has ended.
-func (h *holder) finish(ctx context.Context, next plan) {
-	for key := range h.plan.Changes {
-		if _, changing := next.Changes[key]; !changing {
-			h.tellStewards(ctx, key, false)
-			h.accepted, h.granted = h.still(next)
-		}
-	}
-}
-
-// still returns what is known of the orders of the changes that remain.
-func (h *holder) still(next plan) (accepted, granted map[string]bool) {
-	accepted, granted = make(map[string]bool), make(map[string]bool)
-	for _, c := range next.Changes {
+// forget keeps only what is known of the orders of the changes that remain.
+func (h *holder) forget(next plan) {
+	accepted, granted := make(map[string]bool), make(map[string]bool)
+	for key, c := range next.Changes {
 		if order, ok := c.order(0); ok && h.accepted[order.ID] {
 			accepted[order.ID] = true
 		}
 		if h.granted[c.ID] {
 			granted[c.ID] = true
 		}
+		if _, known := h.plan.Changes[key]; !known {
+			delete(h.drained, key)
+		}
 	}
-	return accepted, granted
+	h.accepted, h.granted = accepted, granted
 }
 
 func (h *holder) tellStewards(ctx context.Context, key string, drain bool) {
@@ -287,20 +287,18 @@
 	if changing && c.Incarnation != o.state.Incarnation {
 		return nil
 	}
-	if err := h.fence(ctx, o); err != nil {
+	if err := h.fence(ctx, o); err != nil || !changing {
 		return err
 	}
-	if !changing {
-		// A former holder may have ended a change without telling the stewards.
-		h.tellStewards(ctx, o.Key, false)
-		return nil
-	}
 	if c.Stage == stageWeights {
 		h.reserve(ctx, c)
 		return nil
 	}
-	if c.Stage == stageDrain {
+	switch {
+	case c.Stage == stageDrain:
 		h.tellStewards(ctx, o.Key, true)
+	case c.Stage == stageResume && c.shows(o.state):
+		h.tellStewards(ctx, o.Key, false)
 	}
 	if order, ok := c.order(h.authority.Epoch()); ok && !c.shows(o.state) && o.state.Changing == "" {
 		if c.Stage == stageApply && c.Kind != engine.OrderLoad && !idle(o.state) {
