--- /dev/null
+++ b/membership/fleet_test.go
@@ -0,0 +1,211 @@
+package membership_test
+
+import (
+	"context"
+	"encoding/gob"
+	"fmt"
+	"net/netip"
+	"net/rpc"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/membership"
+)
+
+type (
+	// fleet carries calls between groups in memory and counts them.
+	fleet struct {
+		ctx     context.Context
+		mu      sync.Mutex
+		nodes   map[netip.Addr]*process
+		cut     func(from, to netip.Addr) bool // nil without cuts
+		delay   map[netip.Addr]time.Duration
+		encoder *gob.Encoder
+		// counting is off most of the time, since encoding takes most of a
+		// large fleet's run.
+		counting     bool
+		calls, bytes int
+	}
+
+	process struct {
+		group    *membership.Group
+		receiver *membership.Receiver
+		stop     context.CancelFunc
+	}
+
+	caller struct {
+		fleet *fleet
+		from  netip.Addr
+	}
+)
+
+// run calls test in a bubble, with n nodes that join through three seeds.
+func run(t *testing.T, n int, test func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); synctest.Wait() }()
+		f := &fleet{ctx: ctx, nodes: map[netip.Addr]*process{}, delay: map[netip.Addr]time.Duration{}}
+		f.encoder = gob.NewEncoder(writer{f})
+		for i := range n {
+			f.start(t, i)
+		}
+		t.Logf("all %d joined after %v", n, f.await(t, "all join", 60*time.Second, func(i int) bool { return f.live(i) == n }))
+		test(t, f)
+	})
+}
+
+func (f *fleet) start(t *testing.T, i int) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	group, err := membership.New(ctx, membership.Options{
+		Name: name(i), Address: address(i), Region: fmt.Sprint(i % 2), Caller: &caller{f, address(i).Addr()},
+		Seeds: []netip.AddrPort{address(0), address(1), address(2)}, Seed: uint64(i + 1),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[address(i).Addr()] = &process{group, group.Receiver(), cancel}
+}
+
+func (f *fleet) kill(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[address(i).Addr()].stop()
+	delete(f.nodes, address(i).Addr())
+}
+
+func (f *fleet) setCut(cut func(from, to netip.Addr) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = cut
+}
+
+func (f *fleet) group(i int) *membership.Group {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p := f.nodes[address(i).Addr()]; p != nil {
+		return p.group
+	}
+	return nil
+}
+
+func (f *fleet) live(i int) int { return len(f.group(i).View().Live()) }
+
+func (f *fleet) state(i, of int) membership.State {
+	member, _ := f.group(i).View().Get(name(of))
+	return member.State
+}
+
+// await advances time until the condition holds for every running node, and
+// returns how long that took.
+func (f *fleet) await(t *testing.T, what string, limit time.Duration, condition func(i int) bool) time.Duration {
+	t.Helper()
+	for start := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+		failed := -1
+		f.mu.Lock()
+		addresses := make([]netip.Addr, 0, len(f.nodes))
+		for a := range f.nodes {
+			addresses = append(addresses, a)
+		}
+		f.mu.Unlock()
+		for _, a := range addresses {
+			if i := index(a); !condition(i) {
+				failed = i
+				break
+			}
+		}
+		if failed < 0 {
+			return time.Since(start)
+		}
+		if time.Since(start) > limit {
+			t.Fatalf("%s: not after %v at %s", what, limit, name(failed))
+		}
+	}
+}
+
+// count returns the messages and bytes of a while.
+func (f *fleet) count(while time.Duration) (calls, bytes int) {
+	f.mu.Lock()
+	f.counting, f.calls, f.bytes = true, 0, 0
+	f.mu.Unlock()
+	time.Sleep(while)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counting = false
+	return f.calls, f.bytes
+}
+
+// Call implements membership.Caller.
+func (c *caller) Call(ctx context.Context, to netip.AddrPort, method string, args, reply any) (err error) {
+	f := c.fleet
+	if !c.pass(ctx, c.from, to.Addr(), method, args) {
+		return ctx.Err()
+	}
+	f.mu.Lock()
+	p := f.nodes[to.Addr()]
+	f.mu.Unlock()
+	if p == nil {
+		return errors.New("connection refused")
+	}
+	switch method {
+	case "Membership.Probe":
+		err = p.receiver.Probe(args.(*membership.Message), reply.(*membership.Message))
+	case "Membership.Relay":
+		err = p.receiver.Relay(args.(*membership.RelayArgs), reply.(*membership.RelayReply))
+	case "Membership.Exchange":
+		err = p.receiver.Exchange(args.(*membership.ExchangeArgs), reply.(*membership.ExchangeReply))
+	default:
+		return errors.NotFoundf("method %s", method)
+	}
+	if err == nil && !c.pass(ctx, to.Addr(), c.from, method, reply) {
+		return ctx.Err()
+	}
+	return err
+}
+
+// pass counts one message and waits for its arrival. It returns false when the
+// message is lost.
+func (c *caller) pass(ctx context.Context, from, to netip.Addr, method string, body any) bool {
+	f := c.fleet
+	f.mu.Lock()
+	if f.counting {
+		f.calls++
+		f.encoder.Encode(rpc.Request{ServiceMethod: method, Seq: 1000})
+		f.encoder.Encode(body)
+	}
+	cut := f.cut != nil && f.cut(from, to)
+	delay := f.delay[from] + f.delay[to]
+	f.mu.Unlock()
+	switch {
+	case cut:
+		<-ctx.Done()
+		return false
+	case delay > 0:
+		time.Sleep(delay)
+	}
+	return ctx.Err() == nil
+}
+
+type writer struct{ fleet *fleet }
+
+// Write counts the bytes of a message; the caller holds mu.
+func (w writer) Write(b []byte) (n int, err error) {
+	w.fleet.bytes += len(b)
+	return len(b), nil
+}
+
+func name(i int) string { return fmt.Sprintf("entry-%03d", i) }
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}), 7000)
+}
+
+func index(a netip.Addr) int {
+	b := a.As4()
+	return int(b[2])*250 + int(b[3]) - 1
+}
