Add capacity orders per failure domain

Cause: starts and stops need one sender per failure domain, whose death, pause or lost answers don't lead to a second order, and stops must cut no request.

Change: package capacity writes each order with its idempotency token before it is sent and repeats what it finds pending. Planned stops drain first, and a successor sees the upstream idle itself before it repeats a stop. Notices of a reclaim drain at once, and starts fall back to reserved upstreams when the platform has no others. Drain notices to stewards, of the planner too, carry a version, since a random run found a former holder's late notice that left an upstream drained.

--- /dev/null
+++ b/capacity/capacity.go
@@ -0,0 +1,198 @@
+// Package capacity starts and stops the upstreams of one failure domain, as the
+// holder of the domain's capacity lease.
+//
+// # Usage
+//
+//	c := capacity.New(capacity.Options{
+//		FailureDomain: "limpopo-a", Store: client, Platform: platform, Load: load, Drain: drain, Decide: decide,
+//	})
+//	err := lease.Run(ctx, client, options, func(ctx context.Context, held *lease.Held) error {
+//		return c.Run(ctx, held)
+//	})
+//
+// # Orders
+//
+// An order is written to the store with its idempotency token before it is sent,
+// and stays there until the platform has answered. A holder that takes over
+// repeats the orders that it finds under their tokens, so a lost answer or a
+// dead holder doesn't lead to a second order. Upstreams that were ordered and
+// aren't on the platform's lagging list yet are written down as well.
+//
+// A planned stop drains the upstream first, and the order is sent only after
+// the upstream was seen idle by this holder. Upstreams with a notice of reclaim
+// are drained at once.
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/intent"
+	"github.com/guavagauge/guavagauge/invariant"
+	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/store"
+)
+
+const (
+	defaultPeriod       = time.Second
+	defaultDrainGrace   = 5 * time.Second  // stewards stop sending within this (I10)
+	defaultStartTimeout = 10 * time.Minute // until an ordered upstream is on the list
+	defaultNoneFor      = time.Minute
+)
+
+type (
+	// Load is the work of one upstream as its stewards know it.
+	Load struct {
+		Running int
+		Queued  int
+		// Started counts the requests that were sent to the upstream. It may be
+		// left at 0.
+		Started uint64
+	}
+
+	// View is what a decision is based on.
+	View struct {
+		Now           time.Time
+		FailureDomain string
+		Upstreams     []UpstreamView // sorted by name
+		// NoReclaimable means that the platform recently had none.
+		NoReclaimable bool
+	}
+
+	// UpstreamView is one upstream that runs or is ordered.
+	UpstreamView struct {
+		platform.VM
+		Load
+		Draining bool // for a planned stop, which a start can still revoke
+		// Going upstreams are about to be reclaimed or stopped.
+		Going   bool
+		IdleFor time.Duration
+	}
+
+	// Plan is what a decision asks for.
+	Plan struct {
+		StartReserved    int
+		StartReclaimable int
+		// Stops take the upstreams of the kind that have been idle for longest,
+		// or that have the least work.
+		StopReserved    int
+		StopReclaimable int
+	}
+
+	// DrainNotice tells stewards to send an upstream no new requests because it
+	// leaves, or to send them again. A notice with a lower version than one seen
+	// before for the same VM is ignored.
+	DrainNotice struct {
+		VM      platform.VM
+		On      bool
+		Version intent.Version
+	}
+
+	// Options of a Manager. Zero values mean defaults.
+	Options struct {
+		FailureDomain string
+		Store         store.Client
+		Platform      platform.Client
+		// Load returns the load by the names of VMs. Without an answer nothing is
+		// stopped.
+		Load func(ctx context.Context) (load map[string]Load, err error)
+		// Drain passes a notice to all stewards. It is repeated until it succeeds.
+		Drain func(ctx context.Context, notice DrainNotice) (err error)
+		// Decide is called when no order is pending. The default is NewThreshold.
+		Decide func(view View) Plan
+
+		// Period is the time between two looks at the platform, 1 s.
+		Period time.Duration
+		// DrainGrace is the time from a drain until the upstream gets no more
+		// requests, 5 s.
+		DrainGrace time.Duration
+		// StartTimeout is the time after which an ordered upstream that isn't on
+		// the list counts as lost, 10 min.
+		StartTimeout time.Duration
+		// NoneFor is the time for which an answer of "none available" holds, 1 min.
+		NoneFor time.Duration
+
+		Logger  *slog.Logger
+		Set     *metrics.Set
+		Checker *invariant.Checker
+	}
+
+	// Manager gives the orders of one failure domain whenever it holds the
+	// authority.
+	Manager struct{ options Options }
+)
+
+// New returns a manager that does nothing until Run.
+func New(options Options) *Manager {
+	for value, fallback := range map[*time.Duration]time.Duration{
+		&options.Period: defaultPeriod, &options.DrainGrace: defaultDrainGrace,
+		&options.StartTimeout: defaultStartTimeout, &options.NoneFor: defaultNoneFor,
+	} {
+		if *value == 0 {
+			*value = fallback
+		}
+	}
+	if options.Decide == nil {
+		options.Decide = NewThreshold(ThresholdOptions{})
+	}
+	if options.Logger == nil {
+		options.Logger = slog.New(slog.DiscardHandler)
+	}
+	if options.Set == nil {
+		options.Set = metrics.NewSet()
+	}
+	options.Logger = options.Logger.With("Role", "Capacity", "FailureDomain", options.FailureDomain)
+	return &Manager{options: options}
+}
+
+// Run manages until ctx or the authority ends. Failures of the store and of the
+// platform are logged and tried again; it returns early only when another
+// holder took over.
+func (m *Manager) Run(ctx context.Context, authority intent.Authority) (err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(authority.Context(), cancel)()
+	h := newHolder(m.options, authority)
+	ticker := time.NewTicker(m.options.Period)
+	defer ticker.Stop()
+	for {
+		switch err := h.tick(ctx); {
+		case errors.Is(err, intent.ErrSuperseded):
+			return err
+		case err != nil && ctx.Err() == nil:
+			m.options.Logger.Warn("capacity not managed", "Epoch", authority.Epoch(), "Err", err)
+			h.count("failures", "tick")
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// Key returns the key of the document of a failure domain's orders.
+func Key(failureDomain string) string { return "capacity/" + failureDomain }
+
+// Counts returns how many upstreams of each kind run or are ordered and stay.
+func (v View) Counts() (reserved, reclaimable int) {
+	for _, u := range v.Upstreams {
+		switch {
+		case u.Going || u.Draining:
+		case u.Capacity == platform.Reclaimable:
+			reclaimable++
+		default:
+			reserved++
+		}
+	}
+	return reserved, reclaimable
+}
+
+func (h *holder) count(name, label string) {
+	h.options.Set.GetOrCreateCounter(fmt.Sprintf("guavagauge_capacity_%s_total{kind=%q}", name, label)).Inc()
+}
--- a/intent/intent.go
+++ b/intent/intent.go
@@ -57,6 +57,11 @@
 		Settle(ctx context.Context) (err error)
 	}
 
+	// Version orders what holders tell others about one thing. Who is told keeps
+	// the highest version, since calls of former holders, and calls that a holder
+	// gave up on, can arrive late.
+	Version struct{ Epoch, Sequence uint64 }
+
 	// Options of a Document. Zero values mean defaults.
 	Options struct {
 		// Timeout bounds each call to the service. The default is 2 s.
@@ -84,6 +89,11 @@
 	}
 )
 
+// Before reports whether v is overtaken by other.
+func (v Version) Before(other Version) bool {
+	return v.Epoch < other.Epoch || v.Epoch == other.Epoch && v.Sequence < other.Sequence
+}
+
 // New returns the document under key. It makes no call yet.
 func New(client store.Client, key string, authority Authority, options Options) *Document {
 	if options.Timeout == 0 {
--- a/planner/holder.go
+++ b/planner/holder.go
@@ -32,6 +32,7 @@
 		surveyed time.Time
 		reports  map[string]engine.Report
 		fenced   map[string]uint64 // incarnation that knows the epoch, by engine
+		notices  uint64            // sent to stewards
 		drained  map[string]bool   // engines that stewards were told to drain
 		sending
 
@@ -258,11 +259,13 @@
 func (h *holder) tellStewards(ctx context.Context, key string, drain bool) {
 	h.mu.Lock()
 	told, known := h.drained[key]
+	h.notices++
+	notice := DrainNotice{key, drain, intent.Version{Epoch: h.authority.Epoch(), Sequence: h.notices}}
 	h.mu.Unlock()
 	if known && told == drain {
 		return
 	}
-	if err := h.options.Drain(ctx, key, drain); err != nil {
+	if err := h.authority.Do(ctx, func(ctx context.Context) error { return h.options.Drain(ctx, notice) }); err != nil {
 		h.count("failures", "drain")
 		return
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -90,6 +90,16 @@
 		Model  string
 	}
 
+	// DrainNotice tells stewards to send an engine no new requests while it
+	// changes, or to send them again. It says nothing about drains for other
+	// reasons. A notice with a lower version than one seen before for the same
+	// engine is ignored.
+	DrainNotice struct {
+		Engine  string
+		On      bool
+		Version intent.Version
+	}
+
 	// Weights is the part of platform.Client that limits loads of models.
 	Weights interface {
 		ReserveWeights(ctx context.Context, request platform.WeightsRequest) (wait time.Duration, err error)
@@ -103,9 +113,9 @@
 		Engines func() []Engine
 		// Decide returns the changes to make. The default is NewBalance.
 		Decide func(view View) []Wish
-		// Drain tells the stewards of an engine to send it no new requests, or to
-		// send them again. It may be nil, as a drained engine refuses them itself.
-		Drain func(ctx context.Context, engine string, on bool) (err error)
+		// Drain passes a notice to the stewards of an engine. It may be nil, as a
+		// drained engine refuses new requests itself.
+		Drain func(ctx context.Context, notice DrainNotice) (err error)
 		// Weights may be nil when no model is ever loaded.
 		Weights Weights
 
@@ -147,7 +157,7 @@
 		options.Decide = NewBalance(BalanceOptions{})
 	}
 	if options.Drain == nil {
-		options.Drain = func(context.Context, string, bool) error { return nil }
+		options.Drain = func(context.Context, DrainNotice) error { return nil }
 	}
 	if options.Logger == nil {
 		options.Logger = slog.New(slog.DiscardHandler)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -47,6 +47,7 @@
 	mu       sync.Mutex
 	wishes   []planner.Wish
 	draining map[string]bool // as the stewards were told
+	versions map[string]intent.Version
 	told     int
 	wrong    []string
 }
@@ -58,7 +59,7 @@
 		w := &world{
 			t: t, ctx: ctx, network: nettest.New(), store: storetest.New(storetest.Options{}),
 			platform: platformtest.New(ctx, platformtest.Options{WeightsEvery: 10 * time.Second}),
-			set:      metrics.NewSet(), draining: make(map[string]bool),
+			set:      metrics.NewSet(), draining: make(map[string]bool), versions: make(map[string]intent.Version),
 		}
 		w.checker = invariant.New(slog.New(slog.DiscardHandler), w.set, invariant.Options{})
 		var clients []*engine.HTTP
@@ -94,13 +95,15 @@
 			defer w.mu.Unlock()
 			return w.wishes
 		},
-		Drain: func(_ context.Context, key string, on bool) error {
+		Drain: func(_ context.Context, notice planner.DrainNotice) error {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			if w.told++; w.told%2 == 1 {
 				return errors.New("steward not reached")
 			}
-			w.draining[key] = on
+			if !notice.Version.Before(w.versions[notice.Engine]) {
+				w.draining[notice.Engine], w.versions[notice.Engine] = notice.On, notice.Version
+			}
 			return nil
 		},
 		Weights: w.platform, Checker: w.checker, Set: w.set, UncheckedEvery: time.Minute,
@@ -257,7 +260,7 @@
 // another engine, which the successor then repairs.
 func TestPausedHolder(t *testing.T) {
 	for _, fencing := range []fleet.Fencing{fleet.FencingChecked, fleet.FencingIgnored} {
-		for n := range 18 {
+		for n := range 24 {
 			passes, restart := n/2, n%2 == 1 // a restarted engine doesn't know old IDs
 			newWorld(t, []fleet.Fencing{fencing}, func(w *world) {
 				w.wish(role("o/e0", engine.Prefill))
@@ -299,7 +302,7 @@
 	newWorld(t, []fleet.Fencing{fleet.FencingIgnored}, func(w *world) {
 		w.wish(role("o/e0", engine.Prefill))
 		first := w.lease.Acquire(w.ctx)
-		first.Pause(2) // the operations before are the writes of the intents
+		first.Pause(3) // two writes of intents and the notice to stewards come before the order
 		w.hold(first)
 		time.Sleep(12 * time.Second)
 		w.network.SetDelay(func(netip.Addr, netip.Addr) time.Duration { return 3 * time.Second })
