Count decode engines only as far as prefill engines feed them

Nothing handed requests over to them, and one mixed engine did all the work. Change: PlanRoles counts decode engines up to the decode work of the requests that prefill engines take. The test's own model of the served share had the same mistake and now has the same limit; a test for this case is new.

--- a/policy/plan_test.go
+++ b/policy/plan_test.go
@@ -10,8 +10,12 @@
 )
 
 // share is the share of the demand that n engines by role serve, by trying all
-// divisions of the mixed engines' time.
+// divisions of the mixed engines' time. Decode engines only get the requests
+// that prefill engines hand over.
 func share(r policy.RolesRequest, n [3]float64) (best float64) {
+	if r.Demand.Prefill > 0 {
+		n[policy.Decode] = min(n[policy.Decode], r.Demand.Decode*n[policy.Prefill]/r.Demand.Prefill)
+	}
 	for i := range 101 {
 		x := float64(i) / 100
 		s := 1.0
@@ -68,6 +72,21 @@
 	})
 }
 
+// Guards against decode engines that stand idle because no prefill engine is
+// left to hand requests over to them.
+func TestPlanRolesFeedsDecodeEngines(t *testing.T) {
+	r := policy.RolesRequest{Now: start, ChangeTime: 15 * time.Second, MixedPrefill: 0.6, MixedDecode: 0.8}
+	r.Demand = policy.Demand{Prefill: 0.5, Decode: 1.8}
+	r.Engines = []policy.EngineRole{{Role: policy.Decode}, {Role: policy.Prefill}, {Role: policy.Mixed}}
+	if change, ok := policy.PlanRoles(r, policy.Goodput()); ok && change.Engine == 1 {
+		t.Errorf("planned %+v of the only prefill engine", change)
+	}
+	r.Engines[1].Role = policy.Decode
+	if change, ok := policy.PlanRoles(r, policy.Goodput()); !ok || r.Engines[change.Engine].Role != policy.Decode && change.To != policy.Prefill {
+		t.Errorf("planned %+v, %v, want a prefill engine or one idle decode engine less", change, ok)
+	}
+}
+
 // Guards against a change while a third of the engines is out of service.
 func TestPlanRolesWaitsForChanges(t *testing.T) {
 	r := policy.RolesRequest{Now: start, ChangeTime: 15 * time.Second, MixedPrefill: 0.6, MixedDecode: 0.8}
--- a/policy/roles.go
+++ b/policy/roles.go
@@ -169,6 +169,11 @@
 	const spare = 0.1
 	r, need, full := p.request, p.need, p.weights.RoleHeadroom
 	factor := 2 * full
+	if need[Prefill] > 0 {
+		// Mixed engines keep the requests that they prefill, so decode engines
+		// are only fed by prefill engines.
+		n[Decode] = min(n[Decode], need[Decode]*n[Prefill]/need[Prefill])
+	}
 	if need[Prefill] > 0 {
 		factor = min(factor, (n[Prefill]+r.MixedPrefill*n[Mixed])/need[Prefill])
 	}
