Add at-most-once claims with group commit

Calls that may not be repeated need a decision that survives a lost answer of the store, a dead holder and a second node. Package claim keeps claims in shard documents; each grant is a compare-and-swap, a write with an unknown outcome is ruled out or read back before anybody is told, and callers that stopped waiting have their claim withdrawn. Documents count time by their writers' monotonic clocks, so that a wrong wall clock can't make them forget.

--- /dev/null
+++ b/claim/document.go
@@ -0,0 +1,150 @@
+package claim
+
+import (
+	"bytes"
+	"encoding/gob"
+	"maps"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/store"
+)
+
+const (
+	// recordOverheadBytes is above the encoded size of an entry without its
+	// record.
+	recordOverheadBytes = 64
+	// maxFinishBytes bounds a document to which late outcomes are added.
+	maxFinishBytes = store.MaxValueBytes - 4<<10
+	// unusedFactor times AbandonAfter is the most time that counts while no
+	// process had a document loaded: enough for all its claims to turn Unknown.
+	unusedFactor = 2
+)
+
+const (
+	claimed state = iota + 1
+	finished
+)
+
+type (
+	// identity is the binary hash of a key.
+	identity string
+
+	state uint8
+
+	// entry is one remembered claim. Times are in the document's own time.
+	entry struct {
+		State    state
+		Token    uint64        // tells the claims of different callers apart
+		Since    time.Duration // when it got into its state
+		Remember time.Duration
+		Record   []byte
+	}
+
+	// document is the value of a shard. It isn't changed once it was stored.
+	document struct {
+		Entries map[identity]entry
+		Elapsed time.Duration // the document's own time at its last write
+		Wall    int64         // the highest wall time of a writer, in Unix milliseconds
+		size    int           // estimate that reserves room for records to come
+	}
+)
+
+func decode(value []byte) (d *document, err error) {
+	defer errors.DeferredAnnotatef(&err, "claim document")
+	d = &document{}
+	if err = gob.NewDecoder(bytes.NewReader(value)).Decode(d); err != nil {
+		return nil, err
+	}
+	if d.Entries == nil {
+		d.Entries = make(map[identity]entry)
+	}
+	return d, nil
+}
+
+func (d *document) encode() (value []byte, err error) {
+	var buffer bytes.Buffer
+	err = gob.NewEncoder(&buffer).Encode(d)
+	return buffer.Bytes(), err
+}
+
+// next returns a copy at a later time, without what it may forget.
+func (d *document) next(now time.Duration, wall time.Time, options Options) (next *document) {
+	next = &document{Elapsed: max(d.Elapsed, now), Wall: max(d.Wall, wall.UnixMilli()), Entries: maps.Clone(d.Entries)}
+	for id, e := range next.Entries {
+		if now-e.Since > e.Remember && (e.State == finished || now-e.Since > e.Remember+options.AbandonAfter) {
+			delete(next.Entries, id)
+			continue
+		}
+		next.size += e.size(now, options)
+	}
+	return next
+}
+
+// unused returns the time to add for a document that was read from the store:
+// the wall time since its last write, within limits, because a wall clock may
+// be wrong.
+func (d *document) unused(wall time.Time, limit time.Duration) time.Duration {
+	return min(max(0, wall.Sub(time.UnixMilli(d.Wall))), limit)
+}
+
+// claim grants the key, or returns what is known about it.
+func (d *document) claim(op *operation, now time.Duration, options Options) (result Result, changed bool, err error) {
+	e, known := d.Entries[op.id]
+	switch {
+	case known && e.State == finished:
+		return Done{Record: e.Record}, false, nil
+	case known && e.Token == op.token:
+		return Granted{}, false, nil
+	case known && now-e.Since > options.AbandonAfter:
+		return Unknown{}, false, nil
+	case known:
+		return InProgress{}, false, nil
+	}
+	e = entry{State: claimed, Token: op.token, Since: now, Remember: op.remember}
+	if d.size+e.size(now, options) > options.MaxDocumentBytes {
+		return nil, false, errors.WithType(errors.Annotatef(ErrFull, "%d claims", len(d.Entries)), ErrNotMade)
+	}
+	d.Entries[op.id] = e
+	d.size += e.size(now, options)
+	return Granted{}, true, nil
+}
+
+// finish stores the outcome of a claim, even one that had turned Unknown.
+func (d *document) finish(op *operation, now time.Duration, options Options) (changed bool, err error) {
+	e, known := d.Entries[op.id]
+	switch {
+	case !known || e.Token != op.token:
+		return false, ErrForgotten
+	case e.State == finished:
+		return false, nil
+	}
+	size := d.size - e.size(now, options)
+	e.State, e.Since, e.Record = finished, now, op.record
+	if size += e.size(now, options); size > maxFinishBytes {
+		return false, ErrFull // only after the claim was abandoned and its room used up
+	}
+	d.size = size
+	d.Entries[op.id] = e
+	return true, nil
+}
+
+// withdraw removes a claim that isn't finished.
+func (d *document) withdraw(op *operation, now time.Duration, options Options) (changed bool) {
+	e, known := d.Entries[op.id]
+	if !known || e.Token != op.token || e.State == finished {
+		return false
+	}
+	d.size -= e.size(now, options)
+	delete(d.Entries, op.id)
+	return true
+}
+
+// size reserves room for the record of a claim in progress.
+func (e entry) size(now time.Duration, options Options) int {
+	if e.State == claimed && now-e.Since <= options.AbandonAfter {
+		return recordOverheadBytes + options.MaxRecordBytes
+	}
+	return recordOverheadBytes + len(e.Record)
+}
