planner: test with leases of the store

Cause: the planner was tested with a stand-in lease only, and a test of enginetest dialled while the crashed engine's listener was still being closed.

Change: three planners compete for a real lease while nodes lose the store, and the test of enginetest waits until the listener is closed.

--- a/enginetest/engine_test.go
+++ b/enginetest/engine_test.go
@@ -59,6 +59,7 @@
 		if !errors.As(err, &failure) || !failure.Crashed || failure.Progress != upstream.Answered {
 			t.Fatalf("crash: %v, want a failure with Crashed", err)
 		}
+		synctest.Wait() // until the listener is closed
 		_, err = client.Generate(t.Context(), generation, collect(&got))
 		if !errors.As(err, &failure) || failure.Crashed || failure.Progress != upstream.NotDialed {
 			t.Fatalf("engine down: %v, want NotDialed", err)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -22,6 +22,7 @@
 	"github.com/guavagauge/guavagauge/intent"
 	"github.com/guavagauge/guavagauge/intenttest"
 	"github.com/guavagauge/guavagauge/invariant"
+	"github.com/guavagauge/guavagauge/lease"
 	"github.com/guavagauge/guavagauge/nettest"
 	"github.com/guavagauge/guavagauge/planner"
 	"github.com/guavagauge/guavagauge/platformtest"
@@ -88,8 +89,14 @@
 
 // hold runs a planner under a new authority until that ends.
 func (w *world) hold(authority intent.Authority) (ended <-chan error) {
-	p := planner.New(planner.Options{
-		FailureDomain: domain, Store: w.store.Client("node"), Engines: func() []planner.Engine { return w.fleet },
+	result := make(chan error, 1)
+	go func() { result <- w.planner("node").Run(w.ctx, authority) }()
+	return result
+}
+
+func (w *world) planner(node string) *planner.Planner {
+	return planner.New(planner.Options{
+		FailureDomain: domain, Store: w.store.Client(node), Engines: func() []planner.Engine { return w.fleet },
 		Decide: func(planner.View) []planner.Wish {
 			w.mu.Lock()
 			defer w.mu.Unlock()
@@ -108,9 +115,6 @@
 		},
 		Weights: w.platform, Checker: w.checker, Set: w.set, UncheckedEvery: time.Minute,
 	})
-	result := make(chan error, 1)
-	go func() { result <- p.Run(w.ctx, authority) }()
-	return result
 }
 
 func (w *world) wish(wishes ...planner.Wish) {
@@ -397,6 +401,37 @@
 	})
 }
 
+// Guards against gaps between the lease and the planner: nodes that lose the
+// store while they hold the lease must leave changes to the next one.
+func TestLease(t *testing.T) {
+	newWorld(t, []fleet.Fencing{fleet.FencingChecked, fleet.FencingIgnored}, func(w *world) {
+		w.load(0)
+		w.load(1)
+		nodes := []string{"node-a", "node-b", "node-c"}
+		for _, node := range nodes {
+			go lease.Run(w.ctx, w.store.Client(node), lease.Options{Key: "lease/planner", Holder: node},
+				func(ctx context.Context, held *lease.Held) error { return w.planner(node).Run(ctx, held) })
+		}
+		for i := range 9 {
+			w.wish(role("o/e0", []engine.Role{engine.Prefill, engine.Decode, engine.Mixed}[i%3]), role("o/e1", engine.Prefill))
+			time.Sleep(time.Duration(17+i) * time.Second)
+			w.store.Cut(nodes[i%3], []storetest.Direction{storetest.Requests, storetest.Answers, storetest.Both}[i%2])
+			time.Sleep(30 * time.Second)
+			w.store.Heal(nodes[i%3])
+		}
+		w.wish()
+		time.Sleep(2 * time.Minute)
+		w.calm(0)
+		orders, stats := w.engines[0].Orders(), w.engines[0].Stats()
+		if len(orders) == 0 || orders[len(orders)-1].Epoch == orders[0].Epoch || stats.RoleChanges < 3 {
+			t.Errorf("%d orders, %+v: want role changes by several holders", len(orders), stats)
+		}
+		if stats := w.engines[1].Stats(); stats.RoleChanges != 1 {
+			t.Errorf("%+v: want one role change", stats)
+		}
+	})
+}
+
 // Guards against loads that exceed the weight store's rate.
 func TestLoadsKeepTheRate(t *testing.T) {
 	newWorld(t, checked(3), func(w *world) {
