--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -5,7 +5,10 @@
 //
 //	config, problems := fleet.Parse("fleet.toml", text)
 //	snapshot := fleet.Compile(config, revision)
-//	workspace, ok := snapshot.WorkspaceByKey(key)
+//	workspace, keyID, ok := snapshot.WorkspaceByKey(secret)
+//	route, ok := snapshot.MatchRoute(method, path)
+//	service, ok := snapshot.ServiceFor(route)
+//	placement, ok := snapshot.Decide(fleet.Query{Workspace: workspace, Route: route, Target: service})
 //
 // Two owners may use the same names, so an object is identified by its owner,
 // kind and name, and a reference by name means the same owner's object.
@@ -58,6 +61,15 @@
 	MaxPriority = 9
 )
 
+// The labels that selectors may use without an operator writing them. All
+// objects have LabelOwner, upstreams have all of them.
+const (
+	LabelOwner         = "owner"
+	LabelFailureDomain = "failure-domain"
+	LabelRegion        = "region"
+	LabelCapacity      = "capacity"
+)
+
 type (
 	// Kind is the kind of a configuration object.
 	Kind string
@@ -81,13 +93,13 @@
 	Meta struct {
 		Owner  string          `json:",omitempty"`
 		Name   string          `json:",omitempty"`
-		Labels selector.Labels `json:",omitempty"`
+		Labels selector.Labels `json:",omitempty" toml:",omitempty"`
 	}
 
 	// Owner is a party whose fleet was merged into this one.
 	Owner struct {
 		Name   string
-		Labels selector.Labels `json:",omitempty"`
+		Labels selector.Labels `json:",omitempty" toml:",omitempty"`
 	}
 
 	// Upstream is a model engine, or a worker of a plain service when Service
@@ -97,12 +109,14 @@
 		Address       netip.AddrPort
 		FailureDomain string
 		Region        string
-		Service       string   `json:",omitempty"`
+		Service       string   `json:",omitempty" toml:",omitempty"`
 		Capacity      Capacity // Reserved or Reclaimable
-		Fencing       Fencing  // engines only
+		Fencing       Fencing  `json:",omitempty" toml:",omitempty"` // engines only
 		Slots         int      // requests that run at the same time
-		Pieces        int      `json:",omitempty"` // KV cache size in pieces of 1,024 tokens
+		Pieces        int      `json:",omitempty" toml:",omitempty"` // KV cache size in pieces of 1,024 tokens
 		State         State
+
+		key string // what Key returns; set in snapshots, to save the allocation
 	}
 
 	// Workspace is a tenant. Models selects the models that it may use. Limits
@@ -114,6 +128,8 @@
 		Burst             int
 		Concurrent        int
 		Models            selector.Selector
+
+		key string // what Key returns; set in snapshots, to save the allocation
 	}
 
 	// Key lets requests in for a workspace of the same owner. Only the SHA-256
@@ -127,8 +143,8 @@
 	// Model is a language model that engines can load.
 	Model struct {
 		Meta
-		Version string `json:",omitempty"`
-		Adapter string `json:",omitempty"`
+		Version string `json:",omitempty" toml:",omitempty"`
+		Adapter string `json:",omitempty" toml:",omitempty"`
 	}
 
 	// Service is a plain application service.
@@ -164,19 +180,22 @@
 
 	// Config is the whole configuration of a fleet, as in one TOML file.
 	Config struct {
-		Owners     []Owner     `toml:"Owner"`
-		Upstreams  []Upstream  `toml:"Upstream"`
-		Workspaces []Workspace `toml:"Workspace"`
-		Keys       []Key       `toml:"Key"`
-		Models     []Model     `toml:"Model"`
-		Services   []Service   `toml:"Service"`
-		Routes     []Route     `toml:"Route"`
-		Rules      []Rule      `toml:"Rule"`
+		Owners     []Owner     `toml:"Owner,omitempty"`
+		Upstreams  []Upstream  `toml:"Upstream,omitempty"`
+		Workspaces []Workspace `toml:"Workspace,omitempty"`
+		Keys       []Key       `toml:"Key,omitempty"`
+		Models     []Model     `toml:"Model,omitempty"`
+		Services   []Service   `toml:"Service,omitempty"`
+		Routes     []Route     `toml:"Route,omitempty"`
+		Rules      []Rule      `toml:"Rule,omitempty"`
 	}
 )
 
 // String returns the form used on the command line and in logs.
 func (id ID) String() string {
+	if id.Kind == KindOwner {
+		return string(id.Kind) + " " + id.Name
+	}
 	return string(id.Kind) + " " + id.Owner + "/" + id.Name
 }
 
@@ -184,7 +203,12 @@
 func (u *Upstream) ID() ID { return ID{u.Owner, KindUpstream, u.Name} }
 
 // Key returns the upstream's identity as a hash key and metrics label.
-func (u *Upstream) Key() string { return u.Owner + "/" + u.Name }
+func (u *Upstream) Key() string {
+	if u.key != "" {
+		return u.key
+	}
+	return u.Owner + "/" + u.Name
+}
 
 // IsEngine reports whether the upstream is a model engine.
 func (u *Upstream) IsEngine() bool { return u.Service == "" }
@@ -193,4 +217,24 @@
 func (w *Workspace) ID() ID { return ID{w.Owner, KindWorkspace, w.Name} }
 
 // Key returns the workspace's identity as a hash key and metrics label.
-func (w *Workspace) Key() string { return w.Owner + "/" + w.Name }
+func (w *Workspace) Key() string {
+	if w.key != "" {
+		return w.key
+	}
+	return w.Owner + "/" + w.Name
+}
+
+// ID returns the key's identity.
+func (k *Key) ID() ID { return ID{k.Owner, KindKey, k.Name} }
+
+// ID returns the model's identity.
+func (m *Model) ID() ID { return ID{m.Owner, KindModel, m.Name} }
+
+// ID returns the service's identity.
+func (s *Service) ID() ID { return ID{s.Owner, KindService, s.Name} }
+
+// ID returns the route's identity.
+func (r *Route) ID() ID { return ID{r.Owner, KindRoute, r.Name} }
+
+// ID returns the rule's identity.
+func (r *Rule) ID() ID { return ID{r.Owner, KindRule, r.Name} }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -24,6 +24,7 @@
 	"net"
 	"net/netip"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"time"
 
@@ -81,8 +82,11 @@
 		peers map[netip.AddrPort]*connection
 	}
 
+	// connection holds a peer's client. Whoever has taken the token may use the
+	// other fields; a channel is used in place of a mutex, so that a call that
+	// waits for another one's dial still ends with its context.
 	connection struct {
-		mu       sync.Mutex // held while dialing
+		token    chan struct{}
 		client   *rpc.Client
 		lastUsed time.Time
 	}
@@ -159,15 +163,16 @@
 
 // Call makes one call and waits for its reply, the context's end or the loss of
 // the connection. Unless the error is ErrNotSent the peer may have processed
-// the call. The reply must not be read after an error, since it may still be
-// written to.
+// the call. The reply is only written to on success: an answer that arrives
+// after the context's end would otherwise race with the caller's next use of it.
 func (p *Pool) Call(ctx context.Context, address netip.AddrPort, method string, args, reply any) (err error) {
 	defer errors.DeferredAnnotatef(&err, "call %s at %s", method, address)
 	client, err := p.client(ctx, address)
 	if err != nil {
 		return err
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	fresh := reflect.New(reflect.TypeOf(reply).Elem())
+	call := client.Go(method, args, fresh.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
@@ -178,6 +183,9 @@
 			p.discard(address, client)
 		}
 	}
+	if call.Error == nil {
+		reflect.ValueOf(reply).Elem().Set(fresh.Elem())
+	}
 	return call.Error
 }
 
@@ -188,13 +196,17 @@
 	p.mu.Lock()
 	conn := p.peers[address]
 	if conn == nil {
-		conn = &connection{}
+		conn = &connection{token: make(chan struct{}, 1)}
 		p.peers[address] = conn
 	}
 	p.mu.Unlock()
 
-	conn.mu.Lock()
-	defer conn.mu.Unlock()
+	select {
+	case conn.token <- struct{}{}:
+	case <-ctx.Done():
+		return nil, notSent(ctx.Err())
+	}
+	defer conn.release()
 	conn.lastUsed = time.Now()
 	if conn.client != nil {
 		return conn.client, nil
@@ -228,20 +240,27 @@
 	if conn == nil {
 		return
 	}
-	conn.mu.Lock()
-	defer conn.mu.Unlock()
-	if conn.client == client {
-		conn.client = nil
-	}
 	client.Close()
+	select {
+	case conn.token <- struct{}{}:
+		defer conn.release()
+		if conn.client == client {
+			conn.client = nil
+		}
+	case <-p.ctx.Done():
+	}
 }
 
+func (c *connection) release() { <-c.token }
+
 // closeIdle closes the connections that were unused for at least idle.
 func (p *Pool) closeIdle(idle time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, conn := range p.peers {
-		if !conn.mu.TryLock() {
+		select {
+		case conn.token <- struct{}{}:
+		default:
 			continue // being dialed
 		}
 		if time.Since(conn.lastUsed) >= idle {
@@ -250,7 +269,7 @@
 			}
 			delete(p.peers, address)
 		}
-		conn.mu.Unlock()
+		conn.release()
 	}
 }
 
