--- a/experiment/plan.go
+++ b/experiment/plan.go
@@ -68,7 +68,7 @@
 func (s *sim) planCapacity(region int, all []*engine, demand policy.Demand) {
 	request := policy.CapacityRequest{
 		Now: clock(s.now), Need: demand.Engines(s.weights.RoleHorizon), Eligible: 1,
-		Max: s.place.engines * 4 / 3, NoReclaimable: s.noneAt[region],
+		Max: s.deployment.engines * 4 / 3, NoReclaimable: s.noReclaimable[region],
 	}
 	for _, e := range all {
 		switch {
@@ -125,7 +125,7 @@
 // reclaim takes the reclaimable engines of a region after the notice. Streams
 // that can't end before are resumed elsewhere at once.
 func (s *sim) reclaim(region int) {
-	s.noneAt[region] = true
+	s.noReclaimable[region] = true
 	for _, e := range s.engines {
 		switch {
 		case e.region != region || !e.reclaimable || e.state == gone:
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -35,20 +35,20 @@
 
 	// sim runs one scenario with one set of decisions.
 	sim struct {
-		now      time.Duration
-		seq      int
-		events   []event // the next one last
-		weights  policy.Weights
-		naive    bool
-		fixed    int // engines in service all the time; 0 lets the capacity plan decide
-		place    deployment
-		scenario scenario
-		engines  []*engine
-		next     int // round robin over engines
-		nextDesk int // and over workers of the plain service
-		demand   [regions]meter
-		capacity [regions]policy.CapacityState
-		noneAt   [regions]bool // no reclaimable upstreams in the region
+		now           time.Duration
+		seq           int
+		events        []event // the next one last
+		weights       policy.Weights
+		naive         bool
+		fixed         int // engines in service all the time; 0 lets the capacity plan decide
+		deployment    deployment
+		scenario      scenario
+		engines       []*engine
+		next          int // round robin over engines
+		nextDesk      int // and over workers of the plain service
+		demand        [regions]meter
+		capacity      [regions]policy.CapacityState
+		noReclaimable [regions]bool // no reclaimable upstreams in the region
 
 		candidates []policy.Candidate
 		targets    []*engine
@@ -66,7 +66,7 @@
 )
 
 func newSim(d deployment, s scenario, weights policy.Weights, naive bool, fixed int) *sim {
-	run := &sim{weights: weights, naive: naive, fixed: fixed, place: d, scenario: s}
+	run := &sim{weights: weights, naive: naive, fixed: fixed, deployment: d, scenario: s}
 	request := policy.CapacityRequest{Eligible: 1}
 	total := d.engines * regions
 	if fixed > 0 {
@@ -85,7 +85,7 @@
 }
 
 func (s *sim) add(region int, reclaimable bool) *engine {
-	key := fmt.Sprintf("%s/engine-%d", s.place.name, len(s.engines))
+	key := fmt.Sprintf("%s/engine-%d", s.deployment.name, len(s.engines))
 	e := &engine{
 		sim: s, key: key, hash: rendezvous.Hash(key), region: region, reclaimable: reclaimable,
 		queue: policy.NewQueue(policy.QueueOptions{}), cache: map[uint64]int64{}, since: s.now,
@@ -159,7 +159,7 @@
 	for range s.engines {
 		*next = (*next + 1) % len(s.engines)
 		if e := s.engines[*next]; e.desk == r.desk {
-			r.hop = s.hop(r.region, e.region) + s.place.clientHop
+			r.hop = s.hop(r.region, e.region) + s.deployment.clientHop
 			s.after(r.hop, func() { e.push(r) })
 			return
 		}
@@ -177,7 +177,7 @@
 	e := targets[0]
 	e.sent[r.node()].Add(clock(s.now), int64(r.prompt))
 	hop := s.hop(r.region, e.region)
-	r.hop = hop + s.place.clientHop
+	r.hop = hop + s.deployment.clientHop
 	s.after(hop, func() {
 		last := r.emitted > 0 && len(targets) == 1
 		if e.state == up && (last || e.admit(r)) || last && e.state == leaving {
@@ -228,7 +228,7 @@
 			c.Queued, c.Slots = e.digest.decode, e.slots()
 		}
 		if e.region != r.region {
-			c.Crossing = int64(s.place.betweenHops.Seconds() * 2 * prefillPerSecond / speedSlots)
+			c.Crossing = int64(s.deployment.betweenHops.Seconds() * 2 * prefillPerSecond / speedSlots)
 		}
 		s.candidates = append(s.candidates, c)
 		s.targets = append(s.targets, e)
@@ -246,7 +246,7 @@
 		}
 	}
 	return policy.Spill(policy.SpillRequest{
-		Home: home, Away: away, Latency: s.place.betweenHops, Objective: firstTokenObjective,
+		Home: home, Away: away, Latency: s.deployment.betweenHops, Objective: firstTokenObjective,
 		Bytes: int64(r.prompt*policy.BytesPerToken + r.answer*tokenBytes), Price: pricePerGB,
 	}, s.weights).Spill
 }
@@ -266,7 +266,7 @@
 	if from == to {
 		return 100 * time.Microsecond
 	}
-	return s.place.betweenHops
+	return s.deployment.betweenHops
 }
 
 func (s *sim) at(at time.Duration, do func()) {
--- a/policy/diff_test.go
+++ b/policy/diff_test.go
@@ -144,6 +144,31 @@
 	})
 }
 
+// Guards against admission that counts less work ahead of an item than the
+// queue then serves before it.
+func TestQueueAheadCoversWhatIsServedFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		queue := policy.NewQueue(policy.QueueOptions{})
+		draw := func() *policy.Item {
+			w := rapid.IntRange(0, 3).Draw(t, "workspace")
+			return &policy.Item{Workspace: fmt.Sprint(w), Weight: w + 1, Cost: rapid.Int64Range(1, 500).Draw(t, "cost")}
+		}
+		for range rapid.IntRange(0, 200).Draw(t, "waiting") {
+			queue.Push(draw())
+		}
+		item := draw()
+		ahead, total, before := queue.Ahead(item.Workspace, item.Weight, item.Cost), queue.Cost(), int64(0)
+		queue.Push(item)
+		for next := queue.Next(); next != item; next = queue.Next() {
+			before += next.Cost
+		}
+		// Items aren't divided: each other workspace may be one item ahead.
+		if ahead > total || before > ahead+3*500 {
+			t.Fatalf("%d was served first, Ahead said %d of %d", before, ahead, total)
+		}
+	})
+}
+
 // Guards against refusals that a request could have been spared, admissions
 // that are late, and a retry-after that isn't kept when the queue drains.
 func TestAdmitIsTruthful(t *testing.T) {
