node: run membership, distribution, claims, usage and the operator API

Cause: the coordination packages existed side by side; a node has to run them together, and operators need commands. Change: node builds on settings and holds membership, configuration follower, claims, usage ledger and reporters under leases (two candidates a lease, so waiting watches don't grow with the fleet); package operator with apply, get, history, rollback, label and keys; package certificate; commands node, standin, apply, get, history, rollback, label and key; the end-to-end tests run on real membership and distribution.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -24,6 +24,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
 
+	"github.com/guavagauge/guavagauge/claim"
 	"github.com/guavagauge/guavagauge/fleet"
 	"github.com/guavagauge/guavagauge/invariant"
 	"github.com/guavagauge/guavagauge/peer"
@@ -67,7 +68,7 @@
 		Snapshot  func() *fleet.Snapshot
 		Directory Directory
 		Peers     peer.Caller
-		Claims    Claims
+		Claims    *claim.Claims
 		Meter     Meter
 		// Isolated reports whether withdrawals of keys may not reach this node.
 		Isolated func() bool
--- a/caller/claim.go
+++ b/caller/claim.go
@@ -2,75 +2,72 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/claim"
 	"github.com/guavagauge/guavagauge/fleet"
 	"github.com/guavagauge/guavagauge/upstream"
 )
 
 type (
-	// Claims makes sure that work which may not be repeated runs at most once.
-	Claims interface {
-		// Take claims a key before the work is sent anywhere.
-		Take(ctx context.Context, key string) (state ClaimState, err error)
-		// Finish records the outcome of claimed work.
-		Finish(ctx context.Context, key string, answer upstream.Answer) (err error)
-		// Release gives a claim back whose work certainly didn't run.
-		Release(ctx context.Context, key string) (err error)
+	// claimed is the claim of an exchange: one that was granted to it, or the
+	// outcome that an earlier request left.
+	claimed struct {
+		granted *claim.Claim
+		record  *record
 	}
 
-	// ClaimState is the state in which Take found a key: *Granted, *InProgress,
-	// *Recorded or *OutcomeUnknown.
-	ClaimState interface{ isClaimState() }
-
-	// Granted means that the work may run now, and only here.
-	Granted struct{}
-	// InProgress means that it runs elsewhere.
-	InProgress struct{}
-	// Recorded means that it ran, and with what answer.
-	Recorded struct{ Answer upstream.Answer }
-	// OutcomeUnknown means that it may have run.
-	OutcomeUnknown struct{}
-
-	// claimed is the claim of an exchange.
-	claimed struct {
-		key      string
-		recorded *upstream.Answer
+	// record is the outcome of claimed work. Body is left out when Oversize.
+	record struct {
+		Status   int
+		Header   map[string][]string
+		Body     []byte
+		Oversize bool
 	}
 )
 
-func (*Granted) isClaimState()        {}
-func (*InProgress) isClaimState()     {}
-func (*Recorded) isClaimState()       {}
-func (*OutcomeUnknown) isClaimState() {}
-
 // takeClaim claims work that may not be repeated. Without an idempotency key
 // the request id is claimed, which nobody can send again.
 func (s *Server) takeClaim(ex *exchange) (refused *Refusal) {
 	if ex.repeat() != fleet.Never {
 		return nil
 	}
-	if s.options.Claims == nil {
-		return notRun(upstream.ReasonStoreDown, "this node can't claim work that may not be repeated")
-	}
 	id := ex.request.Header.Get("Idempotency-Key")
 	if id == "" {
 		id = ex.id
 	}
-	claim := &claimed{key: fingerprint(ex.workspaceKey(), ex.route.ID().String(), id)}
-	state, err := s.options.Claims.Take(ex.ctx, claim.key)
+	key := fingerprint(ex.workspaceKey(), ex.route.ID().String(), id)
+	result, err := s.options.Claims.Claim(ex.ctx, claim.Request{Key: key})
 	if err != nil {
 		return notRun(upstream.ReasonStoreDown, "the work could not be claimed and did not run: "+err.Error())
 	}
-	switch state := state.(type) {
-	case *Granted:
-	case *InProgress:
+	switch result := result.(type) {
+	case claim.Granted:
+		ex.claim = &claimed{granted: result.Claim}
+		return nil
+	case claim.InProgress:
 		return refusal(upstream.ReasonInProgress, upstream.MayHaveRun, "a request with this idempotency key is in progress")
-	case *OutcomeUnknown:
+	case claim.Done:
+		return s.recall(ex, result.Record)
+	default:
 		return refusal(upstream.ReasonUnknown, upstream.MayHaveRun, "the outcome of the request with this idempotency key is unknown")
-	case *Recorded:
-		claim.recorded = &state.Answer
 	}
-	ex.claim = claim
+}
+
+// recall takes over the outcome of an earlier request.
+func (s *Server) recall(ex *exchange, text []byte) (refused *Refusal) {
+	var r record
+	if err := json.Unmarshal(text, &r); err != nil {
+		return refusal(upstream.ReasonUnknown, upstream.MayHaveRun, "the recorded outcome can't be read: "+err.Error())
+	}
+	if r.Oversize {
+		return refusal(upstream.ReasonUnknown, upstream.MayHaveRun,
+			fmt.Sprintf("the request ran and was answered with status %d; the answer was too large to be kept", r.Status))
+	}
+	ex.claim = &claimed{record: &r}
 	return nil
 }
 
@@ -85,11 +82,29 @@
 	var err error
 	switch {
 	case refused == nil:
-		err = s.options.Claims.Finish(ctx, ex.claim.key, c.answer)
+		err = s.finishClaim(ctx, ex.claim.granted, c.answer)
 	case refused.Ran == upstream.NotRun:
-		err = s.options.Claims.Release(ctx, ex.claim.key)
+		err = ex.claim.granted.Withdraw(ctx)
 	}
 	if err != nil {
 		s.options.Logger.Warn("claim not concluded", "RequestID", ex.id, "Error", err)
 	}
 }
+
+func (s *Server) finishClaim(ctx context.Context, granted *claim.Claim, answer upstream.Answer) (err error) {
+	text, err := json.Marshal(record{Status: answer.Status, Header: answer.Header, Body: answer.Body})
+	if err != nil {
+		return err
+	}
+	if err = granted.Finish(ctx, text); !errors.Is(err, claim.ErrTooLarge) {
+		return err
+	}
+	if text, err = json.Marshal(record{Status: answer.Status, Oversize: true}); err != nil {
+		return err
+	}
+	return granted.Finish(ctx, text)
+}
+
+func (r *record) answer() upstream.Answer {
+	return upstream.Answer{Status: r.Status, Header: r.Header, Body: r.Body}
+}
--- a/caller/services.go
+++ b/caller/services.go
@@ -45,19 +45,23 @@
 
 // dispatchCall answers a call to a plain service.
 func (s *Server) dispatchCall(ex *exchange, c *call) (refused *Refusal) {
-	if ex.claim != nil && ex.claim.recorded != nil {
-		c.answer = *ex.claim.recorded
+	if ex.claim != nil && ex.claim.record != nil {
+		c.answer = ex.claim.record.answer()
 		s.writeAnswer(ex, c)
 		return nil
 	}
 	refused = s.try(ex, nil, c.fingerprint, func(spec *fleet.Upstream) (failure *upstream.Failure) {
 		return s.attemptCall(ex, c, spec)
 	})
+	if refused == nil {
+		// Billed before the outcome is recorded: were this node killed in
+		// between, a repeat would get the outcome and nobody the bill.
+		s.record(ex, upstream.Usage{})
+	}
 	s.concludeClaim(ex, c, refused)
 	if refused != nil {
 		return refused
 	}
-	s.record(ex, upstream.Usage{})
 	s.writeAnswer(ex, c)
 	return nil
 }
--- a/command/check.go
+++ b/command/check.go
@@ -3,12 +3,28 @@
 import (
 	"fmt"
 	"os"
+	"regexp"
 
 	"github.com/juju/errors"
 
 	"github.com/guavagauge/guavagauge/fleet"
+	"github.com/guavagauge/guavagauge/settings"
 )
 
+// settingsTable begins a table that only node settings have.
+var settingsTable = regexp.MustCompile(`(?m)^\s*\[\s*(Listen|Store|Platform|TLS|Limits|Intervals|Operator)\s*\]`)
+
+// checkText checks node settings or a fleet configuration, by the tables that
+// the file has: those of a fleet configuration are all arrays.
+func checkText(file string, text []byte) (problems []fleet.Problem) {
+	if settingsTable.Match(text) {
+		_, problems = settings.Parse(file, text)
+	} else {
+		_, problems = fleet.Parse(file, text)
+	}
+	return problems
+}
+
 func newCheck() *subcommand {
 	file := ""
 	c := newSubcommand("check", "checks a file of settings without starting anything",
@@ -18,7 +34,7 @@
 			if err != nil {
 				return err
 			}
-			_, problems := fleet.Parse(file, text)
+			problems := checkText(file, text)
 			for _, problem := range problems {
 				fmt.Fprintln(env.stderr, problem)
 			}
--- a/command/command.go
+++ b/command/command.go
@@ -51,7 +51,10 @@
 		"Each command has its own help: guavagauge COMMAND --help"
 	parser.ShowCompletion = false
 	parser.DisableShowVersionWithVersion()
-	commands := []*subcommand{newDev(), newCheck(), newExplain()}
+	commands := []*subcommand{
+		newDev(), newNode(), newStandin(), newCheck(), newExplain(), newApply(), newGet(), newHistory(), newRollback(),
+		newLabel(), newKey(),
+	}
 	for _, c := range commands {
 		attach(&parser.Subcommand, c)
 	}
--- /dev/null
+++ b/command/node.go
@@ -0,0 +1,68 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/logging"
+	"github.com/guavagauge/guavagauge/node"
+	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/policy"
+	"github.com/guavagauge/guavagauge/settings"
+	"github.com/guavagauge/guavagauge/store"
+	"github.com/guavagauge/guavagauge/transport"
+)
+
+func newNode() *subcommand {
+	file := "node.toml"
+	c := newSubcommand("node", "runs one node of the system", "  guavagauge node --config node.toml",
+		func(env environment) (err error) { return runNode(env, file) })
+	c.flags.String(&file, "c", "config", "settings of this node; see docs/configuration.md")
+	return c
+}
+
+func runNode(env environment, file string) (err error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	s, problems := settings.Parse(file, text)
+	for _, problem := range problems {
+		fmt.Fprintln(env.stderr, problem)
+	}
+	if len(problems) > 0 {
+		return errors.Errorf("%s: %d problems", file, len(problems))
+	}
+	logger := logging.New(env.stderr, slog.LevelInfo)
+	// The node outlives the signal, so that it can stop gracefully.
+	ctx, cancel := context.WithCancel(context.WithoutCancel(env.ctx))
+	defer cancel()
+	options := node.Options{Settings: s, Network: transport.TCP{}, Logger: logger, Weights: policy.Goodput()}
+	options.Store = storeClient(s)
+	if len(s.Platform.Addresses) > 0 {
+		options.Platform = platform.NewClient(transport.TCP{}, s.Platform.Addresses[0], platform.Options{Timeout: s.Platform.CallTimeout})
+	}
+	n, err := node.New(ctx, options)
+	if err != nil {
+		return err
+	}
+	logger.Info("started", "Node", n.Name(), "Caller", n.CallerAddress(), "Peer", n.PeerAddress(), "Operator", n.OperatorAddress())
+	<-env.ctx.Done()
+	stopCtx, stopCancel := context.WithTimeout(ctx, s.Intervals.ShutdownDeadline)
+	defer stopCancel()
+	return n.Stop(stopCtx)
+}
+
+// storeClient spreads the nodes over the service's addresses.
+func storeClient(s *settings.Settings) store.Client {
+	sum := 0
+	for _, b := range []byte(s.Name) {
+		sum += int(b)
+	}
+	address := s.Store.Addresses[sum%len(s.Store.Addresses)]
+	return store.NewHTTP(transport.TCP{}, address, s.Name)
+}
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -21,19 +21,30 @@
 
 	"github.com/juju/errors"
 
+	"github.com/guavagauge/guavagauge/distribution"
 	"github.com/guavagauge/guavagauge/enginetest"
 	"github.com/guavagauge/guavagauge/fleet"
+	"github.com/guavagauge/guavagauge/logging"
 	"github.com/guavagauge/guavagauge/node"
+	"github.com/guavagauge/guavagauge/platformtest"
 	"github.com/guavagauge/guavagauge/policy"
 	"github.com/guavagauge/guavagauge/servicetest"
+	"github.com/guavagauge/guavagauge/settings"
+	"github.com/guavagauge/guavagauge/storetest"
 	"github.com/guavagauge/guavagauge/transport"
 )
 
 const (
-	maxNodes      = 32
-	stopTimeout   = 30 * time.Second
-	balancerDelay = 0 // there is no balancer
-	region        = "dev"
+	// Credential is the operators' credential of a development fleet.
+	Credential = "dev-operator-credential"
+
+	maxNodes     = 32
+	startTimeout = 20 * time.Second
+	readyPoll    = 20 * time.Millisecond
+	stopTimeout  = 30 * time.Second
+	withdraw     = time.Millisecond // there is no balancer to wait for
+	usageWindow  = time.Minute
+	region       = "dev"
 )
 
 //go:embed fleet.toml
@@ -59,6 +70,8 @@
 		Nodes    []*node.Node
 		Engines  map[string]*enginetest.Engine // by upstream key
 		Services map[string]*servicetest.Desk  // by upstream key
+		Store    *storetest.Server
+		Platform *platformtest.Server
 
 		ctx     context.Context
 		cancel  context.CancelFunc
@@ -91,11 +104,7 @@
 	if options.Nodes < 1 || options.Nodes > maxNodes {
 		return nil, errors.Errorf("%d nodes: want 1 to %d", options.Nodes, maxNodes)
 	}
-	f = &Fleet{
-		Engines: make(map[string]*enginetest.Engine), Services: make(map[string]*servicetest.Desk),
-		options: options, logger: logger(options),
-	}
-	f.ctx, f.cancel = context.WithCancel(ctx)
+	f = newFleet(ctx, options)
 	defer func() {
 		if err != nil {
 			f.cancel()
@@ -105,15 +114,17 @@
 	if err != nil {
 		return nil, err
 	}
+	for i := range config.Upstreams {
+		config.Upstreams[i].Address = loopback()
+	}
 	if err = f.startUpstreams(config); err != nil {
 		return nil, err
 	}
-	if err = f.startNodes(); err != nil {
+	if err = f.store(config); err != nil {
 		return nil, err
 	}
-	snapshot := fleet.Compile(config, 1)
-	for _, n := range f.Nodes {
-		n.Apply(snapshot)
+	if err = f.startNodes(); err != nil {
+		return nil, err
 	}
 	return f, nil
 }
@@ -144,12 +155,12 @@
 	return config, nil
 }
 
-// startUpstreams starts a stand-in for each upstream and puts its address into
-// the configuration.
+// startUpstreams starts a stand-in for each upstream at its address, and puts
+// the actual port into the configuration where that is 0.
 func (f *Fleet) startUpstreams(config *fleet.Config) (err error) {
 	for i := range config.Upstreams {
 		u := &config.Upstreams[i]
-		listener, err := transport.TCP{}.Listen(f.ctx, loopback())
+		listener, err := transport.TCP{}.Listen(f.ctx, u.Address)
 		if err != nil {
 			return err
 		}
@@ -170,27 +181,62 @@
 }
 
 func (f *Fleet) startNodes() (err error) {
-	var members []node.Member
+	var seeds []netip.AddrPort
 	for i := range f.options.Nodes {
 		listen := loopback()
 		if i == 0 {
 			listen = f.options.Listen
 		}
-		n, err := node.New(f.ctx, node.Options{
+		s := &settings.Settings{
 			Name: fmt.Sprintf("dev-node-%d", i+1), FailureDomain: failureDomains[i%len(failureDomains)], Region: region,
-			Caller: listen, Peer: loopback(), Operator: loopback(), Network: transport.TCP{}, Logger: f.logger,
-			Weights: policy.Goodput(), BalancerDelay: balancerDelay,
+			Seeds: seeds, Listen: settings.Listen{Caller: listen, Peer: loopback(), Operator: loopback()},
+			Operator:  settings.Operator{CredentialSHA256: fleet.HashKey(Credential)},
+			Intervals: settings.Intervals{ListenerWithdraw: withdraw, UsageWindow: usageWindow},
+		}
+		s.FillDefaults()
+		n, err := node.New(f.ctx, node.Options{
+			Settings: s, Network: transport.TCP{}, Store: f.Store.Client(s.Name), Platform: f.Platform, Logger: f.logger,
+			Weights: policy.Goodput(),
 		})
 		if err != nil {
 			return err
 		}
 		f.Nodes = append(f.Nodes, n)
-		members = append(members, n.Member())
+		seeds = append(seeds, n.PeerAddress())
 	}
-	for _, n := range f.Nodes {
-		n.Directory.Update(members)
+	return f.awaitReady()
+}
+
+// store puts the first configuration into the store.
+func (f *Fleet) store(config *fleet.Config) (err error) {
+	repository, err := distribution.NewRepository(distribution.RepositoryOptions{
+		Client: f.Store.Client("dev"), Prefix: node.ConfigPrefix,
+	})
+	if err != nil {
+		return err
 	}
-	return nil
+	change := distribution.Change{Author: "dev", Comment: "first configuration"}
+	_, err = repository.Apply(f.ctx, 0, fleet.Entries(config), change)
+	return err
+}
+
+// awaitReady returns when all nodes have the configuration and know each other.
+func (f *Fleet) awaitReady() (err error) {
+	for start := time.Now(); time.Since(start) < startTimeout; {
+		ready := true
+		for _, n := range f.Nodes {
+			ready = ready && n.Ready() && len(n.Members()) == len(f.Nodes)
+		}
+		if ready {
+			return nil
+		}
+		select {
+		case <-time.After(readyPoll):
+		case <-f.ctx.Done():
+			return f.ctx.Err()
+		}
+	}
+	return errors.Errorf("the nodes were not ready within %s", startTimeout)
 }
 
 // serve runs an HTTP server until the fleet stops.
@@ -215,7 +261,11 @@
   curl %[1]s/desk/fees
   curl %[1]s/desk/entries -H 'Authorization: Bearer alpha-dev-key' -H 'Idempotency-Key: entry-1' -d '{"class":"vintage"}'
   curl %[1]s/desk/runs -H 'Authorization: Bearer alpha-dev-key'
-`, base)
+operators, with GUAVAGAUGE_CREDENTIAL=%[3]s:
+  guavagauge history --operator %[2]s
+  guavagauge label workspace north/alpha tier=small --operator %[2]s
+  guavagauge key issue --owner north --workspace alpha --operator %[2]s
+`, base, f.Nodes[0].OperatorAddress(), Credential)
 }
 
 func logger(options Options) *slog.Logger {
@@ -226,7 +276,7 @@
 	if options.Verbose {
 		level = slog.LevelInfo
 	}
-	return slog.New(slog.NewTextHandler(options.Stderr, &slog.HandlerOptions{Level: level}))
+	return logging.New(options.Stderr, level)
 }
 
 func loopback() netip.AddrPort { return netip.MustParseAddrPort("127.0.0.1:0") }
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -14,13 +14,17 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/guavagauge/guavagauge/distribution"
 	"github.com/guavagauge/guavagauge/enginetest"
 	"github.com/guavagauge/guavagauge/fleet"
-	"github.com/guavagauge/guavagauge/invariant"
+	"github.com/guavagauge/guavagauge/logging"
 	"github.com/guavagauge/guavagauge/nettest"
 	"github.com/guavagauge/guavagauge/node"
+	"github.com/guavagauge/guavagauge/platformtest"
 	"github.com/guavagauge/guavagauge/policy"
 	"github.com/guavagauge/guavagauge/servicetest"
+	"github.com/guavagauge/guavagauge/settings"
+	"github.com/guavagauge/guavagauge/storetest"
 	"github.com/guavagauge/guavagauge/transport"
 	"github.com/guavagauge/guavagauge/upstream"
 )
@@ -28,21 +32,26 @@
 const (
 	alphaKey = "alpha-test-key"
 	betaKey  = "beta-test-key"
+
+	credential = "operator-test-credential"
 )
 
 type (
 	// cluster is a small fleet on an in-memory network, inside a synctest
 	// bubble.
 	cluster struct {
-		t        *testing.T
-		ctx      context.Context
-		network  *nettest.Network
-		client   *http.Client
-		nodes    []*node.Node
-		engines  []*enginetest.Engine
-		desk     *servicetest.Desk
-		config   *fleet.Config
-		revision uint64
+		t          *testing.T
+		ctx        context.Context
+		network    *nettest.Network
+		store      *storetest.Server
+		platform   *platformtest.Server
+		client     *http.Client
+		nodes      []*node.Node
+		engines    []*enginetest.Engine
+		desk       *servicetest.Desk
+		config     *fleet.Config
+		repository *distribution.Repository
+		revision   uint64
 	}
 
 	// answer is what a caller got.
@@ -61,7 +70,10 @@
 func inCluster(t *testing.T, test func(c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		c := &cluster{t: t, ctx: ctx, network: nettest.New()}
+		c := &cluster{
+			t: t, ctx: ctx, network: nettest.New(), store: storetest.New(storetest.Options{}),
+			platform: platformtest.New(ctx, platformtest.Options{}),
+		}
 		c.start()
 		test(c)
 		c.client.CloseIdleConnections()
@@ -84,20 +96,35 @@
 	}
 	c.desk = servicetest.New()
 	c.serve(c.config.Upstreams[3].Address, c.desk)
+	var err error
+	c.repository, err = distribution.NewRepository(distribution.RepositoryOptions{Client: c.store.Client("operator"), Prefix: node.ConfigPrefix})
+	if err != nil {
+		c.t.Fatal(err)
+	}
 	for i := range 3 {
 		c.startNode(i)
 	}
-	c.meet()
 	c.apply()
 }
 
 func (c *cluster) startNode(i int) {
 	host := fmt.Sprintf("10.0.0.%d", i+1)
-	n, err := node.New(c.ctx, node.Options{
+	s := &settings.Settings{
 		Name: "node-" + host, FailureDomain: []string{"a", "b"}[i%2], Region: "r",
-		Caller: netip.MustParseAddrPort(host + ":8080"), Peer: netip.MustParseAddrPort(host + ":7000"),
-		Network: c.network.Host(host), Logger: slog.New(slog.NewTextHandler(c.t.Output(), nil)),
-		Weights: policy.Goodput(), Invariants: invariant.Options{Fatal: true}, BalancerDelay: time.Second,
+		Seeds: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:7000"), netip.MustParseAddrPort("10.0.0.2:7000")},
+		Listen: settings.Listen{
+			Caller: netip.MustParseAddrPort(host + ":8080"), Peer: netip.MustParseAddrPort(host + ":7000"),
+			Operator: netip.MustParseAddrPort(host + ":8081"),
+		},
+		Operator:        settings.Operator{CredentialSHA256: fleet.HashKey(credential)},
+		FatalInvariants: true,
+		Limits:          settings.Limits{BodyBytes: 4 << 20},
+		Intervals:       settings.Intervals{ListenerWithdraw: 2 * time.Second},
+	}
+	s.FillDefaults()
+	n, err := node.New(c.ctx, node.Options{
+		Settings: s, Network: c.network.Host(host), Store: c.store.Client(s.Name), Platform: c.platform,
+		Logger: logging.New(c.t.Output(), slog.LevelInfo), Weights: policy.Goodput(),
 	})
 	if err != nil {
 		c.t.Fatal(err)
@@ -109,25 +136,24 @@
 	}
 }
 
-// meet makes the nodes that aren't in except known to each other.
-func (c *cluster) meet(except ...int) {
-	var members []node.Member
-	for i, n := range c.nodes {
-		if len(except) == 0 || except[0] != i {
-			members = append(members, n.Member())
-		}
-	}
-	for _, n := range c.nodes {
-		n.Directory.Update(members)
-	}
-}
-
+// apply stores c.config and waits until it is in force on all nodes.
 func (c *cluster) apply() {
-	c.revision++
-	snapshot := fleet.Compile(c.config, c.revision)
-	for _, n := range c.nodes {
-		n.Apply(snapshot)
+	revision, err := c.repository.Apply(c.ctx, c.revision, fleet.Entries(c.config), distribution.Change{Author: "test"})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.revision = revision
+	for range 600 { // a minute, far beyond the promised 6 s
+		done := true
+		for _, n := range c.nodes {
+			done = done && n.Ready() && n.Snapshot().Revision() == revision && len(n.Members()) == len(c.nodes)
+		}
+		if done {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
 	}
+	c.t.Fatalf("revision %d isn't in force on all nodes", revision)
 }
 
 func (c *cluster) serve(address netip.AddrPort, handler http.Handler) {
--- a/node/directory.go
+++ b/node/directory.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"github.com/guavagauge/guavagauge/fleet"
+	"github.com/guavagauge/guavagauge/membership"
 	"github.com/guavagauge/guavagauge/rendezvous"
 )
 
@@ -14,14 +15,6 @@
 )
 
 type (
-	// Member is a live node as other nodes reach it.
-	Member struct {
-		Name          string
-		Peer          netip.AddrPort
-		FailureDomain string
-		Region        string
-	}
-
 	// Directory finds the nodes that are responsible for something, by
 	// rendezvous hashing over the live members. Readers take no lock.
 	Directory struct {
@@ -49,12 +42,12 @@
 }
 
 // Update replaces the live members.
-func (d *Directory) Update(members []Member) {
+func (d *Directory) Update(members []membership.Member) {
 	t := &table{domains: make(map[string][]target), regions: make(map[string][]target)}
 	for _, m := range members {
-		entry := target{rendezvous.Hash(m.Name), m.Peer}
+		entry := target{rendezvous.Hash(m.Name), m.Address}
 		t.all = append(t.all, entry)
-		t.domains[m.FailureDomain] = append(t.domains[m.FailureDomain], entry)
+		t.domains[m.Domain] = append(t.domains[m.Domain], entry)
 		t.regions[m.Region] = append(t.regions[m.Region], entry)
 	}
 	d.table.Store(t)
--- /dev/null
+++ b/node/listeners.go
@@ -0,0 +1,142 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/caller"
+	"github.com/guavagauge/guavagauge/certificate"
+	"github.com/guavagauge/guavagauge/claim"
+	"github.com/guavagauge/guavagauge/engine"
+	"github.com/guavagauge/guavagauge/fleet"
+	"github.com/guavagauge/guavagauge/operator"
+	"github.com/guavagauge/guavagauge/peer"
+	"github.com/guavagauge/guavagauge/service"
+	"github.com/guavagauge/guavagauge/steward"
+	"github.com/guavagauge/guavagauge/transport"
+)
+
+const maxRecordBytes = 4 << 10
+
+// servePeers starts everything that other nodes call.
+func (n *Node) servePeers() (err error) {
+	listener, err := n.options.Network.Listen(n.ctx, n.settings.Listen.Peer)
+	if err != nil {
+		return err
+	}
+	n.addresses.peer = transport.ListenAddress(listener)
+	options := peer.Options{Set: n.Set}
+	if options.TLS, err = n.peerTLS(); err != nil {
+		return err
+	}
+	server := peer.NewServer(n.ctx, listener, options)
+	n.control = peer.NewPool(n.ctx, n.options.Network, peer.Control, options)
+	n.Steward = steward.New(n.ctx, steward.Options{
+		Logger: n.logger, Set: n.Set, Checker: n.checker, Snapshot: n.Snapshot,
+		Engine: func(spec *fleet.Upstream) engine.Client {
+			return engine.NewClient(n.options.Network, spec.Address, engine.Options{})
+		},
+		Service: func(spec *fleet.Upstream) service.Client {
+			return service.NewClient(n.options.Network, spec.Address, service.Options{})
+		},
+	})
+	for _, register := range []func(server *peer.Server) error{
+		n.Steward.Register, n.join, n.follow, n.keepLedger,
+	} {
+		if err = register(server); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *Node) serveCallers() (err error) {
+	listener, err := n.options.Network.Listen(n.ctx, n.settings.Listen.Caller)
+	if err != nil {
+		return err
+	}
+	n.addresses.caller = transport.ListenAddress(listener)
+	peerTLS, err := n.peerTLS()
+	if err != nil {
+		return err
+	}
+	limits := n.settings.Limits
+	n.callers = caller.New(n.ctx, caller.Options{
+		Logger: n.logger, Set: n.Set, Checker: n.checker, Snapshot: n.Snapshot, Directory: n.Directory,
+		Peers:  peer.NewPool(n.ctx, n.options.Network, peer.Data, peer.Options{Set: n.Set, TLS: peerTLS}),
+		Claims: n.newClaims(), Meter: n.ledger, Isolated: n.Isolated,
+		FailureDomain: n.settings.FailureDomain, Region: n.settings.Region, Weights: n.options.Weights,
+		MaxBodyBytes: limits.BodyBytes, ModelDeadline: limits.RequestDeadline, WriteTimeout: limits.WriteTimeout,
+		BodyTimeout: limits.BodyReadTimeout,
+	})
+	n.callerHTTP, err = n.serveHTTP(listener, n.callers.Handler(), n.settings.TLS.CallerCertificate, n.settings.TLS.CallerKey)
+	return err
+}
+
+// newClaims returns the claims of work that may not be repeated. A record holds
+// an answer of up to 4 KiB.
+func (n *Node) newClaims() *claim.Claims {
+	return claim.New(n.ctx, n.store, claim.Options{
+		Remember: n.settings.Intervals.ClaimRetention, MaxRecordBytes: maxRecordBytes, Logger: n.logger, Set: n.Set,
+	})
+}
+
+func (n *Node) serveOperators() (err error) {
+	if !n.settings.Listen.Operator.IsValid() {
+		return nil
+	}
+	listener, err := n.options.Network.Listen(n.ctx, n.settings.Listen.Operator)
+	if err != nil {
+		return err
+	}
+	n.addresses.operator = transport.ListenAddress(listener)
+	server := operator.NewServer(operator.Options{
+		Repository: n.repository, Follower: n.follower, Set: n.Set, Logger: n.logger, Ready: n.Ready,
+		CredentialSHA256: n.settings.Operator.CredentialSHA256,
+	})
+	_, err = n.serveHTTP(listener, server.Handler(), n.settings.TLS.OperatorCertificate, n.settings.TLS.OperatorKey)
+	return err
+}
+
+// serveHTTP serves until the node ends, over TLS if there is a certificate.
+func (n *Node) serveHTTP(listener net.Listener, handler http.Handler, certificateFile, keyFile string) (server *http.Server, err error) {
+	limits := n.settings.Limits
+	server = &http.Server{
+		Handler: handler, ReadHeaderTimeout: limits.HeaderReadTimeout, IdleTimeout: limits.IdleTimeout,
+		MaxHeaderBytes: limits.HeaderBytes, BaseContext: func(net.Listener) context.Context { return n.ctx },
+	}
+	if certificateFile != "" {
+		files, err := certificate.Load(n.ctx, certificateFile, keyFile, "")
+		if err != nil {
+			return nil, err
+		}
+		listener = tls.NewListener(listener, files.ServerConfig())
+	}
+	context.AfterFunc(n.ctx, func() { server.Close() })
+	go func() {
+		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			n.logger.Error("listener failed", "Address", listenAddress(listener), "Error", err)
+		}
+	}()
+	return server, nil
+}
+
+// peerTLS returns the configuration for mutual TLS between nodes, or nil.
+func (n *Node) peerTLS() (config *tls.Config, err error) {
+	paths := n.settings.TLS
+	if paths.PeerCertificate == "" {
+		return nil, nil
+	}
+	files, err := certificate.Load(n.ctx, paths.PeerCertificate, paths.PeerKey, paths.PeerAuthorities)
+	if err != nil {
+		return nil, err
+	}
+	return files.MutualConfig(), nil
+}
+
+func listenAddress(listener net.Listener) netip.AddrPort { return transport.ListenAddress(listener) }
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -91,7 +91,7 @@
 		if killed < 0 || killed == entry {
 			t.Fatalf("node %d is the steward, entry is %d", killed, entry)
 		}
-		c.network.Reset(c.nodes[killed].Member().Peer.Addr().String())
+		c.network.Reset(c.nodes[killed].PeerAddress().Addr().String())
 		if a := <-done; !a.finished || a.text != want("steward", 400) {
 			t.Errorf("finished %t after %d of %d bytes, error %v", a.finished, len(a.text), len(want("steward", 400)), a.err)
 		}
@@ -195,7 +195,6 @@
 			})
 		}
 		time.Sleep(time.Second)
-		c.meet(1)
 		stopCtx, cancel := context.WithTimeout(c.ctx, 30*time.Second)
 		defer cancel()
 		if err := c.nodes[1].Stop(stopCtx); err != nil {
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,147 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/transport"
+)
+
+// pollPeriod is the time between two questions whether a revision is in force.
+const pollPeriod = 200 * time.Millisecond
+
+type (
+	// Client calls the operator API of one node.
+	Client struct {
+		http       *http.Client
+		base       string
+		credential string
+	}
+
+	// CallError is an answer that isn't a success.
+	CallError struct {
+		Status int
+		Reply  ErrorReply
+	}
+)
+
+// Error lists everything that the node said.
+func (e *CallError) Error() string {
+	lines := append([]string{e.Reply.Error}, e.Reply.Problems...)
+	if len(e.Reply.Changes) > 0 {
+		lines = append(lines, "changed meanwhile:")
+	}
+	return strings.Join(append(lines, e.Reply.Changes...), "\n  ")
+}
+
+// NewClient returns a client of the node at address. It connects when it is
+// used.
+func NewClient(network transport.Network, address netip.AddrPort, credential string) *Client {
+	return &Client{http: transport.HTTPClient(network), base: "http://" + address.String(), credential: credential}
+}
+
+// UseTLS makes the client speak TLS.
+func (c *Client) UseTLS(client *http.Client) {
+	c.http, c.base = client, "https://"+strings.TrimPrefix(c.base, "http://")
+}
+
+// Config reads the newest configuration.
+func (c *Client) Config(ctx context.Context) (reply ConfigReply, err error) {
+	return reply, c.call(ctx, http.MethodGet, PathConfig, nil, &reply)
+}
+
+// Apply replaces the configuration.
+func (c *Client) Apply(ctx context.Context, request ApplyRequest) (reply ApplyReply, err error) {
+	return reply, c.call(ctx, http.MethodPost, PathConfig, request, &reply)
+}
+
+// History lists the newest revisions.
+func (c *Client) History(ctx context.Context, limit int) (reply HistoryReply, err error) {
+	return reply, c.call(ctx, http.MethodGet, fmt.Sprintf("%s?limit=%d", PathHistory, limit), nil, &reply)
+}
+
+// Rollback makes a new revision of an old one.
+func (c *Client) Rollback(ctx context.Context, request RollbackRequest) (reply ApplyReply, err error) {
+	return reply, c.call(ctx, http.MethodPost, PathRollback, request, &reply)
+}
+
+// Label sets or removes a label.
+func (c *Client) Label(ctx context.Context, request LabelRequest) (reply ApplyReply, err error) {
+	return reply, c.call(ctx, http.MethodPost, PathLabel, request, &reply)
+}
+
+// Keys lists all keys.
+func (c *Client) Keys(ctx context.Context) (reply KeysReply, err error) {
+	return reply, c.call(ctx, http.MethodGet, PathKeys, nil, &reply)
+}
+
+// IssueKey makes a new key.
+func (c *Client) IssueKey(ctx context.Context, request KeyRequest) (reply KeyReply, err error) {
+	return reply, c.call(ctx, http.MethodPost, PathKeys, request, &reply)
+}
+
+// WithdrawKey removes a key.
+func (c *Client) WithdrawKey(ctx context.Context, request KeyRequest) (reply ApplyReply, err error) {
+	return reply, c.call(ctx, http.MethodDelete, PathKeys, request, &reply)
+}
+
+// Await asks until a revision is in force on all live nodes or ctx ends, and
+// returns the last answer.
+func (c *Client) Await(ctx context.Context, revision uint64) (reply InForceReply, err error) {
+	for {
+		var latest InForceReply
+		err = c.call(ctx, http.MethodGet, fmt.Sprintf("%s?revision=%d", PathInForce, revision), nil, &latest)
+		if err == nil {
+			reply = latest
+			if len(reply.Behind)+len(reply.Unreached) == 0 {
+				return reply, nil
+			}
+		}
+		select {
+		case <-time.After(pollPeriod):
+		case <-ctx.Done():
+			return reply, ctx.Err()
+		}
+	}
+}
+
+func (c *Client) call(ctx context.Context, method, path string, request, reply any) (err error) {
+	defer errors.DeferredAnnotatef(&err, "%s %s", method, path)
+	var body bytes.Buffer
+	if request != nil {
+		if err = json.NewEncoder(&body).Encode(request); err != nil {
+			return err
+		}
+	}
+	r, err := http.NewRequestWithContext(ctx, method, c.base+path, &body)
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Authorization", "Bearer "+c.credential)
+	response, err := c.http.Do(r)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		failure := &CallError{Status: response.StatusCode}
+		if json.Unmarshal(text, &failure.Reply) != nil {
+			failure.Reply.Error = fmt.Sprintf("status %d: %s", response.StatusCode, bytes.TrimSpace(text))
+		}
+		return failure
+	}
+	return json.Unmarshal(text, reply)
+}
--- /dev/null
+++ b/operator/config.go
@@ -0,0 +1,217 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/distribution"
+	"github.com/guavagauge/guavagauge/fleet"
+)
+
+// editTries bounds the repeats of a small edit that others' changes outran.
+const editTries = 10
+
+func (s *Server) get(r *http.Request) (reply ConfigReply, err error) {
+	document, config, err := s.latest(r.Context())
+	if err != nil {
+		return reply, err
+	}
+	return ConfigReply{Revision: document.Revision, Text: string(fleet.Format(config))}, nil
+}
+
+// apply replaces the configuration. A file without keys leaves the keys alone:
+// they are issued and withdrawn by calls of their own.
+func (s *Server) apply(ctx context.Context, request ApplyRequest) (reply ApplyReply, err error) {
+	config, problems := fleet.Parse(request.File, []byte(request.Text))
+	if len(problems) > 0 {
+		return reply, &problemsError{texts(problems)}
+	}
+	document, current, err := s.latest(ctx)
+	if err != nil {
+		return reply, err
+	}
+	if request.Base != 0 && request.Base != document.Revision {
+		return reply, s.conflict(ctx, request.Base, document.Revision)
+	}
+	if len(config.Keys) == 0 {
+		config.Keys = keysOfExisting(current.Keys, config.Workspaces)
+	}
+	changes := texts(fleet.Diff(current, config))
+	if request.DryRun {
+		return ApplyReply{Revision: document.Revision, Changes: changes}, nil
+	}
+	revision, err := s.commit(ctx, document.Revision, config, request.Author, request.Comment)
+	return ApplyReply{Revision: revision, Changes: changes}, err
+}
+
+func (s *Server) rollback(ctx context.Context, request RollbackRequest) (reply ApplyReply, err error) {
+	old, err := s.options.Repository.Read(ctx, request.To)
+	if err != nil {
+		return reply, err
+	}
+	config, err := fleet.FromEntries(old.Entries)
+	if err != nil {
+		return reply, err
+	}
+	comment := "rollback to revision " + strconv.FormatUint(request.To, 10)
+	return s.edit(ctx, request.Author, comment, func(current *fleet.Config) (next *fleet.Config, err error) {
+		restored := *config
+		restored.Keys = keysOfExisting(current.Keys, restored.Workspaces)
+		return &restored, nil
+	})
+}
+
+func (s *Server) label(ctx context.Context, request LabelRequest) (reply ApplyReply, err error) {
+	comment := "label " + request.Kind + " " + request.Owner + "/" + request.Name + " " + request.Key + "=" + request.Value
+	return s.edit(ctx, request.Author, comment, func(config *fleet.Config) (next *fleet.Config, err error) {
+		kind := kindOf(request.Kind)
+		if err = fleet.SetLabel(config, kind, request.Owner, request.Name, request.Key, request.Value); err != nil {
+			return nil, errors.WithType(err, errors.BadRequest)
+		}
+		return config, nil
+	})
+}
+
+func (s *Server) history(r *http.Request) (reply HistoryReply, err error) {
+	limit, err := number(r, "limit", defaultHistory)
+	if err != nil {
+		return reply, err
+	}
+	document, err := s.options.Repository.Latest(r.Context())
+	if err != nil {
+		return reply, err
+	}
+	records, err := s.options.Repository.History(r.Context(), document.Revision, int(limit))
+	for _, record := range records {
+		reply.Revisions = append(reply.Revisions, HistoryEntry{
+			Revision: record.Revision, Time: record.Time, Author: record.Author, Comment: record.Comment,
+			Changed: record.Changed, Deleted: record.Deleted,
+		})
+	}
+	return reply, err
+}
+
+func (s *Server) inForce(r *http.Request) (reply InForceReply, err error) {
+	revision, err := number(r, "revision", 0)
+	if err != nil {
+		return reply, err
+	}
+	result, err := s.options.Follower.InForce(r.Context(), revision)
+	return InForceReply(result), err
+}
+
+// edit changes the newest configuration by a function that can be repeated on
+// a newer one, so that two operators' small edits don't conflict.
+func (s *Server) edit(ctx context.Context, author, comment string, change func(current *fleet.Config) (next *fleet.Config, err error)) (reply ApplyReply, err error) {
+	for range editTries {
+		document, current, err := s.latest(ctx)
+		if err != nil {
+			return reply, err
+		}
+		before, err := fleet.FromEntries(document.Entries)
+		if err != nil {
+			return reply, err
+		}
+		next, err := change(current)
+		if err != nil {
+			return reply, err
+		}
+		if problems := fleet.Check("configuration", next); len(problems) > 0 {
+			return reply, &problemsError{texts(problems)}
+		}
+		revision, err := s.commit(ctx, document.Revision, next, author, comment)
+		var conflict *conflictError
+		if errors.As(err, &conflict) {
+			continue
+		}
+		return ApplyReply{Revision: revision, Changes: texts(fleet.Diff(before, next))}, err
+	}
+	return reply, errors.Errorf("other changes came first %d times; try again", editTries)
+}
+
+// commit stores a configuration that was derived from a revision.
+func (s *Server) commit(ctx context.Context, base uint64, config *fleet.Config, author, comment string) (revision uint64, err error) {
+	revision, err = s.options.Repository.Apply(ctx, base, fleet.Entries(config), distribution.Change{Author: author, Comment: comment})
+	var conflict *distribution.ConflictError
+	if errors.As(err, &conflict) {
+		return 0, s.conflict(ctx, base, conflict.Current)
+	}
+	if err == nil {
+		s.options.Logger.Info("configuration accepted", "Revision", revision, "Author", author, "Comment", comment)
+	}
+	return revision, err
+}
+
+// conflict describes what others changed since base.
+func (s *Server) conflict(ctx context.Context, base, current uint64) (err error) {
+	e := &conflictError{current: current}
+	old, err := s.options.Repository.Read(ctx, base)
+	if err != nil {
+		return e // the old revision is gone: there is no difference to show
+	}
+	before, err := fleet.FromEntries(old.Entries)
+	if err != nil {
+		return e
+	}
+	if document, after, err := s.latest(ctx); err == nil {
+		e.current, e.changes = document.Revision, texts(fleet.Diff(before, after))
+	}
+	return e
+}
+
+func (s *Server) latest(ctx context.Context) (document *distribution.Document, config *fleet.Config, err error) {
+	document, err = s.options.Repository.Latest(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	config, err = fleet.FromEntries(document.Entries)
+	return document, config, err
+}
+
+// keysOfExisting drops the keys of workspaces that are no longer configured.
+func keysOfExisting(keys []fleet.Key, workspaces []fleet.Workspace) (kept []fleet.Key) {
+	for _, key := range keys {
+		if slices.ContainsFunc(workspaces, func(w fleet.Workspace) bool { return w.Owner == key.Owner && w.Name == key.Workspace }) {
+			kept = append(kept, key)
+		}
+	}
+	return kept
+}
+
+// kindOf accepts kinds in any case, as they are typed on a command line.
+func kindOf(text string) fleet.Kind {
+	kinds := []fleet.Kind{
+		fleet.KindOwner, fleet.KindUpstream, fleet.KindWorkspace, fleet.KindRoute, fleet.KindService, fleet.KindModel,
+		fleet.KindRule, fleet.KindKey,
+	}
+	for _, kind := range kinds {
+		if strings.EqualFold(string(kind), text) {
+			return kind
+		}
+	}
+	return fleet.Kind(text)
+}
+
+func number(r *http.Request, name string, fallback uint64) (value uint64, err error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return fallback, nil
+	}
+	value, err = strconv.ParseUint(text, 10, 63)
+	if err != nil {
+		return 0, errors.WithType(errors.Errorf("%s=%q: want a number", name, text), errors.BadRequest)
+	}
+	return value, nil
+}
+
+func texts[T interface{ String() string }](items []T) (list []string) {
+	for _, item := range items {
+		list = append(list, item.String())
+	}
+	return list
+}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -112,15 +112,21 @@
 	}
 }
 
-// Drain refuses new and waiting work and returns when the running work is done
-// or ctx ends. What runs then is failed, so that streams go on elsewhere.
-func (s *Steward) Drain(ctx context.Context) {
+// Refuse turns away new and waiting work from now on, so that entry nodes place
+// it elsewhere.
+func (s *Steward) Refuse() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.stopping = true
 	for _, l := range s.lanes {
 		l.drain(upstream.ReasonStopping)
 	}
-	s.mu.Unlock()
+}
+
+// Drain refuses new and waiting work and returns when the running work is done
+// or ctx ends. What runs then is failed, so that streams go on elsewhere.
+func (s *Steward) Drain(ctx context.Context) {
+	s.Refuse()
 	for !s.idle() {
 		select {
 		case <-time.After(drainPoll):
