--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -300,7 +300,7 @@
 		script := rapid.SliceOfN(steps, 1, 40).Draw(rt, "script")
 		var history []porcupine.Operation
 		synctest.Test(t, func(t *testing.T) { history = play(t.Context(), script) })
-		if !porcupine.CheckOperations(model.ToModel(), history) {
+		if porcupine.CheckOperationsTimeout(model.ToModel(), history, time.Minute) != porcupine.Ok {
 			rt.Fatalf("not the history of claims that are granted once: %+v", history)
 		}
 	})
--- a/claim/shard.go
+++ b/claim/shard.go
@@ -176,7 +176,7 @@
 		return false, err
 	}
 	options := s.claims.options
-	now := s.base + time.Since(s.loaded)
+	now := s.now()
 	next := s.doc.next(now, options.Wall(), options)
 	changed, needsFresh := false, false
 	type answer struct {
@@ -231,16 +231,26 @@
 	if found.Version < s.atLeast {
 		return errOldRead
 	}
-	s.loaded, s.checked = time.Now(), time.Now()
-	s.base = doc.Elapsed
+	base := doc.Elapsed
 	if found.Version != 0 {
-		s.base += doc.unused(s.claims.options.Wall(), unusedFactor*s.claims.options.AbandonAfter)
+		base += doc.unused(s.claims.options.Wall(), unusedFactor*s.claims.options.AbandonAfter)
 	}
+	s.base = max(base, s.now()) // both are at most the time that has passed
+	s.loaded, s.checked = time.Now(), time.Now()
 	doc.size = len(found.Value)
 	s.setDocument(doc, found.Version)
 	return nil
 }
 
+// now is the document's own time: that of its last write, and what this process
+// has seen pass since.
+func (s *shard) now() time.Duration {
+	if s.loaded.IsZero() {
+		return 0
+	}
+	return s.base + time.Since(s.loaded)
+}
+
 func (s *shard) put(next *document) (err error) {
 	value, err := next.encode()
 	if err != nil {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -248,7 +248,7 @@
 			}
 		}
 	}
-	if !porcupine.CheckOperations(model, history) {
+	if porcupine.CheckOperationsTimeout(model, history, time.Minute) != porcupine.Ok {
 		return errors.Errorf("not the history of an exclusive authority: %+v", events)
 	}
 	if end-last.end > time.Minute {
