--- a/claim/shard.go
+++ b/claim/shard.go
@@ -48,7 +48,8 @@
 	}
 
 	// shard collects operations on one document. A goroutine commits them while
-	// there are any; doc and the fields below it are its own.
+	// there are any. doc and the fields below it belong to that goroutine, or to
+	// the holder of mu while there is none.
 	shard struct {
 		claims *Claims
 		key    string
@@ -124,14 +125,33 @@
 	defer s.mu.Unlock()
 	s.failing = nil
 	if len(s.queue) == 0 {
-		if s.claims.cached.Load() > int64(options.MaxCachedBytes) {
-			s.setDocument(nil, 0)
-		}
 		s.running = false
+		s.claims.trim()
 	}
 	return s.running
 }
 
+// trim drops documents of idle shards, in random order, while too much is
+// cached. It is called with the lock of a shard held, whose document stays.
+func (c *Claims) trim() {
+	if c.cached.Load() <= int64(c.options.MaxCachedBytes) {
+		return
+	}
+	for _, i := range rand.Perm(len(c.shards)) {
+		s := c.shards[i]
+		if !s.mu.TryLock() {
+			continue
+		}
+		if !s.running {
+			s.setDocument(nil, 0)
+		}
+		s.mu.Unlock()
+		if c.cached.Load() <= int64(c.options.MaxCachedBytes) {
+			return
+		}
+	}
+}
+
 // commit answers a batch. Once a write has an unknown outcome it goes on until
 // that is decided: the same condition is tried again, so that either the new
 // write succeeds and the old one can't any more, or a newer document is read
@@ -176,7 +196,7 @@
 		return false, err
 	}
 	options := s.claims.options
-	now := s.base + time.Since(s.loaded)
+	now := s.now()
 	next := s.doc.next(now, options.Wall(), options)
 	changed, needsFresh := false, false
 	type answer struct {
@@ -231,16 +251,26 @@
 	if found.Version < s.atLeast {
 		return errOldRead
 	}
-	s.loaded, s.checked = time.Now(), time.Now()
-	s.base = doc.Elapsed
+	base := doc.Elapsed
 	if found.Version != 0 {
-		s.base += doc.unused(s.claims.options.Wall(), unusedFactor*s.claims.options.AbandonAfter)
+		base += doc.unused(s.claims.options.Wall(), unusedFactor*s.claims.options.AbandonAfter)
 	}
+	s.base = max(base, s.now()) // both are at most the time that has passed
+	s.loaded, s.checked = time.Now(), time.Now()
 	doc.size = len(found.Value)
 	s.setDocument(doc, found.Version)
 	return nil
 }
 
+// now is the document's own time: that of its last write, and what this process
+// has seen pass since.
+func (s *shard) now() time.Duration {
+	if s.loaded.IsZero() {
+		return 0
+	}
+	return s.base + time.Since(s.loaded)
+}
+
 func (s *shard) put(next *document) (err error) {
 	value, err := next.encode()
 	if err != nil {
