distribution: add versioned documents from the store to all nodes

Cause: a change of the configuration has to be in force on every node within 6 s and never revert, with store calls and traffic that don't grow with the fleet. Change: package distribution. Repository keeps a document in chunks below a head that is written by compare-and-swap; a change rewrites one chunk, a record and the head, and lost answers are settled by repeating the same write and reading back its token. Follower: two readers per failure domain watch and confirm the head, other nodes pull changed entries from their parent in a tree and from random members; freshness travels in replies only, so that late messages can't pass for news. InForce asks down a tree.

--- /dev/null
+++ b/distribution/repository.go
@@ -0,0 +1,283 @@
+package distribution
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/guavagauge/guavagauge/store"
+)
+
+const (
+	defaultChunks      = 64
+	defaultKeep        = 256
+	defaultKeepRecords = 10000
+	// maxChunkBytes leaves room below the store's limit of 1 MB.
+	maxChunkBytes = 900 << 10
+	// maxRecordBytes bounds the entries that a record holds. Followers read the
+	// chunks instead when a change is larger.
+	maxRecordBytes = 128 << 10
+	parallelReads  = 8
+	// maxStoreDeltas is the gap up to which a reader follows the records. Beyond
+	// it, reading the chunks takes about as many calls.
+	maxStoreDeltas = 32
+	// milestone is the distance of the records that link to each other, so that
+	// old ones are found in few reads.
+	milestone = 64
+)
+
+type (
+	// RepositoryOptions say where the document lies. Client and Prefix are
+	// required.
+	RepositoryOptions struct {
+		Client store.Client
+		// Prefix begins all keys of the document.
+		Prefix string
+		// Chunks is the number of chunks of a new document. It doubles when a
+		// chunk would become too large.
+		Chunks int
+		// Keep is the number of revisions that can be read back.
+		Keep int
+		// KeepRecords is the number of revisions that History shows.
+		KeepRecords int
+	}
+
+	// Repository is the document in the store. It is safe for concurrent use.
+	Repository struct {
+		options RepositoryOptions
+
+		mu     sync.Mutex
+		chunks map[string]map[string][]byte // the chunks last loaded, by key
+	}
+
+	// Record describes one revision.
+	Record struct {
+		Revision uint64
+		Time     time.Time
+		Author   string
+		Comment  string
+		Changed  []string
+		Deleted  []string
+		// Set holds the changed entries, unless they are large (Truncated).
+		Set       map[string][]byte
+		Truncated bool
+
+		Token     string   // of the write that made this revision
+		Previous  string   // token of the previous revision
+		Milestone string   // token of the last revision before this one that divides by 64
+		Chunks    []string // version of each chunk
+		Replaced  []string // keys of the chunk versions that this revision replaced
+	}
+
+	head struct {
+		Revision  uint64
+		Token     string
+		Milestone string // as in the record of this revision
+		Chunks    []string
+		// Collected and CollectedRecords are the revisions up to which replaced
+		// chunks and records have been deleted. They divide by milestone.
+		Collected        uint64
+		CollectedRecords uint64
+	}
+)
+
+// NewRepository returns the document below a prefix. It makes no call.
+func NewRepository(options RepositoryOptions) (repository *Repository, err error) {
+	if options.Client == nil || options.Prefix == "" {
+		return nil, errors.New("a repository needs a store client and a prefix")
+	}
+	if options.Chunks <= 0 {
+		options.Chunks = defaultChunks
+	}
+	if options.Keep <= 0 {
+		options.Keep = defaultKeep
+	}
+	if options.KeepRecords <= 0 {
+		options.KeepRecords = defaultKeepRecords
+	}
+	options.KeepRecords = max(options.KeepRecords, options.Keep)
+	return &Repository{options: options, chunks: make(map[string]map[string][]byte)}, nil
+}
+
+// Latest reads the newest revision. A document that was never written has
+// revision 0 and no entries.
+func (r *Repository) Latest(ctx context.Context) (document *Document, err error) {
+	defer errors.DeferredAnnotatef(&err, "read %s", r.options.Prefix)
+	h, _, err := r.head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return r.load(ctx, h.Revision, h.Chunks)
+}
+
+// Read reads a revision. It fails with ErrNoRevision if that doesn't exist or is
+// too old.
+func (r *Repository) Read(ctx context.Context, revision uint64) (document *Document, err error) {
+	defer errors.DeferredAnnotatef(&err, "read revision %d of %s", revision, r.options.Prefix)
+	h, _, err := r.head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	record, err := r.recordAt(ctx, h, revision)
+	if err != nil {
+		return nil, err
+	}
+	document, err = r.load(ctx, revision, record.Chunks)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil, errors.WithType(err, ErrNoRevision)
+	}
+	return document, err
+}
+
+// History returns up to limit records, newest first, from the given revision
+// down. Revision 0 means the newest.
+func (r *Repository) History(ctx context.Context, revision uint64, limit int) (records []Record, err error) {
+	defer errors.DeferredAnnotatef(&err, "history of %s", r.options.Prefix)
+	h, _, err := r.head(ctx)
+	if err != nil || h.Revision == 0 {
+		return nil, err
+	}
+	if revision == 0 {
+		revision = h.Revision
+	}
+	record, err := r.recordAt(ctx, h, revision)
+	for err == nil && len(records) < limit {
+		records = append(records, record)
+		if record.Revision == 1 {
+			break
+		}
+		record, err = r.record(ctx, record.Revision-1, record.Previous)
+	}
+	if errors.Is(err, ErrNoRevision) && len(records) > 0 {
+		err = nil // older records have been deleted
+	}
+	return records, err
+}
+
+func (r *Repository) headKey() string { return r.options.Prefix + "head" }
+
+func (r *Repository) recordKey(revision uint64, token string) string {
+	return fmt.Sprintf("%srecord/%020d-%s", r.options.Prefix, revision, token)
+}
+
+func (r *Repository) chunkKey(chunk int, version string) string {
+	return fmt.Sprintf("%schunk/%05d/%s", r.options.Prefix, chunk, version)
+}
+
+// head reads the head. Version 0 means that there is none.
+func (r *Repository) head(ctx context.Context) (h head, version uint64, err error) {
+	entry, err := r.options.Client.Get(ctx, r.headKey())
+	if errors.Is(err, store.ErrNotFound) {
+		return head{}, 0, nil
+	}
+	if err != nil {
+		return head{}, 0, err
+	}
+	err = json.Unmarshal(entry.Value, &h)
+	return h, entry.Version, errors.Annotate(err, r.headKey())
+}
+
+func (r *Repository) record(ctx context.Context, revision uint64, token string) (record Record, err error) {
+	key := r.recordKey(revision, token)
+	entry, err := r.options.Client.Get(ctx, key)
+	if errors.Is(err, store.ErrNotFound) {
+		return record, errors.WithType(err, ErrNoRevision)
+	}
+	if err != nil {
+		return record, err
+	}
+	err = json.Unmarshal(entry.Value, &record)
+	return record, errors.Annotate(err, key)
+}
+
+// recordAt finds the record of a revision from the head down.
+func (r *Repository) recordAt(ctx context.Context, h head, revision uint64) (record Record, err error) {
+	if revision == 0 || revision > h.Revision {
+		return record, errors.Annotatef(ErrNoRevision, "the newest is %d", h.Revision)
+	}
+	record, err = r.record(ctx, h.Revision, h.Token)
+	for err == nil && record.Revision > revision {
+		at, token := record.Revision-1, record.Previous
+		if last := lastMilestone(record.Revision); last >= revision {
+			at, token = last, record.Milestone
+		}
+		record, err = r.record(ctx, at, token)
+	}
+	return record, err
+}
+
+// lastMilestone returns the last revision before the given one that divides by
+// milestone.
+func lastMilestone(revision uint64) uint64 { return (revision - 1) / milestone * milestone }
+
+// load reads all chunks of a revision. It keeps them, so that the next load
+// reads only those that have changed.
+func (r *Repository) load(ctx context.Context, revision uint64, versions []string) (document *Document, err error) {
+	loaded := make([]map[string][]byte, len(versions))
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelReads)
+	for i, version := range versions {
+		key := r.chunkKey(i, version)
+		r.mu.Lock()
+		loaded[i] = r.chunks[key]
+		r.mu.Unlock()
+		if loaded[i] != nil || version == "" {
+			continue
+		}
+		group.Go(func() error {
+			entry, err := r.options.Client.Get(groupCtx, key)
+			if err != nil {
+				return errors.Annotate(err, key)
+			}
+			return errors.Annotate(json.Unmarshal(entry.Value, &loaded[i]), key)
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	entries := make(map[string][]byte)
+	kept := make(map[string]map[string][]byte, len(versions))
+	for i, chunk := range loaded {
+		maps.Copy(entries, chunk)
+		kept[r.chunkKey(i, versions[i])] = chunk
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.chunks = kept
+	return newDocument(revision, entries), nil
+}
+
+// since reads the changes from a revision to the head's, or the whole document
+// when that is cheaper or the records don't hold them.
+func (r *Repository) since(ctx context.Context, h head, document *Document) (next *Document, deltas []Delta, err error) {
+	if document.Revision == 0 || h.Revision-document.Revision > maxStoreDeltas {
+		next, err = r.load(ctx, h.Revision, h.Chunks)
+		return next, nil, err
+	}
+	token := h.Token
+	for revision := h.Revision; revision > document.Revision; revision-- {
+		record, err := r.record(ctx, revision, token)
+		if err != nil {
+			return nil, nil, err
+		}
+		if record.Truncated {
+			next, err = r.load(ctx, h.Revision, h.Chunks)
+			return next, nil, err
+		}
+		deltas = append(deltas, Delta{From: revision - 1, To: revision, Set: record.Set, Deleted: record.Deleted})
+		token = record.Previous
+	}
+	slices.Reverse(deltas)
+	next = document
+	for _, delta := range deltas {
+		next = next.with(delta)
+	}
+	return next, deltas, nil
+}
--- /dev/null
+++ b/distribution/repository_test.go
@@ -0,0 +1,199 @@
+package distribution_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/juju/errors"
+	"pgregory.net/rapid"
+
+	"github.com/guavagauge/guavagauge/distribution"
+	"github.com/guavagauge/guavagauge/store"
+	"github.com/guavagauge/guavagauge/storetest"
+)
+
+// TestMain fixes the seed and the number of randomised runs; -rapid.seed and
+// -rapid.checks set others.
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "1")
+	flag.Set("rapid.checks", "5")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func repository(t interface{ Fatal(...any) }, client store.Client, keep int) *distribution.Repository {
+	r, err := distribution.NewRepository(distribution.RepositoryOptions{
+		Client: client, Prefix: "config/", Chunks: 4, Keep: keep, KeepRecords: 2 * keep,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Guards against revisions that read back differently, against history that is
+// lost early or kept for ever, and against changes that rewrite everything.
+func TestRevisions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const keep = 40
+		server := storetest.New(storetest.Options{})
+		ctx := context.Background()
+		all := []map[string][]byte{{}}
+		for len(all) < 400 {
+			r := repository(t, server.Client("operator"), keep)
+			base := uint64(len(all) - 1)
+			entries := maps.Clone(all[base])
+			name := fmt.Sprint("entry-", rapid.IntRange(0, 30).Draw(t, "name"))
+			if _, ok := entries[name]; ok && rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
+				delete(entries, name)
+			} else {
+				entries[name] = fmt.Append(nil, "value ", base)
+			}
+			if len(all) > 8 { // the first changes fill the chunks
+				server.ResetCalls()
+			}
+			revision, err := r.Apply(ctx, base, entries, distribution.Change{Author: "amani", Comment: name})
+			if err != nil || revision != base+1 {
+				t.Fatalf("revision %d after %d: %v", revision, base, err)
+			}
+			if puts := server.Calls(storetest.Put); len(all) > 8 && puts > 3 {
+				t.Fatalf("%d writes for one changed entry, want chunk, record and head", puts)
+			}
+			all = append(all, entries)
+		}
+		r := repository(t, server.Client("operator"), keep)
+		newest := uint64(len(all) - 1)
+		for revision := newest; revision > newest-keep; revision -= 7 {
+			document, err := r.Read(ctx, revision)
+			if err != nil || !maps.EqualFunc(document.Entries, all[revision], func(a, b []byte) bool { return string(a) == string(b) }) {
+				t.Fatalf("revision %d: %v, %v, want %s", revision, document, err, all[revision])
+			}
+		}
+		if _, err := r.Read(ctx, 3); !errors.Is(err, distribution.ErrNoRevision) {
+			t.Fatalf("read of a collected revision: %v", err)
+		}
+		records, err := r.History(ctx, 0, 1000)
+		if err != nil || len(records) < 2*keep || len(records) > 2*keep+128 || records[0].Revision != newest {
+			t.Fatalf("%d records: %v", len(records), err)
+		}
+		// 4 current chunks, one replaced chunk a revision, the records, the head.
+		if entries, _ := server.Client("operator").List(ctx, "config/"); len(entries) > 4+keep+130+len(records)+1 {
+			t.Fatalf("%d keys are left", len(entries))
+		}
+		if revision, err := r.Rollback(ctx, newest, newest-5, "amani"); err != nil || revision != newest+1 {
+			t.Fatalf("rollback: revision %d, %v", revision, err)
+		}
+	})
+}
+
+// Guards against two operators who both believe that their change is the same
+// revision, and against changes that are reported as failed or made twice when
+// the store's answers are lost or late.
+func TestRacingOperators(t *testing.T) {
+	type input struct {
+		apply bool
+		base  uint64
+	}
+	type output struct {
+		revision          uint64
+		unknown, conflict bool
+	}
+	model := porcupine.Model{
+		Init: func() any { return uint64(0) },
+		Step: func(state, in, out any) (bool, any) {
+			current, i, o := state.(uint64), in.(input), out.(output)
+			switch {
+			case !i.apply:
+				return o.revision == current, current
+			case o.unknown:
+				return true, current
+			case o.conflict:
+				return o.revision == current && current != i.base, current
+			default:
+				return current == i.base && o.revision == i.base+1, o.revision
+			}
+		},
+	}
+	for seed := range uint64(5) {
+		synctest.Test(t, func(t *testing.T) {
+			server := storetest.New(storetest.Options{})
+			var (
+				mu         sync.Mutex
+				operations []porcupine.Operation
+				wait       sync.WaitGroup
+			)
+			start := time.Now()
+			for id := range 4 {
+				random := rand.New(rand.NewPCG(seed, uint64(id)))
+				r := repository(t, server.Client(fmt.Sprint(id)), 1000)
+				wait.Go(func() {
+					for n := range 12 {
+						time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+						server.SetDelay(time.Duration(random.IntN(4)) * 20 * time.Millisecond)
+						if random.IntN(3) == 0 {
+							server.LoseAnswers(storetest.Put, 1+random.IntN(3))
+						}
+						var in input
+						var out output
+						called := time.Since(start)
+						document, err := r.Latest(t.Context())
+						if err == nil {
+							out.revision = document.Revision
+							mu.Lock()
+							operations = append(operations, porcupine.Operation{
+								ClientId: id, Input: in, Call: int64(called), Output: out, Return: int64(time.Since(start)),
+							})
+							mu.Unlock()
+							in = input{apply: true, base: document.Revision}
+							entries := maps.Clone(document.Entries)
+							entries[fmt.Sprint("entry-", id)] = fmt.Append(nil, n)
+							called = time.Since(start)
+							out.revision, err = r.Apply(t.Context(), in.base, entries, distribution.Change{Author: fmt.Sprint(id)})
+							var conflict *distribution.ConflictError
+							if errors.As(err, &conflict) {
+								out.revision, out.conflict, err = conflict.Current, true, nil
+							}
+							if out.unknown = errors.Is(err, store.ErrUnknownOutcome); out.unknown {
+								t.Errorf("outcome left unknown although the store answers: %v", err)
+							}
+						}
+						if err != nil {
+							t.Errorf("operator %d: %v", id, err)
+							continue
+						}
+						mu.Lock()
+						operations = append(operations, porcupine.Operation{
+							ClientId: id, Input: in, Call: int64(called), Output: out, Return: int64(time.Since(start)),
+						})
+						mu.Unlock()
+					}
+				})
+			}
+			wait.Wait()
+			if !porcupine.CheckOperations(model, operations) {
+				t.Errorf("seed %d: the history of %d operations is not linearisable", seed, len(operations))
+			}
+			r := repository(t, server.Client("reader"), 1000)
+			document, err := r.Latest(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if records, err := r.History(t.Context(), 0, 1000); err != nil || uint64(len(records)) != document.Revision {
+				t.Errorf("%d records of %d revisions: %v", len(records), document.Revision, err)
+			}
+			keys, _ := server.Client("reader").List(t.Context(), "config/")
+			if most := 1 + 2*int(document.Revision); len(keys) > most {
+				t.Errorf("%d keys for %d revisions: changes that lost left keys behind", len(keys), document.Revision)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/distribution/tree.go
@@ -0,0 +1,54 @@
+package distribution
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/guavagauge/guavagauge/rendezvous"
+)
+
+// place is this node's position in the tree of its failure domain. The readers
+// are the roots. All nodes derive the same tree from the same members; while
+// their members differ, the comparisons with random members fill the gaps.
+type place struct {
+	reader   bool
+	parent   Member // unless reader
+	children []Member
+}
+
+func (f *Follower) place() (p place) {
+	// This node has its place even if the members don't list it yet.
+	byName := map[string]Member{f.options.Self.Name: f.options.Self}
+	names := []string{f.options.Self.Name}
+	for _, m := range f.options.Members() {
+		if _, ok := byName[m.Name]; !ok && m.Domain == f.options.Self.Domain {
+			byName[m.Name] = m
+			names = append(names, m.Name)
+		}
+	}
+	order := rendezvous.Top("distribution/"+f.options.Self.Domain, names, len(names))
+	i := slices.Index(order, f.options.Self.Name)
+	roots, fanOut := f.options.Readers, f.options.FanOut
+	if p.reader = i < roots; !p.reader {
+		p.parent = byName[order[(i-roots)/fanOut]]
+	}
+	first := roots + i*fanOut
+	for _, name := range order[min(first, len(order)):min(first+fanOut, len(order))] {
+		p.children = append(p.children, byName[name])
+	}
+	return p
+}
+
+// others returns up to n random live members of any domain, without this node.
+func (f *Follower) others(n int) (chosen []Member) {
+	members := f.options.Members()
+	for _, i := range rand.Perm(len(members)) {
+		if len(chosen) == n {
+			break
+		}
+		if members[i].Name != f.options.Self.Name {
+			chosen = append(chosen, members[i])
+		}
+	}
+	return chosen
+}
