--- a/distribution/follower.go
+++ b/distribution/follower.go
@@ -71,10 +71,11 @@
 	Follower struct {
 		options   FollowerOptions
 		ctx       context.Context
+		started   time.Time
 		document  atomic.Pointer[Document]
 		ready     chan struct{}
 		pulls     chan struct{} // bounds the pulls that notices set off
-		fetching  sync.Mutex    // held while reading changes from the store
+		fetching  chan struct{} // full while changes are read from the store
 		advancing sync.Mutex    // held while a document is checked and replaced
 
 		whole, stale, rejects *metrics.Counter
@@ -103,9 +104,10 @@
 		return nil, errors.Annotate(err, "follower")
 	}
 	f := &Follower{
-		options: options, ctx: ctx,
+		options: options, ctx: ctx, started: time.Now(),
 		ready:       make(chan struct{}),
 		pulls:       make(chan struct{}, 4),
+		fetching:    make(chan struct{}, 1),
 		whole:       options.Set.GetOrCreateCounter("guavagauge_distribution_whole_documents_total"),
 		stale:       options.Set.GetOrCreateCounter("guavagauge_distribution_old_store_answers_total"),
 		rejects:     options.Set.GetOrCreateCounter("guavagauge_distribution_rejected_documents_total"),
@@ -125,7 +127,9 @@
 // be older than one that this node had before a restart.
 func (f *Follower) Document() *Document { return f.document.Load() }
 
-// Ready is closed once the document in force was confirmed for the first time.
+// Ready is closed once the document in force was confirmed for the first time,
+// as of a moment after the start. From then on the document is at least as new
+// as any that this node had before a restart.
 func (f *Follower) Ready() <-chan struct{} { return f.ready }
 
 // Confirmed returns a time at which the document in force was the newest in the
@@ -264,7 +268,9 @@
 func (f *Follower) confirm(revision uint64, at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.document.Load().Revision < revision || !at.After(f.confirmed) {
+	// A confirmation from before the start says nothing about what this node had
+	// before a restart.
+	if f.document.Load().Revision < revision || at.Before(f.started) || !at.After(f.confirmed) {
 		return
 	}
 	if f.confirmed.IsZero() {
--- a/distribution/reader.go
+++ b/distribution/reader.go
@@ -111,8 +111,12 @@
 // in force afterwards, and false if the head is older than this node's document
 // or can't be followed now.
 func (f *Follower) follow(ctx context.Context, h head) (ok bool) {
-	f.fetching.Lock()
-	defer f.fetching.Unlock()
+	select {
+	case f.fetching <- struct{}{}:
+		defer func() { <-f.fetching }()
+	case <-ctx.Done():
+		return false
+	}
 	current := f.document.Load()
 	if h.Revision <= current.Revision {
 		if h.Revision < current.Revision {
