--- a/caller/limit.go
+++ b/caller/limit.go
@@ -56,12 +56,13 @@
 	nodes := max(1, l.nodes())
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	limit, burst := share(workspace, nodes)
 	u := l.workspaces[workspace.Key()]
 	if u == nil {
-		u = &usage{limiter: rate.NewLimiter(rate.Inf, 1)}
+		u = &usage{limiter: rate.NewLimiter(limit, burst)} // starts with its whole burst
 		l.workspaces[workspace.Key()] = u
 	}
-	u.setRate(workspace, nodes, now)
+	u.setRate(limit, burst, now)
 	if workspace.Concurrent > 0 && u.running >= max(1, (workspace.Concurrent+nodes-1)/nodes) {
 		return upstream.ReasonConcurrency, 0
 	}
@@ -83,12 +84,15 @@
 	}
 }
 
-func (u *usage) setRate(workspace *fleet.Workspace, nodes int, now time.Time) {
-	limit, burst := rate.Inf, 1
-	if workspace.RequestsPerSecond > 0 {
-		limit = rate.Limit(workspace.RequestsPerSecond / float64(nodes))
-		burst = max(1, workspace.Burst/nodes)
+// share returns this node's part of a workspace's rate.
+func share(workspace *fleet.Workspace, nodes int) (limit rate.Limit, burst int) {
+	if workspace.RequestsPerSecond <= 0 {
+		return rate.Inf, 1
 	}
+	return rate.Limit(workspace.RequestsPerSecond / float64(nodes)), max(1, workspace.Burst/nodes)
+}
+
+func (u *usage) setRate(limit rate.Limit, burst int, now time.Time) {
 	if u.limiter.Limit() != limit {
 		u.limiter.SetLimitAt(now, limit)
 	}
--- a/caller/services.go
+++ b/caller/services.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -53,16 +54,18 @@
 	refused = s.try(ex, nil, c.fingerprint, func(spec *fleet.Upstream) (failure *upstream.Failure) {
 		return s.attemptCall(ex, c, spec)
 	})
-	if refused == nil {
-		// Billed before the outcome is recorded: were this node killed in
-		// between, a repeat would get the outcome and nobody the bill.
-		s.record(ex, upstream.Usage{})
-	}
-	s.concludeClaim(ex, c, refused)
 	if refused != nil {
+		s.concludeClaim(ex, c, refused)
 		return refused
 	}
+	// Billed before the outcome is recorded: were this node killed in between, a
+	// repeat would get the outcome and nobody the bill.
+	s.record(ex, upstream.Usage{})
 	s.writeAnswer(ex, c)
+	// The caller doesn't wait for the record, which shares its write with others.
+	// Were this node killed before, a repeat would hear that the outcome is
+	// unknown, and nothing would run again.
+	s.concludeClaim(ex, c, nil)
 	return nil
 }
 
@@ -109,8 +112,10 @@
 			header[name] = values
 		}
 	}
+	header.Set("Content-Length", strconv.Itoa(len(c.answer.Body))) // so that the flush completes the answer
 	controller := http.NewResponseController(ex.writer)
 	controller.SetWriteDeadline(time.Now().Add(s.options.WriteTimeout)) // not supported by test writers
 	ex.writer.WriteHeader(c.answer.Status)
 	ex.writer.Write(c.answer.Body) // the caller may have left
+	controller.Flush()
 }
--- /dev/null
+++ b/node/claims_test.go
@@ -0,0 +1,133 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/guavagauge/guavagauge/storetest"
+)
+
+// enter makes an entry at a node under an idempotency key.
+func (c *cluster) enter(i int, key, entry string) answer {
+	r := c.request(c.ctx, i, alphaKey, "POST", "/desk/entries", entry)
+	r.Header.Set("Idempotency-Key", key)
+	return c.do(r)
+}
+
+// enterUntilKnown repeats an entry at the other nodes, as a caller does who got
+// no answer, until its outcome is known or said to be unknown.
+func (c *cluster) enterUntilKnown(without int, key, entry string) (a answer) {
+	for i := range 100 {
+		if i%3 == without {
+			continue
+		}
+		a = c.enter(i%3, key, entry)
+		if a.status == http.StatusCreated || a.header.Get("Refusal-Reason") == "Unknown" {
+			return a
+		}
+		time.Sleep(30 * time.Second)
+	}
+	c.t.Errorf("entry %s: outcome not known: %d %s %v", entry, a.status, a.body, a.err)
+	return a
+}
+
+// Guards against an entry that runs twice when callers send it to several nodes
+// at the same time.
+func TestRacingEntriesRunOnce(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		for n := range 20 {
+			entry := fmt.Sprint("entry ", n)
+			var group sync.WaitGroup
+			for i := range 3 {
+				group.Go(func() {
+					a := c.enter(i, entry, entry)
+					if a.status != http.StatusCreated && a.status != http.StatusConflict {
+						t.Errorf("%s at node %d: %d %s", entry, i, a.status, a.body)
+					}
+				})
+			}
+			group.Wait()
+			if a := c.enterUntilKnown(-1, entry, entry); a.status != http.StatusCreated {
+				t.Errorf("%s: %d %s", entry, a.status, a.body)
+			}
+			if runs := c.desk.RunsOf(entry); runs != 1 {
+				t.Errorf("%s ran %d times", entry, runs)
+			}
+		}
+	})
+}
+
+// Guards against an entry that runs twice, or an answer that isn't true, when
+// the node that took it is killed before, during or after claim and dispatch.
+func TestEntryRunsOnceThroughNodeDeath(t *testing.T) {
+	for _, after := range []time.Duration{0, 3, 8, 14, 18, 25, 40, 60, 90, 200} {
+		t.Run(fmt.Sprint(after*time.Millisecond), func(t *testing.T) {
+			inCluster(t, func(c *cluster) {
+				c.store.SetDelay(5 * time.Millisecond)
+				c.desk.Slow(30 * time.Millisecond)
+				done := make(chan answer, 1)
+				go func() { done <- c.enter(1, "k", "entry") }()
+				time.Sleep(after * time.Millisecond)
+				c.kill(1)
+				first := <-done
+				a := c.enterUntilKnown(1, "k", "entry")
+				runs := c.desk.RunsOf("entry")
+				if runs > 1 || (a.status == http.StatusCreated && runs != 1) {
+					t.Errorf("%d runs; answers %d %v and %d %s", runs, first.status, first.err, a.status, a.body)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a claim that is granted twice, or lost, when the store's
+// answers are lost after the write took effect, and against a service whose
+// answer is lost after it ran.
+func TestEntryRunsOnceThroughLostAnswers(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		for n := range 30 {
+			entry := fmt.Sprint("entry ", n)
+			c.store.LoseAnswers(storetest.Put, n%4)
+			if n%5 == 0 {
+				c.desk.DropAnswers(1)
+			}
+			a := c.enter(n%3, entry, entry)
+			if n%5 == 0 {
+				a.checkRefusal(t, http.StatusBadGateway, "MayHaveRun", "Broken")
+			}
+			a = c.enterUntilKnown(-1, entry, entry)
+			if runs := c.desk.RunsOf(entry); runs != 1 {
+				t.Errorf("%s ran %d times, last answer %d %s", entry, runs, a.status, a.body)
+			}
+		}
+	})
+}
+
+// Guards against entries that run without a claim while the store is down, and
+// against an outage of the store that stops other work.
+func TestStoreDownForAnHour(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		c.store.SetDown(true)
+		for minute := range 60 {
+			c.enter(minute%3, "", "entry").checkRefusal(t, http.StatusServiceUnavailable, "NotRun", "StoreDown")
+			if a := c.do(c.request(c.ctx, minute%3, alphaKey, "GET", "/desk/draw", "")); a.status != http.StatusOK {
+				t.Fatalf("minute %d: draw %d %s", minute, a.status, a.body)
+			}
+			if a := c.complete(minute%3, betaKey, "x", 3, false); a.text != want("x", 3) {
+				t.Fatalf("minute %d: completion %d %s", minute, a.status, a.body)
+			}
+			time.Sleep(time.Minute)
+		}
+		if c.desk.Runs() != 0 {
+			t.Errorf("%d entries ran", c.desk.Runs())
+		}
+		c.store.SetDown(false)
+		time.Sleep(20 * time.Second)
+		if a := c.enter(0, "after", "after"); a.status != http.StatusCreated {
+			t.Errorf("entry after the outage: %d %s", a.status, a.body)
+		}
+	})
+}
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -47,6 +47,7 @@
 		platform   *platformtest.Server
 		client     *http.Client
 		nodes      []*node.Node
+		cancels    []context.CancelFunc
 		engines    []*enginetest.Engine
 		desk       *servicetest.Desk
 		config     *fleet.Config
@@ -68,6 +69,7 @@
 // inCluster runs a test in a bubble with three nodes, three engines in two
 // failure domains, and the plain service.
 func inCluster(t *testing.T, test func(c *cluster)) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		c := &cluster{
@@ -122,7 +124,8 @@
 		Intervals:       settings.Intervals{ListenerWithdraw: 2 * time.Second},
 	}
 	s.FillDefaults()
-	n, err := node.New(c.ctx, node.Options{
+	ctx, cancel := context.WithCancel(c.ctx)
+	n, err := node.New(ctx, node.Options{
 		Settings: s, Network: c.network.Host(host), Store: c.store.Client(s.Name), Platform: c.platform,
 		Logger: logging.New(c.t.Output(), slog.LevelInfo), Weights: policy.Goodput(),
 	})
@@ -130,15 +133,43 @@
 		c.t.Fatal(err)
 	}
 	if i < len(c.nodes) {
-		c.nodes[i] = n
+		c.nodes[i], c.cancels[i] = n, cancel
 	} else {
-		c.nodes = append(c.nodes, n)
+		c.nodes, c.cancels = append(c.nodes, n), append(c.cancels, cancel)
+	}
+}
+
+// kill ends a node as the death of its process does.
+func (c *cluster) kill(i int) {
+	c.network.Reset(c.nodes[i].PeerAddress().Addr().String())
+	c.cancels[i]()
+}
+
+// cutOff separates a node from the other nodes and from the store, until heal.
+// Its callers still reach it.
+func (c *cluster) cutOff(i int) {
+	c.setCut(i, c.network.Cut)
+	c.store.Cut(c.nodes[i].Name(), storetest.Both)
+}
+
+func (c *cluster) heal(i int) {
+	c.setCut(i, c.network.Heal)
+	c.store.Heal(c.nodes[i].Name())
+}
+
+func (c *cluster) setCut(i int, set func(from, to string)) {
+	host := c.nodes[i].PeerAddress().Addr().String()
+	for j, n := range c.nodes {
+		if other := n.PeerAddress().Addr().String(); j != i {
+			set(host, other)
+			set(other, host)
+		}
 	}
 }
 
 // apply stores c.config and waits until it is in force on all nodes.
 func (c *cluster) apply() {
-	revision, err := c.repository.Apply(c.ctx, c.revision, fleet.Entries(c.config), distribution.Change{Author: "test"})
+	revision, err := c.repository.Apply(c.ctx, c.revision, fleet.Entries(c.config), change())
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -293,3 +324,5 @@
 	}
 	return attempts
 }
+
+func change() distribution.Change { return distribution.Change{Author: "test"} }
--- a/node/node.go
+++ b/node/node.go
@@ -103,10 +103,27 @@
 			return nil, err
 		}
 	}
+	n.exportGauges()
 	n.holdRoles()
 	return n, nil
 }
 
+// exportGauges makes the node's state visible to operators.
+func (n *Node) exportGauges() {
+	gauge := func(name string, value func() float64) { n.Set.NewGauge(name, value) }
+	gauge("guavagauge_members", func() float64 { return float64(len(n.Members())) })
+	gauge("guavagauge_configuration_revision", func() float64 { return float64(n.Snapshot().Revision()) })
+	gauge("guavagauge_configuration_confirmed_age_seconds", func() float64 { return time.Since(n.follower.Confirmed()).Seconds() })
+	gauge("guavagauge_requests_in_flight", func() float64 { return float64(n.callers.InFlight()) })
+	gauge("guavagauge_steward_requests", func() float64 { return float64(n.Steward.Running()) })
+	gauge("guavagauge_isolated", func() float64 {
+		if n.Isolated() {
+			return 1
+		}
+		return 0
+	})
+}
+
 // CallerAddress returns the address at which callers are served.
 func (n *Node) CallerAddress() netip.AddrPort { return n.addresses.caller }
 
