Bound the configured size of claim documents

A MaxDocumentBytes above the service's limit would let a shard accept claims whose write the service refuses for ever.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -103,7 +103,8 @@
 		Remember time.Duration
 		// AbandonAfter is when an unfinished claim turns Unknown, 10 min by default.
 		AbandonAfter time.Duration
-		// MaxDocumentBytes bounds a document, 768 KiB by default.
+		// MaxDocumentBytes bounds a document, 768 KiB by default and at most 1020
+		// KiB.
 		MaxDocumentBytes int
 		// MaxRecordBytes bounds the record of an outcome, 1 KiB by default. That
 		// much is reserved for each claim in progress.
@@ -271,6 +272,7 @@
 	setDuration(&o.AbandonAfter, defaultAbandonAfter)
 	setDuration(&o.CallTimeout, defaultCallTimeout)
 	setDuration(&o.FreshFor, defaultFreshFor)
+	o.MaxDocumentBytes = min(o.MaxDocumentBytes, maxFinishBytes)
 	if o.Prefix == "" {
 		o.Prefix = "claim/"
 	}
