planner, capacity: bound the cost of an idle failure domain

Cause: the planner read the state and the report of each engine every 5 s, and capacity read the list of all VMs every second.

Change: the planner reads a state when its engine changes, when a newer report differs, and every 5 min, and takes reports from the stewards if it is given a way to. Capacity reads the list of its own failure domain every 30 s, decides every 5 s, and looks at the notices every second. platform.Client.VMs takes the failure domain.

Result: in 30 idle minutes each makes 2 calls to the store; the planner reads each state at most 6 times and capacity the list at most 61 times (TestIdleCost of both).

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -40,6 +40,8 @@
 
 const (
 	defaultPeriod       = time.Second
+	defaultDecideEvery  = 5 * time.Second
+	defaultListEvery    = 30 * time.Second // the list of a large domain is over 100 KB
 	defaultDrainGrace   = 5 * time.Second  // stewards stop sending within this (I10)
 	defaultStartTimeout = 10 * time.Minute // until an ordered upstream is on the list
 	defaultNoneFor      = time.Minute
@@ -50,8 +52,8 @@
 	Load struct {
 		Running int
 		Queued  int
-		// Started counts the requests that were sent to the upstream. It may be
-		// left at 0.
+		// Started counts the requests that were sent to the upstream. It shows work
+		// between two looks, and may be left at 0.
 		Started uint64
 	}
 
@@ -106,8 +108,13 @@
 		// Decide is called when no order is pending. The default is NewThreshold.
 		Decide func(view View) Plan
 
-		// Period is the time between two looks at the platform, 1 s.
+		// Period is the time between two looks at the notices, and at the load while
+		// upstreams are drained, 1 s.
 		Period time.Duration
+		// DecideEvery is the time between two decisions, 5 s.
+		DecideEvery time.Duration
+		// ListEvery is the time between two reads of the list of VMs, 30 s.
+		ListEvery time.Duration
 		// DrainGrace is the time from a drain until the upstream gets no more
 		// requests, 5 s.
 		DrainGrace time.Duration
@@ -130,7 +137,8 @@
 // New returns a manager that does nothing until Run.
 func New(options Options) *Manager {
 	for value, fallback := range map[*time.Duration]time.Duration{
-		&options.Period: defaultPeriod, &options.DrainGrace: defaultDrainGrace,
+		&options.Period: defaultPeriod, &options.DecideEvery: defaultDecideEvery, &options.ListEvery: defaultListEvery,
+		&options.DrainGrace:   defaultDrainGrace,
 		&options.StartTimeout: defaultStartTimeout, &options.NoneFor: defaultNoneFor,
 	} {
 		if *value == 0 {
--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -122,7 +122,7 @@
 // hold runs a manager under a new authority until that ends.
 func (w *world) hold(authority intent.Authority) (ended <-chan error) {
 	m := capacity.New(capacity.Options{
-		FailureDomain: domain, Store: w.store.Client("node"), Platform: w.platform, Decide: w.decide,
+		FailureDomain: domain, Store: w.store.Client("node"), Platform: w.platform, Decide: w.decide, DecideEvery: time.Second,
 		Load: func(context.Context) (map[string]capacity.Load, error) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
@@ -392,6 +392,20 @@
 	})
 }
 
+// Guards against a cost that grows with time when nothing happens.
+func TestIdleCost(t *testing.T) {
+	newWorld(t, func(w *world) {
+		w.hold(w.lease.Acquire(w.ctx))
+		time.Sleep(30 * time.Minute)
+		if calls := w.store.TotalCalls(); calls > 2 {
+			t.Errorf("%d calls to the store in 30 min, want a read and a write", calls)
+		}
+		if lists := w.platform.Lists(); lists > 61 {
+			t.Errorf("%d reads of the list in 30 min, want at most 61", lists)
+		}
+	})
+}
+
 // Guards against faults in combination: no conflicting orders, no request cut
 // by a stop, and the wanted numbers once the faults are over.
 func TestRandomFaults(t *testing.T) {
--- a/capacity/holder.go
+++ b/capacity/holder.go
@@ -24,6 +24,10 @@
 		document  *intent.Document
 
 		ledger  ledger
+		list    []platform.VM
+		listed  time.Time // when the list was read
+		decided time.Time
+		load    map[string]Load
 		notices uint64               // sent to stewards
 		told    map[string]told      // what stewards were told, by VM
 		idle    map[string]time.Time // since when, by VM
@@ -39,7 +43,8 @@
 	// sight is what a tick sees of the failure domain.
 	sight struct {
 		now    time.Time
-		listed bool // the list and the notices were read
+		due    bool // for a decision
+		listed bool // the notices were read, and the list not long ago
 		vms    map[string]platform.VM
 		loaded bool // the load was read
 		load   map[string]Load
@@ -101,25 +106,43 @@
 	return nil
 }
 
-// look reads the platform's list and notices, and the load.
+// look reads the notices, and the list and the load when they are due.
 func (h *holder) look(ctx context.Context) (seen sight) {
 	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
 	defer cancel()
 	seen = sight{now: time.Now(), vms: make(map[string]platform.VM)}
-	list, listErr := h.options.Platform.VMs(ctx)
-	notices, noticeErr := h.options.Platform.Notices(ctx, h.options.FailureDomain)
-	if seen.listed = listErr == nil && noticeErr == nil; !seen.listed {
-		h.count("failures", "list")
+	if h.listed.IsZero() || seen.now.Sub(h.listed) >= h.options.ListEvery {
+		if list, err := h.options.Platform.VMs(ctx, h.options.FailureDomain); err == nil {
+			h.list, h.listed = list, seen.now
+		} else {
+			h.count("failures", "list")
+		}
+	}
+	notices, err := h.options.Platform.Notices(ctx, h.options.FailureDomain)
+	if err != nil {
+		h.count("failures", "notices")
 	}
-	for _, vm := range slices.Concat(list, notices) { // notices are newer
+	seen.listed = err == nil && !h.listed.IsZero() && seen.now.Sub(h.listed) < 2*h.options.ListEvery
+	for _, vm := range slices.Concat(h.list, notices) { // notices are newer
 		if vm.FailureDomain == h.options.FailureDomain && vm.Kind == platform.Upstream {
 			seen.vms[vm.Name] = vm
 		}
 	}
+	if seen.due = seen.now.Sub(h.decided) >= h.options.DecideEvery; seen.due || len(h.ledger.Draining)+len(h.ledger.Pending) > 0 {
+		h.lookAtLoad(ctx, &seen)
+	}
+	return seen
+}
+
+// lookAtLoad reads the load and notes how long each upstream has been idle.
+func (h *holder) lookAtLoad(ctx context.Context, seen *sight) {
 	load, err := h.options.Load(ctx)
-	if seen.load, seen.loaded = load, err == nil; err != nil {
+	if err != nil {
 		h.count("failures", "load")
+		return
 	}
+	before := h.load
+	h.load, seen.load, seen.loaded = load, load, true
 	for name := range h.idle {
 		if _, listed := seen.vms[name]; !listed && seen.listed {
 			delete(h.idle, name)
@@ -128,14 +151,13 @@
 		}
 	}
 	for name, vm := range seen.vms {
-		switch l := seen.load[name]; {
-		case !seen.loaded || vm.State == platform.Starting || l.Running+l.Queued > 0:
+		switch l := load[name]; {
+		case vm.State == platform.Starting || l.Running+l.Queued > 0 || l.Started != before[name].Started:
 			delete(h.idle, name)
 		case h.idle[name].IsZero():
 			h.idle[name] = seen.now
 		}
 	}
-	return seen
 }
 
 // decide adds orders and drains to the ledger.
@@ -148,9 +170,10 @@
 			next.add(h.authority.Epoch(), h.options.FailureDomain, order{VM: name})
 		}
 	}
-	if len(next.Pending) > 0 {
+	if len(next.Pending) > 0 || !seen.due {
 		return
 	}
+	h.decided = seen.now
 	view := h.view(next, seen)
 	plan := h.options.Decide(view)
 	h.start(next, platform.Reclaimable, plan.StartReclaimable, view)
--- a/planner/holder.go
+++ b/planner/holder.go
@@ -31,6 +31,7 @@
 		plan     plan
 		surveyed time.Time
 		reports  map[string]engine.Report
+		states   map[string]known  // as last read
 		fenced   map[string]uint64 // incarnation that knows the epoch, by engine
 		notices  uint64            // sent to stewards
 		drained  map[string]bool   // engines that stewards were told to drain
@@ -45,6 +46,12 @@
 		granted  map[string]bool // by change ID
 	}
 
+	// known is a state and when it was read.
+	known struct {
+		engine.State
+		at time.Time
+	}
+
 	// observation is the state of an engine in this tick.
 	observation struct {
 		Engine
@@ -58,7 +65,7 @@
 		document: intent.New(options.Store, Key(options.FailureDomain), authority, intent.Options{
 			Checker: options.Checker, Invariant: invariant.SingleOrders,
 		}),
-		reports: make(map[string]engine.Report), fenced: make(map[string]uint64), drained: make(map[string]bool),
+		states: make(map[string]known), fenced: make(map[string]uint64), drained: make(map[string]bool),
 		sending: sending{accepted: make(map[string]bool), granted: make(map[string]bool)},
 	}
 }
@@ -74,14 +81,18 @@
 	if read {
 		h.plan = durable.clone()
 	}
-	survey := time.Since(h.surveyed) >= h.options.SurveyEvery
-	engines, observed := h.observe(ctx, survey)
-	next := h.plan.clone()
 	now := time.Now()
-	h.advance(&next, engines, observed, now)
+	engines := h.options.Engines()
+	survey := now.Sub(h.surveyed) >= h.options.SurveyEvery
 	if survey {
 		h.surveyed = now
-		h.adopt(&next, engines, observed, now)
+		h.reports = h.options.Reports(ctx, engines)
+	}
+	observed := h.observe(ctx, engines, survey)
+	next := h.plan.clone()
+	h.advance(&next, engines, observed, now)
+	if survey {
+		h.adopt(ctx, &next, engines, observed, now)
 	}
 	if !reflect.DeepEqual(next, h.plan) {
 		if err := h.document.Save(ctx, next); err != nil {
@@ -93,42 +104,88 @@
 	return h.act(ctx, observed)
 }
 
-// observe reads the state of all engines, or of those that are changing. An
-// engine that may not get orders yet isn't read, so that its state is known
-// only from after the hand-over.
-func (h *holder) observe(ctx context.Context, survey bool) (engines []Engine, observed map[string]observation) {
-	engines = h.options.Engines()
-	observed = make(map[string]observation, len(engines))
+// observe reads the state of the engines that are changing or whose state isn't
+// known well enough. An engine that may not get orders yet isn't read, so that
+// its state is known only from after the hand-over.
+func (h *holder) observe(ctx context.Context, engines []Engine, survey bool) (observed map[string]observation) {
+	observed = make(map[string]observation)
 	var group errgroup.Group
 	group.SetLimit(parallel)
 	for _, e := range engines {
-		_, changing := h.plan.Changes[e.Key]
-		if (!survey && !changing) || (e.Fencing == fleet.FencingIgnored && !h.settled.Load()) {
-			continue
+		if h.mayOrder(e) && h.due(e, survey) {
+			group.Go(func() error {
+				if state, ok := h.read(ctx, e); ok {
+					h.mu.Lock()
+					defer h.mu.Unlock()
+					observed[e.Key] = observation{e, state}
+				}
+				return nil
+			})
 		}
+	}
+	group.Wait()
+	return observed
+}
+
+// mayOrder reports whether operations of the previous holder on the engine have
+// ended, or have no effect.
+func (h *holder) mayOrder(e Engine) bool {
+	return e.Fencing == fleet.FencingChecked || h.settled.Load()
+}
+
+func (h *holder) due(e Engine, survey bool) bool {
+	if _, changing := h.plan.Changes[e.Key]; changing {
+		return true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	state, ok := h.states[e.Key]
+	if !ok {
+		return survey
+	}
+	report, reported := h.reports[e.Key]
+	differs := report.Incarnation != state.Incarnation || report.Role != state.Role || report.Draining != state.Draining
+	return time.Since(state.at) >= h.options.ScanEvery ||
+		survey && reported && differs && report.Age < time.Since(state.at)
+}
+
+// read reads the state of one engine now.
+func (h *holder) read(ctx context.Context, e Engine) (state engine.State, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, h.options.ReadTimeout)
+	defer cancel()
+	at := time.Now()
+	state, err := e.Control.State(ctx)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil {
+		h.count("failures", "state")
+		delete(h.states, e.Key)
+		return state, false
+	}
+	h.states[e.Key] = known{state, at}
+	return state, true
+}
+
+// askForReports is the default of Reports.
+func (o *Options) askForReports(ctx context.Context, engines []Engine) (reports map[string]engine.Report) {
+	reports = make(map[string]engine.Report)
+	var mu sync.Mutex
+	var group errgroup.Group
+	group.SetLimit(parallel)
+	for _, e := range engines {
 		group.Go(func() error {
-			ctx, cancel := context.WithTimeout(ctx, h.options.ReadTimeout)
+			ctx, cancel := context.WithTimeout(ctx, o.ReadTimeout)
 			defer cancel()
-			state, err := e.Control.State(ctx)
-			if err != nil {
-				h.count("failures", "state")
-				return nil
-			}
-			var report engine.Report
-			if survey {
-				report, _ = e.Control.Report(ctx)
-			}
-			h.mu.Lock()
-			defer h.mu.Unlock()
-			observed[e.Key] = observation{e, state}
-			if survey {
-				h.reports[e.Key] = report
+			if report, err := e.Control.Report(ctx); err == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				reports[e.Key] = report
 			}
 			return nil
 		})
 	}
 	group.Wait()
-	return engines, observed
+	return reports
 }
 
 // advance moves each change on by what its engine shows.
@@ -201,23 +258,30 @@
 }
 
 // adopt begins the changes that the decision asks for.
-func (h *holder) adopt(next *plan, engines []Engine, observed map[string]observation, now time.Time) {
+func (h *holder) adopt(ctx context.Context, next *plan, engines []Engine, observed map[string]observation, now time.Time) {
 	view := View{Now: now, FailureDomain: h.options.FailureDomain}
 	for _, e := range engines {
-		o, ok := observed[e.Key]
+		state, ok := h.states[e.Key]
 		_, changing := next.Changes[e.Key]
 		view.Engines = append(view.Engines, EngineView{
-			Key: e.Key, Fencing: e.Fencing, State: o.state, Report: h.reports[e.Key], Changes: next.History[e.Key],
-			Unavailable: !ok || changing || o.state.Changing != "", Unreachable: !ok,
+			Key: e.Key, Fencing: e.Fencing, State: state.State, Report: h.reports[e.Key], Changes: next.History[e.Key],
+			Unavailable: !ok || changing || state.Changing != "", Unreachable: !ok,
 		})
 	}
 	for _, wish := range h.options.Decide(view) {
-		i := slices.IndexFunc(view.Engines, func(e EngineView) bool { return e.Key == wish.Engine })
+		i := slices.IndexFunc(engines, func(e Engine) bool { return e.Key == wish.Engine })
 		if i < 0 || !h.allowed(wish, view.Engines[i], next, now) {
 			h.count("changes", "not allowed")
 			continue
 		}
-		next.add(wish.Engine, h.authority.Epoch(), wish, view.Engines[i].State.Incarnation, now)
+		// The state that the decision saw may be old.
+		state, ok := h.read(ctx, engines[i])
+		if !ok || state.Changing != "" || state.Draining || reached(wish.Kind, wish.Role, wish.Model, state) {
+			h.count("changes", "not possible")
+			continue
+		}
+		observed[wish.Engine] = observation{engines[i], state}
+		next.add(wish.Engine, h.authority.Epoch(), wish, state.Incarnation, now)
 		h.options.Logger.Info("change begins", "Engine", wish.Engine, "ID", next.Changes[wish.Engine].ID, "Kind", wish.Kind,
 			"Role", wish.Role, "Model", wish.Model, "Epoch", h.authority.Epoch())
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -48,6 +48,7 @@
 	defaultApplyTimeout   = 10 * time.Minute // a large model from a rate-limited store
 	defaultUncheckedEvery = 30 * time.Minute
 	defaultReadTimeout    = 2 * time.Second
+	defaultScanEvery      = 5 * time.Minute
 
 	historyKept = time.Hour // of role changes; longer than a swing
 	parallel    = 16        // calls to engines at the same time
@@ -72,7 +73,7 @@
 	EngineView struct {
 		Key     string
 		Fencing fleet.Fencing
-		State   engine.State
+		State   engine.State // as last read
 		Report  engine.Report
 		// Unavailable engines can't be read, are changing, or may not be changed
 		// yet.
@@ -118,11 +119,17 @@
 		Drain func(ctx context.Context, notice DrainNotice) (err error)
 		// Weights may be nil when no model is ever loaded.
 		Weights Weights
+		// Reports returns the load reports that are known of the engines, by key.
+		// The default asks each engine, which a large fleet leaves to the stewards.
+		Reports func(ctx context.Context, engines []Engine) (reports map[string]engine.Report)
 
 		// Period is the time between two looks at engines that are changing, 1 s.
 		Period time.Duration
-		// SurveyEvery is the time between two looks at all engines, 5 s.
+		// SurveyEvery is the time between two decisions, 5 s.
 		SurveyEvery time.Duration
+		// ScanEvery is the time between two reads of the state of an engine that
+		// isn't changing and whose report shows no restart, 5 min.
+		ScanEvery time.Duration
 		// DrainTimeout ends a change whose requests don't end, 2 min.
 		DrainTimeout time.Duration
 		// ApplyTimeout ends a change that an engine doesn't carry out, 10 min.
@@ -147,7 +154,7 @@
 	for value, fallback := range map[*time.Duration]time.Duration{
 		&options.Period: defaultPeriod, &options.SurveyEvery: defaultSurveyEvery, &options.DrainTimeout: defaultDrainTimeout,
 		&options.ApplyTimeout: defaultApplyTimeout, &options.UncheckedEvery: defaultUncheckedEvery,
-		&options.ReadTimeout: defaultReadTimeout,
+		&options.ReadTimeout: defaultReadTimeout, &options.ScanEvery: defaultScanEvery,
 	} {
 		if *value == 0 {
 			*value = fallback
@@ -159,6 +166,9 @@
 	if options.Drain == nil {
 		options.Drain = func(context.Context, DrainNotice) error { return nil }
 	}
+	if options.Reports == nil {
+		options.Reports = options.askForReports
+	}
 	if options.Logger == nil {
 		options.Logger = slog.New(slog.DiscardHandler)
 	}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -432,6 +433,48 @@
 	})
 }
 
+// reads counts the reads of an engine's state and report.
+type reads struct {
+	engine.Controller
+	states, reports atomic.Int64
+}
+
+func (r *reads) State(ctx context.Context) (engine.State, error) {
+	r.states.Add(1)
+	return r.Controller.State(ctx)
+}
+
+func (r *reads) Report(ctx context.Context) (engine.Report, error) {
+	r.reports.Add(1)
+	return r.Controller.Report(ctx)
+}
+
+// Guards against a cost that grows with time when nothing happens, and against
+// a restart that goes unnoticed between two scans.
+func TestIdleCost(t *testing.T) {
+	newWorld(t, checked(3), func(w *world) {
+		counts := make([]*reads, len(w.fleet))
+		for i := range w.fleet {
+			counts[i] = &reads{Controller: w.fleet[i].Control}
+			w.fleet[i].Control = counts[i]
+		}
+		w.hold(w.lease.Acquire(w.ctx))
+		time.Sleep(30*time.Minute - time.Second)
+		if calls := w.store.TotalCalls(); calls > 2 {
+			t.Errorf("%d calls to the store in 30 min, want a read and a write", calls)
+		}
+		for i, count := range counts {
+			if count.states.Load() > 6 || count.reports.Load() > 360 {
+				t.Errorf("engine %d: %d reads of the state and %d of the report, want at most 6 and 360", i, count.states.Load(), count.reports.Load())
+			}
+		}
+		w.engines[0].Crash()
+		w.engines[0].Restart()
+		time.Sleep(15 * time.Second)
+		w.calm(0) // the engine knows the epoch again
+	})
+}
+
 // Guards against loads that exceed the weight store's rate.
 func TestLoadsKeepTheRate(t *testing.T) {
 	newWorld(t, checked(3), func(w *world) {
--- a/platformtest/calls.go
+++ b/platformtest/calls.go
@@ -92,10 +92,20 @@
 	return slices.Clone(s.conflicts)
 }
 
+// Lists returns how often the list was read.
+func (s *Server) Lists() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lists
+}
+
 // VMs implements platform.Client.
-func (s *Server) VMs(ctx context.Context) (vms []platform.VM, err error) {
+func (s *Server) VMs(ctx context.Context, failureDomain string) (vms []platform.VM, err error) {
 	return vms, s.call(ctx, false, func() error {
-		vms = s.lagging()
+		s.lists++
+		vms = slices.DeleteFunc(s.lagging(), func(vm platform.VM) bool {
+			return failureDomain != "" && vm.FailureDomain != failureDomain
+		})
 		return nil
 	})
 }
--- a/platformtest/handler.go
+++ b/platformtest/handler.go
@@ -16,7 +16,7 @@
 func (s *Server) Handler() http.Handler {
 	router := chi.NewRouter()
 	router.Get(platform.PathVMs, func(w http.ResponseWriter, r *http.Request) {
-		vms, err := s.VMs(r.Context())
+		vms, err := s.VMs(r.Context(), r.URL.Query().Get("FailureDomain"))
 		answer(w, vms, err)
 	})
 	router.Get(platform.PathNotices, func(w http.ResponseWriter, r *http.Request) {
--- a/platformtest/platformtest.go
+++ b/platformtest/platformtest.go
@@ -63,6 +63,7 @@
 		granted   map[string]bool
 		weightsAt time.Time // next grant
 		log       []Record
+		lists     int
 		conflicts []string
 		faults    faults
 	}
