engine, service: reuse connections, refuse targets that aren't paths

Cause: a client closed the connection after each stream whose end came in a segment of its own, so every generation dialled. A call whose target began with "@" would have been sent to another host. A worker that died before it answered wasn't reported as crashed, so poison calls to services went unnoticed.

Change: the end of a complete stream is read for up to a second, targets must begin with "/", and a connection that breaks after a call to a plain service was written counts as a crash of the worker.

--- a/engine/client.go
+++ b/engine/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -20,6 +21,7 @@
 const (
 	defaultMaxLineBytes = 64 << 10 // an event holds one token
 	maxRefusalBytes     = 1 << 10  // kept of the body of a refusal for the log
+	endTimeout          = time.Second
 )
 
 type (
@@ -95,6 +97,9 @@
 	if failure := answer.read(ctx, response.Body, h.options.MaxLineBytes); failure != nil {
 		return answer.usage, failure
 	}
+	// The connection can be used again only if the body was read to its end.
+	defer time.AfterFunc(endTimeout, cancel).Stop()
+	response.Body.Read(make([]byte, 1))
 	return answer.usage, nil
 }
 
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,6 +32,7 @@
 			_, id, _ := strings.Cut(string(body), `"ID":"`)
 			id, _, _ = strings.Cut(id, `"`)
 			io.WriteString(w, strings.ReplaceAll(text, "ID", id))
+			http.NewResponseController(w).Flush() // the end of the body comes separately
 		}
 	}
 	refuse := func(status int, header ...string) http.HandlerFunc {
@@ -78,7 +81,12 @@
 			synctest.Test(t, func(t *testing.T) {
 				network := nettest.New()
 				address := netip.MustParseAddrPort("10.0.0.2:9000")
-				server := &http.Server{Handler: test.handler}
+				var conns atomic.Int64
+				server := &http.Server{Handler: test.handler, ConnState: func(_ net.Conn, state http.ConnState) {
+					if state == http.StateNew {
+						conns.Add(1)
+					}
+				}}
 				if test.handler != nil {
 					listener, _ := network.Host("10.0.0.2").Listen(t.Context(), address)
 					go server.Serve(listener)
@@ -90,8 +98,11 @@
 				_, err := client.Generate(ctx, upstream.Generation{Model: "m", MaxTokens: 2}, func(upstream.Token) error { return nil })
 				var failure *upstream.Failure
 				if test.reason == "" {
-					if err != nil {
-						t.Error(err)
+					if _, again := client.Generate(ctx, upstream.Generation{Model: "m", MaxTokens: 2}, func(upstream.Token) error { return nil }); err != nil || again != nil {
+						t.Error(err, again)
+					}
+					if conns.Load() != 1 {
+						t.Errorf("%d connections for two answers, want 1", conns.Load())
 					}
 					return
 				}
--- a/enginetest/engine_test.go
+++ b/enginetest/engine_test.go
@@ -101,6 +101,14 @@
 			t.Errorf("poison: %v, want Crashed", err)
 		}
 		time.Sleep(2 * time.Second)
+		e.Pause()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = client.Generate(ctx, upstream.Generation{Model: "m"}, collect(new([]string)))
+		if !errors.As(err, &failure) || failure.Reason != upstream.ReasonDeadline || failure.Progress != upstream.Written {
+			t.Errorf("paused: %v, want Deadline after Written", err)
+		}
+		e.Continue()
 		if state, err := client.State(t.Context()); err != nil || state.Incarnation != 2 {
 			t.Errorf("after the restart: %+v, %v", state, err)
 		}
--- a/service/client.go
+++ b/service/client.go
@@ -9,6 +9,8 @@
 	"net/netip"
 	"strings"
 
+	"github.com/juju/errors"
+
 	"github.com/guavagauge/guavagauge/transport"
 	"github.com/guavagauge/guavagauge/upstream"
 )
@@ -54,7 +56,7 @@
 	}
 	response, err := h.http.Do(request)
 	if err != nil {
-		return answer, attempt.Failure(ctx, err)
+		return answer, broken(attempt.Failure(ctx, err))
 	}
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusSwitchingProtocols {
@@ -62,9 +64,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, h.options.MaxAnswerBytes+1))
 	if err != nil {
-		failure := attempt.Failure(ctx, err)
-		failure.Crashed = failure.Reason == upstream.ReasonBroken
-		return answer, failure
+		return answer, broken(attempt.Failure(ctx, err))
 	}
 	if int64(len(body)) > h.options.MaxAnswerBytes {
 		return answer, badAnswer(fmt.Sprintf("answer over %d bytes", h.options.MaxAnswerBytes))
@@ -79,12 +79,24 @@
 	return upstream.Answer{Status: response.StatusCode, Header: header, Body: body}, nil
 }
 
+// broken marks a failure as a crash of the worker. A plain service doesn't show
+// when it begins to run a call, so a connection that breaks after the call was
+// written counts.
+func broken(failure *upstream.Failure) *upstream.Failure {
+	failure.Crashed = failure.Reason == upstream.ReasonBroken && failure.Progress >= upstream.Written
+	return failure
+}
+
 // newRequest builds a request that net/http doesn't repeat by itself. The
 // transport sends a request again after its connection closed when it has a
 // repeatable body and a safe method or an Idempotency-Key header, although the
 // worker may have run it. A body without GetBody prevents this, and for other
 // methods without a body an Idempotency-Key in lower case does.
 func newRequest(ctx context.Context, base string, call upstream.Call) (request *http.Request, err error) {
+	if !strings.HasPrefix(call.Target, "/") {
+		// Appended to the address, it could name another host.
+		return nil, errors.Errorf("target %q isn't a path", call.Target)
+	}
 	request, err = http.NewRequestWithContext(ctx, call.Method, base+call.Target, nil)
 	if err != nil {
 		return nil, err
--- a/service/client_test.go
+++ b/service/client_test.go
@@ -54,7 +54,7 @@
 				t.Errorf("%v: %+v, %+v", test, answer, failure)
 			}
 			desk.DropAnswers(1)
-			if _, failure := call(test.method, test.target, test.body); failure == nil || failure.Progress != upstream.Written {
+			if _, failure := call(test.method, test.target, test.body); failure == nil || failure.Progress != upstream.Written || !failure.Crashed {
 				t.Errorf("%v with a lost answer: %+v, want Written", test, failure)
 			}
 			desk.Refuse(1)
@@ -75,8 +75,8 @@
 	})
 }
 
-// Guards against connection headers that reach the other side, and answers of
-// any size.
+// Guards against connection headers that reach the other side, targets that
+// name another host, and answers of any size.
 func TestHeadersAndBounds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network := nettest.New()
@@ -103,6 +103,11 @@
 		if header.Get("X-Hop") == "" {
 			t.Error("the caller's headers were changed")
 		}
+		for _, target := range []string{"@10.0.0.3:80/", "", "x", "http://10.0.0.3/"} {
+			if _, err := client.Call(t.Context(), upstream.Call{Method: "GET", Target: target}); err == nil {
+				t.Errorf("target %q was sent", target)
+			}
+		}
 		_, err = client.Call(t.Context(), upstream.Call{Method: "PUT", Target: "/", Body: make([]byte, 11)})
 		var failure *upstream.Failure
 		if !errors.As(err, &failure) || failure.Reason != upstream.ReasonBadAnswer {
