--- a/planner/holder.go
+++ b/planner/holder.go
@@ -262,9 +262,13 @@
 	view := View{Now: now, FailureDomain: h.options.FailureDomain}
 	for _, e := range engines {
 		state, ok := h.states[e.Key]
-		_, changing := next.Changes[e.Key]
+		c, changing := next.Changes[e.Key]
+		role := state.Role
+		if c.Kind == engine.OrderRole {
+			role = c.Role
+		}
 		view.Engines = append(view.Engines, EngineView{
-			Key: e.Key, Fencing: e.Fencing, State: state.State, Report: h.reports[e.Key], Changes: next.History[e.Key],
+			Key: e.Key, Fencing: e.Fencing, State: state.State, Role: role, Report: h.reports[e.Key], Changes: next.History[e.Key],
 			Unavailable: !ok || changing || state.Changing != "", Unreachable: !ok,
 		})
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -75,6 +75,7 @@
 		Fencing fleet.Fencing
 		State   engine.State // as last read
 		Report  engine.Report
+		Role    engine.Role // the new one while it changes
 		// Unavailable engines can't be read, are changing, or may not be changed
 		// yet.
 		Unavailable bool
--- /dev/null
+++ b/planner/policy.go
@@ -0,0 +1,93 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/guavagauge/guavagauge/engine"
+	"github.com/guavagauge/guavagauge/policy"
+)
+
+// PolicyOptions of NewPolicy.
+type PolicyOptions struct {
+	Weights policy.Weights
+	// Demand returns the work of the failure domain. The default knows only what
+	// waits, from the reports.
+	Demand func(view View) policy.Demand
+	// ChangeTime is how long a role change takes an engine out of service, 5 s.
+	ChangeTime time.Duration
+	// MixedPrefill and MixedDecode are the work of a mixed engine that does only
+	// one of the two, relative to an engine with that role, 0.75.
+	MixedPrefill float64
+	MixedDecode  float64
+	// PrefillTokensPerSecond and DecodeTokensPerSecond of one engine are used by
+	// the default of Demand, 8000 and 400.
+	PrefillTokensPerSecond float64
+	DecodeTokensPerSecond  float64
+}
+
+const (
+	defaultChangeTime = 5 * time.Second
+	defaultMixed      = 0.75
+)
+
+// NewPolicy returns the decision of policy.PlanRoles.
+func NewPolicy(options PolicyOptions) (decide func(view View) []Wish) {
+	if options.ChangeTime == 0 {
+		options.ChangeTime = defaultChangeTime
+	}
+	for value, fallback := range map[*float64]float64{
+		&options.MixedPrefill: defaultMixed, &options.MixedDecode: defaultMixed,
+		&options.PrefillTokensPerSecond: defaultPrefillRate, &options.DecodeTokensPerSecond: defaultDecodeRate,
+	} {
+		if *value == 0 {
+			*value = fallback
+		}
+	}
+	if options.Demand == nil {
+		options.Demand = options.waiting
+	}
+	return options.decide
+}
+
+func (o *PolicyOptions) decide(view View) (wishes []Wish) {
+	request := policy.RolesRequest{
+		Now: view.Now, Demand: o.Demand(view), ChangeTime: o.ChangeTime,
+		MixedPrefill: o.MixedPrefill, MixedDecode: o.MixedDecode,
+	}
+	var keys []string
+	for _, e := range view.Engines {
+		if e.Unreachable {
+			continue
+		}
+		keys = append(keys, e.Key)
+		request.Engines = append(request.Engines, policy.EngineRole{
+			Role: policyRole(e.Role), Changes: e.Changes, Fencing: e.Fencing, Unavailable: e.Unavailable,
+		})
+	}
+	if change, ok := policy.PlanRoles(request, o.Weights); ok {
+		wishes = append(wishes, Wish{
+			Engine: keys[change.Engine], Kind: engine.OrderRole, Role: engine.Role(change.To.String()),
+		})
+	}
+	return wishes
+}
+
+func (o *PolicyOptions) waiting(view View) (demand policy.Demand) {
+	for _, e := range view.Engines {
+		prefill := float64(e.Report.QueuedPrefillTokens) / o.PrefillTokensPerSecond
+		decode := float64(e.Report.QueuedDecodeTokens) / o.DecodeTokensPerSecond
+		demand.QueuedPrefill += time.Duration(prefill * float64(time.Second))
+		demand.QueuedDecode += time.Duration(decode * float64(time.Second))
+	}
+	return demand
+}
+
+func policyRole(role engine.Role) policy.Role {
+	switch role {
+	case engine.Prefill:
+		return policy.Prefill
+	case engine.Decode:
+		return policy.Decode
+	}
+	return policy.Mixed
+}
