platform: keep VMs as it was and add Upstreams

With -race a random run of capacity found that the stand-in wrote the result of a late call after the caller had gone on.

Change: Upstreams returns a failure domain's part of the list. The stand-in returns results by value.

--- a/capacity/holder.go
+++ b/capacity/holder.go
@@ -112,7 +112,7 @@
 	defer cancel()
 	seen = sight{now: time.Now(), vms: make(map[string]platform.VM)}
 	if h.listed.IsZero() || seen.now.Sub(h.listed) >= h.options.ListEvery {
-		if list, err := h.options.Platform.VMs(ctx, h.options.FailureDomain); err == nil {
+		if list, err := h.options.Platform.Upstreams(ctx, h.options.FailureDomain); err == nil {
 			h.list, h.listed = list, seen.now
 		} else {
 			h.count("failures", "list")
@@ -124,7 +124,7 @@
 	}
 	seen.listed = err == nil && !h.listed.IsZero() && seen.now.Sub(h.listed) < 2*h.options.ListEvery
 	for _, vm := range slices.Concat(h.list, notices) { // notices are newer
-		if vm.FailureDomain == h.options.FailureDomain && vm.Kind == platform.Upstream {
+		if vm.Kind == platform.Upstream {
 			seen.vms[vm.Name] = vm
 		}
 	}
--- a/platformtest/calls.go
+++ b/platformtest/calls.go
@@ -100,31 +100,36 @@
 }
 
 // VMs implements platform.Client.
-func (s *Server) VMs(ctx context.Context, failureDomain string) (vms []platform.VM, err error) {
-	return vms, s.call(ctx, false, func() error {
+func (s *Server) VMs(ctx context.Context) (vms []platform.VM, err error) {
+	return call(ctx, s, false, func() (vms []platform.VM, err error) {
 		s.lists++
-		vms = slices.DeleteFunc(s.lagging(), func(vm platform.VM) bool {
-			return failureDomain != "" && vm.FailureDomain != failureDomain
-		})
-		return nil
+		return s.lagging(), nil
 	})
 }
 
+// Upstreams implements platform.Client.
+func (s *Server) Upstreams(ctx context.Context, failureDomain string) (vms []platform.VM, err error) {
+	vms, err = s.VMs(ctx)
+	return slices.DeleteFunc(vms, func(vm platform.VM) bool {
+		return vm.FailureDomain != failureDomain || vm.Kind != platform.Upstream
+	}), err
+}
+
 // Notices implements platform.Client.
 func (s *Server) Notices(ctx context.Context, failureDomain string) (leaving []platform.VM, err error) {
-	return leaving, s.call(ctx, false, func() error {
+	return call(ctx, s, false, func() (leaving []platform.VM, err error) {
 		for _, vm := range views(s.current(), time.Now()) {
 			if vm.FailureDomain == failureDomain && vm.State == platform.Leaving {
 				leaving = append(leaving, vm)
 			}
 		}
-		return nil
+		return leaving, nil
 	})
 }
 
 // Start implements platform.Client.
 func (s *Server) Start(ctx context.Context, order platform.StartOrder) (started []platform.VM, err error) {
-	return started, s.call(ctx, true, func() error {
+	return call(ctx, s, true, func() (started []platform.VM, err error) {
 		content := order
 		content.Epoch = 0
 		done, repeat, err := s.once(order.Token, order.FailureDomain, order.Epoch, content, func() ([]string, error) {
@@ -137,13 +142,13 @@
 				State: platform.Starting, Token: order.Token,
 			})
 		}
-		return err
+		return started, err
 	})
 }
 
 // Stop implements platform.Client.
 func (s *Server) Stop(ctx context.Context, order platform.StopOrder) (err error) {
-	return s.call(ctx, true, func() error {
+	_, err = call(ctx, s, true, func() (none struct{}, err error) {
 		content := order
 		content.Epoch = 0
 		_, repeat, err := s.once(order.Token, order.FailureDomain, order.Epoch, content, func() ([]string, error) {
@@ -157,13 +162,14 @@
 			return nil, nil
 		})
 		s.log = append(s.log, Record{Kind: Stop, At: time.Now(), Stop: order, Repeat: repeat, Err: err})
-		return err
+		return none, err
 	})
+	return err
 }
 
 // ReserveWeights implements platform.Client.
 func (s *Server) ReserveWeights(ctx context.Context, request platform.WeightsRequest) (wait time.Duration, err error) {
-	return wait, s.call(ctx, false, func() error {
+	return call(ctx, s, false, func() (wait time.Duration, err error) {
 		now := time.Now()
 		switch {
 		case s.granted[request.Token]:
@@ -173,13 +179,13 @@
 			s.granted[request.Token] = true
 			s.weightsAt = now.Add(s.options.WeightsEvery)
 		}
-		return nil
+		return wait, nil
 	})
 }
 
 // ReportUsage implements platform.Client.
 func (s *Server) ReportUsage(ctx context.Context, report platform.UsageReport) (err error) {
-	return s.call(ctx, true, func() (err error) {
+	_, err = call(ctx, s, true, func() (none struct{}, err error) {
 		report.Start = report.Start.UTC()
 		key := window{report.Workspace, report.Start}
 		billed, repeat := s.usage[key]
@@ -191,12 +197,13 @@
 			err = platform.ErrConflict
 		}
 		s.log = append(s.log, Record{Kind: Usage, At: time.Now(), Usage: report, Repeat: repeat, Err: err})
-		return err
+		return none, err
 	})
+	return err
 }
 
 // call applies the faults to one call. Only calls with an effect lose answers.
-func (s *Server) call(ctx context.Context, effect bool, apply func() error) (err error) {
+func call[T any](ctx context.Context, s *Server, effect bool, apply func() (T, error)) (result T, err error) {
 	s.mu.Lock()
 	delay := s.faults.delay
 	s.mu.Unlock()
@@ -216,20 +223,20 @@
 					}
 				})
 			}
-			return platform.ErrUnknownOutcome
+			return result, platform.ErrUnknownOutcome
 		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.down {
-		return platform.ErrUnavailable
+		return result, platform.ErrUnavailable
 	}
-	err = apply()
+	outcome, err := apply()
 	if effect && s.faults.lose > 0 {
 		s.faults.lose--
-		return platform.ErrUnknownOutcome
+		return result, platform.ErrUnknownOutcome
 	}
-	return err
+	return outcome, err
 }
 
 // once applies an order unless its token is known. The caller holds mu.
--- a/platformtest/handler.go
+++ b/platformtest/handler.go
@@ -16,7 +16,11 @@
 func (s *Server) Handler() http.Handler {
 	router := chi.NewRouter()
 	router.Get(platform.PathVMs, func(w http.ResponseWriter, r *http.Request) {
-		vms, err := s.VMs(r.Context(), r.URL.Query().Get("FailureDomain"))
+		vms, err := s.VMs(r.Context())
+		answer(w, vms, err)
+	})
+	router.Get(platform.PathUpstreams, func(w http.ResponseWriter, r *http.Request) {
+		vms, err := s.Upstreams(r.Context(), r.URL.Query().Get("FailureDomain"))
 		answer(w, vms, err)
 	})
 	router.Get(platform.PathNotices, func(w http.ResponseWriter, r *http.Request) {
--- a/platformtest/platform_test.go
+++ b/platformtest/platform_test.go
@@ -25,7 +25,7 @@
 		address := netip.MustParseAddrPort("10.0.0.2:80")
 		server := platformtest.New(ctx, platformtest.Options{})
 		client := platform.NewClient(network.Host("10.0.0.1"), address, platform.Options{})
-		if _, err := client.VMs(ctx, ""); !errors.Is(err, platform.ErrUnavailable) {
+		if _, err := client.VMs(ctx); !errors.Is(err, platform.ErrUnavailable) {
 			t.Errorf("no platform: %v, want ErrUnavailable", err)
 		}
 		listener, err := network.Host("10.0.0.2").Listen(ctx, address)
@@ -64,11 +64,11 @@
 		if len(started) != 2 || len(server.Fleet()) != 2 {
 			t.Errorf("started %v, fleet %v", started, server.Fleet())
 		}
-		if vms, _ := client.VMs(ctx, domain); len(vms) != 0 {
+		if vms, _ := client.Upstreams(ctx, domain); len(vms) != 0 {
 			t.Errorf("list %v doesn't lag", vms)
 		}
 		time.Sleep(70 * time.Second)
-		if vms, _ := client.VMs(ctx, domain); len(vms) != 2 || vms[0].State != platform.Live || !vms[0].Address.IsValid() {
+		if vms, _ := client.VMs(ctx); len(vms) != 2 || vms[0].State != platform.Live || !vms[0].Address.IsValid() {
 			t.Errorf("list %v", vms)
 		}
 		server.SetAvailable(domain, platform.Reclaimable, 1)
