service: let net/http send calls again of which nothing was written

Cause: bodies that can't be read again also prevented the retry on a connection that turned out closed before anything was written, so such a call failed as perhaps run.

Change: only safe methods, which net/http repeats without a header, have such a body. For the others the header's name in lower case is enough.

--- a/service/client.go
+++ b/service/client.go
@@ -87,31 +87,29 @@
 	return failure
 }
 
-// newRequest builds a request that net/http doesn't repeat by itself. The
-// transport sends a request again after its connection closed when it has a
-// repeatable body and a safe method or an Idempotency-Key header, although the
-// worker may have run it. A body without GetBody prevents this, and for other
-// methods without a body an Idempotency-Key in lower case does.
+// newRequest builds a request that net/http doesn't send again by itself once a
+// byte of it was written. The transport does so after its connection closed if
+// the body can be read again and the method is safe or there is an
+// Idempotency-Key header, although the worker may have run the call. A body that
+// can't be read again prevents this for safe methods, and the header's name in
+// lower case for the others.
 func newRequest(ctx context.Context, base string, call upstream.Call) (request *http.Request, err error) {
 	if !strings.HasPrefix(call.Target, "/") {
 		// Appended to the address, it could name another host.
 		return nil, errors.Errorf("target %q isn't a path", call.Target)
 	}
-	request, err = http.NewRequestWithContext(ctx, call.Method, base+call.Target, nil)
+	request, err = http.NewRequestWithContext(ctx, call.Method, base+call.Target, bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, err
 	}
+	if safe(call.Method) {
+		// The transport finds out by itself when the body is empty.
+		request.Body, request.GetBody = io.NopCloser(bytes.NewReader(call.Body)), nil
+	}
 	request.Header = endToEnd(call.Header)
 	request.Header.Del("Content-Length")
 	request.Header.Del("Host")
 	request.Header.Del("Expect")
-	switch {
-	case len(call.Body) > 0:
-		request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(call.Body)), int64(len(call.Body))
-	case replayed(call.Method):
-		// The transport finds the body empty and sends none.
-		request.Body = io.NopCloser(bytes.NewReader(nil))
-	}
 	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
 		if values, ok := request.Header[name]; ok {
 			delete(request.Header, name)
@@ -124,7 +122,8 @@
 	return request, nil
 }
 
-func replayed(method string) bool {
+// safe reports whether the transport takes a method for safe.
+func safe(method string) bool {
 	switch method {
 	case "", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
 		return true
