--- a/platformtest/handler.go
+++ b/platformtest/handler.go
@@ -19,6 +19,10 @@
 		vms, err := s.VMs(r.Context())
 		answer(w, vms, err)
 	})
+	router.Get(platform.PathUpstreams, func(w http.ResponseWriter, r *http.Request) {
+		vms, err := s.Upstreams(r.Context(), r.URL.Query().Get("FailureDomain"))
+		answer(w, vms, err)
+	})
 	router.Get(platform.PathNotices, func(w http.ResponseWriter, r *http.Request) {
 		leaving, err := s.Notices(r.Context(), r.URL.Query().Get("FailureDomain"))
 		answer(w, leaving, err)
--- a/platformtest/platform_test.go
+++ b/platformtest/platform_test.go
@@ -64,7 +64,7 @@
 		if len(started) != 2 || len(server.Fleet()) != 2 {
 			t.Errorf("started %v, fleet %v", started, server.Fleet())
 		}
-		if vms, _ := client.VMs(ctx); len(vms) != 0 {
+		if vms, _ := client.Upstreams(ctx, domain); len(vms) != 0 {
 			t.Errorf("list %v doesn't lag", vms)
 		}
 		time.Sleep(70 * time.Second)
