membership: carry more of the small updates in a message

Cause: in a trial, the failure of a domain of 98 of 390 nodes was known to all survivors only after 12 s, since a message held at most 8 updates. Change: a message is bounded by 640 estimated bytes and 32 updates; an update to Suspect or Dead takes a fraction of one with address and payload. New test of a failed domain. The tests' bubbles wait for delayed messages when they end, which before could fail with a deadlock report.

--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -47,7 +47,11 @@
 func run(t *testing.T, n int, test func(t *testing.T, f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		defer func() { cancel(); synctest.Wait() }()
+		defer func() {
+			cancel()
+			time.Sleep(time.Minute) // delayed messages outlive their callers
+			synctest.Wait()
+		}()
 		f := &fleet{ctx: ctx, nodes: map[netip.Addr]*process{}, delay: map[netip.Addr]time.Duration{}}
 		f.encoder = gob.NewEncoder(writer{f})
 		for i := range n {
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -50,6 +50,21 @@
 	}
 }
 
+// Guards against a failure domain whose members are removed one after the other
+// because messages hold few updates, and against survivors that then believe
+// that they are cut off.
+func TestDomainFailure(t *testing.T) {
+	t.Parallel()
+	const n = 100
+	run(t, n, func(t *testing.T, f *fleet) {
+		for i := 0; i < n; i += 4 {
+			f.kill(i)
+		}
+		t.Log("removed after", f.await(t, "removal", 8*time.Second, func(i int) bool { return f.live(i) == n*3/4 }))
+		f.await(t, "majority", 0, func(i int) bool { heard, known := f.group(i).Reachable(); return known == n && 2*heard > known })
+	})
+}
+
 // Guards against members that are removed while they answer somebody, that stay
 // listed when they don't, or that never come back; and against a node that
 // counts itself among the majority while it is cut off.
--- a/membership/spread.go
+++ b/membership/spread.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	maxUpdates     = 8    // per message
-	maxUpdateBytes = 1200 // per message, estimated
-	updateBytes    = 48   // of one update without its payload, estimated
+	maxUpdates     = 32  // per message
+	maxUpdateBytes = 640 // per message, estimated; a single larger update still goes
+	stateBytes     = 24  // of one update to Suspect or Dead, estimated
+	memberBytes    = 60  // of any other update without its payload, estimated
 	// gossipInterval spaces the extra messages that carry updates while there
 	// are any, so that a change reaches 390 nodes well before a suspicion ends.
 	gossipInterval = 200 * time.Millisecond
@@ -120,7 +121,9 @@
 	limit := int(math.Ceil(sendFactor * math.Log10(float64(g.liveCount()+2))))
 	bytes := 0
 	for _, q := range waiting {
-		bytes += updateBytes + len(q.update.Payload)
+		if bytes += stateBytes; q.update.Address.IsValid() {
+			bytes += memberBytes - stateBytes + len(q.update.Payload)
+		}
 		if bytes > maxUpdateBytes && len(updates) > 0 {
 			break
 		}
