caller: benchmark the request path against bare servers

The targets for throughput and for CPU time per token had no measurement. Callers and the service stand-in run in a second process, so that the CPU time of the measured process is that of the request path.

--- /dev/null
+++ b/caller/load_test.go
@@ -0,0 +1,181 @@
+package caller_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// loadVariable makes the test binary run as the load process. The callers and
+// the service stand-in run there, so that the CPU time of the measured process
+// is that of the request path alone.
+const loadVariable = "GUAVAGAUGE_TEST_LOAD"
+
+type (
+	// loadOrder asks the load process for requests to an address.
+	loadOrder struct {
+		Address    string
+		Concurrent int
+		Requests   int
+		Tokens     int // of a streamed completion; 0 means plain calls
+	}
+
+	loadResult struct {
+		Errors int
+		First  string // the first error
+	}
+
+	load struct {
+		service string // address of the service stand-in
+		in      *json.Encoder
+		out     *json.Decoder
+	}
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(loadVariable) != "" {
+		serveLoad()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func startLoad(b *testing.B) *load {
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), loadVariable+"=1")
+	command.Stderr = os.Stderr
+	in, _ := command.StdinPipe()
+	out, _ := command.StdoutPipe()
+	if err := command.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { in.Close(); command.Wait() })
+	l := &load{in: json.NewEncoder(in), out: json.NewDecoder(out)}
+	if err := l.out.Decode(&l.service); err != nil {
+		b.Fatal(err)
+	}
+	return l
+}
+
+// run has the requests made and returns the CPU time that this process spent.
+func (l *load) run(b *testing.B, order loadOrder) (cpu time.Duration) {
+	var result loadResult
+	before := cpuTime()
+	if err := l.in.Encode(order); err != nil {
+		b.Fatal(err)
+	}
+	if err := l.out.Decode(&result); err != nil {
+		b.Fatal(err)
+	}
+	cpu = cpuTime() - before
+	if result.Errors > 0 {
+		b.Fatalf("%d of %d requests failed, the first: %s", result.Errors, order.Requests, result.First)
+	}
+	return cpu
+}
+
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func serveLoad() {
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(w, "drawn")
+	}))
+	out, in := json.NewEncoder(os.Stdout), json.NewDecoder(os.Stdin)
+	out.Encode(service.Listener.Addr().String())
+	for {
+		var order loadOrder
+		if in.Decode(&order) != nil {
+			return
+		}
+		out.Encode(order.run())
+	}
+}
+
+func (o loadOrder) run() (result loadResult) {
+	var left atomic.Int64
+	left.Store(int64(o.Requests))
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: o.Concurrent}}
+	for range o.Concurrent {
+		group.Go(func() {
+			for left.Add(-1) >= 0 {
+				err := o.call(client)
+				if err != nil {
+					mu.Lock()
+					result.Errors++
+					result.First = err.Error()
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	group.Wait()
+	client.CloseIdleConnections()
+	return result
+}
+
+func (o loadOrder) call(client *http.Client) (err error) {
+	if o.Tokens > 0 {
+		return o.stream()
+	}
+	request, _ := http.NewRequest("GET", "http://"+o.Address+"/desk/draw", nil)
+	request.Header.Set("X-Api-Key", benchKey)
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err == nil && string(body) != "drawn" {
+		err = fmt.Errorf("status %d, body %q", response.StatusCode, body)
+	}
+	return err
+}
+
+// stream reads a streamed completion and counts its events.
+func (o loadOrder) stream() (err error) {
+	conn, err := net.Dial("tcp", o.Address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	body := fmt.Sprintf(`{"model":"m","prompt":"the quick brown fox","max_tokens":%d,"stream":true}`, o.Tokens)
+	fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nX-Api-Key: %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", benchKey, len(body), body)
+	response, err := http.ReadResponse(bufio.NewReaderSize(conn, 16<<10), nil)
+	if err != nil {
+		return err
+	}
+	events, last := 0, ""
+	buffer := make([]byte, 16<<10)
+	for err == nil {
+		var n int
+		n, err = response.Body.Read(buffer)
+		events += bytes.Count(buffer[:n], []byte("data: "))
+		last = (last + string(buffer[:n]))[max(0, len(last)+n-20):]
+	}
+	if events != o.Tokens+2 || !strings.HasSuffix(last, "data: [DONE]\n\n") {
+		return fmt.Errorf("status %d, %d events, end %q, %v", response.StatusCode, events, last, err)
+	}
+	return nil
+}
