steward, caller: carry all streams of an entry node in one pull

Change: Steward.NextMany replaces Steward.Next. An entry node has one waiting pull per steward, which carries what all of its streams have ready. Replies still carry request id, attempt and offset. After a lost reply the next pull asks to resend from the confirmed offsets; of two pulls the older gets nothing. A stream holds at most 256 unconfirmed tokens, and a caller that reads slowly delays only its own confirmations.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -90,6 +90,7 @@
 		limits   *limits
 		retries  *policy.RetryBudget
 		retryMu  sync.Mutex
+		pulls    *pulls
 		loads    sync.Map // upstream key -> *knownLoad
 		inFlight atomic.Int64
 		stopping atomic.Bool
@@ -109,6 +110,7 @@
 		limits:  newLimits(options.Directory.Nodes),
 		retries: policy.NewRetryBudget(policy.RetryOptions{}),
 	}
+	s.pulls = newPulls(s)
 	router := chi.NewRouter()
 	router.Post(pathChat, s.serve(s.readChat))
 	router.Post(pathCompletions, s.serve(s.readCompletion))
--- a/caller/generate.go
+++ b/caller/generate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/guavagauge/guavagauge/fleet"
@@ -58,42 +57,44 @@
 
 // attemptGeneration opens the generation at a steward and relays its tokens.
 func (s *Server) attemptGeneration(ex *exchange, g *generation, spec *fleet.Upstream) (usage upstream.Usage, failure *upstream.Failure) {
-	address, failure := s.open(ex, g, spec)
+	in, failure := s.open(ex, g, spec)
 	if failure != nil {
 		return usage, failure
 	}
 	completed := false
 	defer func() {
+		in.leave()
 		if !completed {
-			s.cancel(address, ex.ident())
+			s.cancel(in.puller.address, in.ident)
 		}
 	}()
 	for {
-		reply, failure := s.pull(ex, address, len(g.tokens))
+		tokens, end, failure := in.next(ex.ctx)
 		if failure != nil {
 			return usage, failure
 		}
-		if len(reply.Tokens) > 0 {
-			if err := s.relay(ex, g, reply.Tokens); err != nil {
+		if len(tokens) > 0 {
+			if err := s.relay(ex, g, tokens); err != nil {
 				return usage, &upstream.Failure{
 					Reason: upstream.ReasonCanceled, Progress: upstream.Answered, Detail: "the caller left: " + err.Error(),
 				}
 			}
+			in.passedOn(len(tokens))
 		}
 		switch {
-		case reply.Failure != nil:
-			return usage, reply.Failure
-		case reply.Done:
+		case end == nil:
+		case end.Failure != nil:
+			return usage, end.Failure
+		default:
 			completed = true
-			s.learn(spec, reply.Load)
-			return reply.Usage, nil
+			return end.Usage, nil
 		}
 	}
 }
 
 // open asks the upstream's steward, or the node next in line if it can't be
 // reached, to queue the generation.
-func (s *Server) open(ex *exchange, g *generation, spec *fleet.Upstream) (address steward.Address, failure *upstream.Failure) {
+func (s *Server) open(ex *exchange, g *generation, spec *fleet.Upstream) (in *inbox, failure *upstream.Failure) {
 	args := steward.OpenArgs{
 		Ident: ex.ident(), Origin: ex.origin(), Upstream: spec.Key(), Remaining: time.Until(ex.deadline),
 		Suspect: ex.suspect, Generation: g.spec,
@@ -101,7 +102,9 @@
 	args.Generation.Priority = ex.placement.Priority
 	args.Generation.Offset, args.Generation.Given = len(g.tokens), g.tokens
 	failure = &upstream.Failure{Reason: upstream.ReasonPeer, Progress: upstream.NotDialed, Detail: "no node is alive"}
-	for _, address = range s.stewards(spec) {
+	for _, address := range s.stewards(spec) {
+		in = s.pulls.enter(address, args.Ident, args.Generation.Offset)
+		args.Puller = in.puller.id
 		var reply steward.OpenReply
 		ctx, cancel := context.WithTimeout(ex.ctx, openTimeout)
 		err := s.options.Peers.Call(ctx, address, "Steward.Open", args, &reply)
@@ -116,44 +119,17 @@
 			failure = reply.Failure
 			if failure.Reason != upstream.ReasonStopping {
 				s.learn(spec, reply.Load)
-				return address, failure
+				in.leave()
+				return nil, failure
 			}
 		default:
 			s.learn(spec, reply.Load)
-			return address, nil
-		}
-	}
-	return address, failure
-}
-
-// pull gets the next tokens. It repeats a lost pull once, which is harmless,
-// since the steward keeps the tokens until they are confirmed.
-func (s *Server) pull(ex *exchange, address steward.Address, offset int) (reply steward.NextReply, failure *upstream.Failure) {
-	for range pullTries {
-		reply = steward.NextReply{}
-		ctx, cancel := context.WithTimeout(ex.ctx, pullWait+pullMargin)
-		err := s.options.Peers.Call(ctx, address, "Steward.Next", steward.NextArgs{
-			Ident: ex.ident(), Offset: offset, Wait: pullWait,
-		}, &reply)
-		cancel()
-		switch {
-		case ex.ctx.Err() != nil:
-			return steward.NextReply{}, &upstream.Failure{
-				Reason: upstream.ReasonCanceled, Progress: upstream.Written, Detail: "the caller left",
-			}
-		case err != nil:
-			failure = peerFailure(err)
-			failure.Progress = upstream.Answered
-		case !s.own(ex, reply.Ident) || reply.Offset != offset && reply.Failure == nil:
-			failure = &upstream.Failure{
-				Reason: upstream.ReasonPeer, Progress: upstream.Answered,
-				Detail: fmt.Sprintf("the steward answered offset %d of another attempt", reply.Offset),
-			}
-		default:
-			return reply, nil
+			in.opened()
+			return in, nil
 		}
+		in.leave()
 	}
-	return steward.NextReply{}, failure
+	return nil, failure
 }
 
 // own reports whether a reply belongs to the current attempt. Any other is
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -7,7 +7,7 @@
 //	server.Register("Steward", receiver)
 //
 //	pool := peer.NewPool(ctx, network, peer.Control, peer.Options{Set: set})
-//	err := pool.Call(ctx, address, "Steward.Next", args, &reply)
+//	err := pool.Call(ctx, address, "Steward.Cancel", args, &reply)
 //	if errors.Is(err, peer.ErrNotSent) {
 //		// the peer can't have seen the call
 //	}
--- a/steward/messages.go
+++ b/steward/messages.go
@@ -45,6 +45,7 @@
 		Ident
 		Origin
 		Upstream   string
+		Puller     uint64 // whose pulls carry the tokens
 		Remaining  time.Duration
 		Suspect    bool // it ran on an upstream that crashed
 		Generation upstream.Generation
@@ -57,22 +58,50 @@
 		Failure *upstream.Failure
 	}
 
-	// NextArgs asks for the tokens from Offset on, and confirms those before.
-	NextArgs struct {
+	// NextManyArgs asks for the tokens that an entry node's streams have ready.
+	// Of two pulls, the one with the lower sequence gets nothing. A pull with
+	// Resend lists all streams and makes their tokens from the confirmed offset
+	// on be sent again, after a reply may have been lost.
+	NextManyArgs struct {
+		Puller   uint64 // names the entry node's process
+		Sequence uint64
+		Resend   bool
+		Confirms []Confirmation
+		Wait     time.Duration
+	}
+
+	// Confirmation says that the tokens before Offset have been passed on. A
+	// stream that isn't confirmed for idleLimit is canceled.
+	Confirmation struct {
 		Ident
 		Offset int
-		Wait   time.Duration
 	}
 
-	// NextReply holds tokens from Offset on. After Done or a Failure there are
-	// no more.
+	// NextManyReply holds what the streams have ready. When Epoch changes, the
+	// steward has forgotten what it sent, and the entry node asks to resend.
+	NextManyReply struct {
+		Epoch   uint64
+		Streams []NextReply
+	}
+
+	// ConfirmArgs confirms tokens without asking for more.
+	ConfirmArgs struct {
+		Puller   uint64
+		Confirms []Confirmation
+	}
+
+	// ConfirmReply counts the streams that are known and hold the tokens from
+	// the confirmed offset on.
+	ConfirmReply struct{ Known int }
+
+	// NextReply holds one stream's tokens from Offset on. After Done or a Failure
+	// there are no more.
 	NextReply struct {
 		Ident
 		Offset  int
 		Tokens  []string
 		Done    bool
 		Usage   upstream.Usage
-		Load    Load
 		Failure *upstream.Failure
 	}
 
--- a/steward/receiver.go
+++ b/steward/receiver.go
@@ -19,23 +19,6 @@
 	return nil
 }
 
-// Next returns the tokens of a generation from an offset on.
-func (r *Receiver) Next(args NextArgs, reply *NextReply) (err error) {
-	s := r.steward
-	s.mu.Lock()
-	st := s.streams[args.Ident]
-	s.mu.Unlock()
-	if st == nil {
-		reply.Failure = &upstream.Failure{
-			Reason: upstream.ReasonNotSteward, Progress: upstream.Written, Detail: "the attempt isn't known here",
-		}
-	} else {
-		*reply = st.next(args.Offset, min(args.Wait, maxWait))
-	}
-	reply.Ident = args.Ident
-	return nil
-}
-
 // Cancel ends an attempt.
 func (r *Receiver) Cancel(args CancelArgs, reply *CancelReply) (err error) {
 	s := r.steward
@@ -81,7 +64,7 @@
 		return load, failure
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, args.Remaining)
-	st := newStream(args.Generation.Offset, cancel)
+	st := newStream(args.Ident, s.session(args.Puller), args.Generation.Offset, cancel)
 	if !s.addStream(args.Ident, st) {
 		cancel()
 		return l.current(), nil
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	s := steward.New(ctx, options)
-//	s.Register(peerServer)          // serves Steward.Open, Next, Cancel, Call, Crash
+//	s.Register(peerServer)          // serves Steward.Open, NextMany, Confirm, Cancel, Call, Crash
 //	s.Apply(snapshot)               // on each change of the configuration
 //	s.Drain(ctx)                    // before the node stops
 //
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -56,14 +57,16 @@
 		ctx     context.Context
 		options Options
 
-		mu       sync.Mutex
-		lanes    map[string]*lane
-		engines  map[string]cached[engine.Client]
-		services map[string]cached[service.Client]
-		streams  map[Ident]*stream
-		calls    map[Ident]context.CancelFunc
-		stopping bool
-		crashes  *policy.Crashes
+		mu        sync.Mutex
+		lanes     map[string]*lane
+		engines   map[string]cached[engine.Client]
+		services  map[string]cached[service.Client]
+		streams   map[Ident]*stream
+		sessions  map[uint64]*session // by puller
+		lastEpoch uint64
+		calls     map[Ident]context.CancelFunc
+		stopping  bool
+		crashes   *policy.Crashes
 	}
 
 	cached[T any] struct {
@@ -81,8 +84,11 @@
 		engines:  make(map[string]cached[engine.Client]),
 		services: make(map[string]cached[service.Client]),
 		streams:  make(map[Ident]*stream),
-		calls:    make(map[Ident]context.CancelFunc),
-		crashes:  policy.NewCrashes(policy.CrashOptions{}),
+		sessions: make(map[uint64]*session),
+		// A restarted steward must not repeat the epochs that it gave before.
+		lastEpoch: rand.Uint64() >> 1,
+		calls:     make(map[Ident]context.CancelFunc),
+		crashes:   policy.NewCrashes(policy.CrashOptions{}),
 	}
 }
 
--- a/steward/stream.go
+++ b/steward/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,48 +10,54 @@
 )
 
 // stream is the part of a generation's answer that the entry node hasn't
-// confirmed yet. Tokens stay until a later pull confirms them, so that a pull
-// whose reply was lost can be repeated.
+// confirmed yet. Tokens stay until they are confirmed, so that a pull whose
+// reply was lost can be repeated.
 type stream struct {
+	ident  Ident
 	cancel context.CancelFunc
 	idle   *time.Timer // cancels the run when nobody pulls
+	space  chan struct{}
+	ready  bool // in the session's list; guarded by its mutex
 
+	// mu is taken before the session's.
 	mu      sync.Mutex
-	changed chan struct{} // closed and replaced on each change
-	base    int           // offset of tokens[0]
+	session *session
+	base    int // offset of tokens[0]
+	sent    int // offset behind the last token sent
+	endSent bool
 	tokens  []string
 	done    bool
 	usage   upstream.Usage
 	failure *upstream.Failure
 }
 
-func newStream(offset int, cancel context.CancelFunc) *stream {
-	return &stream{base: offset, cancel: cancel, changed: make(chan struct{})}
+func newStream(ident Ident, ses *session, offset int, cancel context.CancelFunc) *stream {
+	return &stream{
+		ident: ident, session: ses, base: offset, sent: offset, cancel: cancel, space: make(chan struct{}, 1),
+	}
 }
 
 // append adds a token from the engine. It waits while maxUnconfirmed tokens
 // are unconfirmed, so that a slow caller slows its engine down instead of
-// filling memory.
+// filling memory. Only one goroutine may call it.
 func (s *stream) append(ctx context.Context, token upstream.Token) (err error) {
 	for {
 		s.mu.Lock()
 		if len(s.tokens) < maxUnconfirmed {
+			defer s.mu.Unlock()
 			if token.Offset != s.base+len(s.tokens) {
-				s.mu.Unlock()
 				return &upstream.Failure{
 					Reason: upstream.ReasonBadAnswer, Progress: upstream.Answered,
 					Detail: "the engine skipped or repeated a token",
 				}
 			}
 			s.tokens = append(s.tokens, token.Text)
-			s.signal()
-			s.mu.Unlock()
+			s.session.push(s)
 			return nil
 		}
-		changed := s.changed
 		s.mu.Unlock()
 		select {
-		case <-changed:
+		case <-s.space:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -61,58 +68,58 @@
 func (s *stream) finish(usage upstream.Usage, failure *upstream.Failure) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.done || s.failure != nil {
+	if s.ended() {
 		return
 	}
 	s.usage, s.failure, s.done = usage, failure, failure == nil
-	s.signal()
+	s.session.push(s)
 }
 
-// next returns the tokens from offset on, once there are any or the stream has
-// ended or wait is over.
-func (s *stream) next(offset int, wait time.Duration) (reply NextReply) {
+// take returns what hasn't been sent yet, if the stream still belongs to the
+// session.
+func (s *stream) take(ses *session) (reply NextReply, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	end := s.base + len(s.tokens)
+	if s.session != ses || s.sent == end && (!s.ended() || s.endSent) {
+		return reply, false
+	}
+	reply = NextReply{
+		Ident: s.ident, Offset: s.sent, Tokens: slices.Clone(s.tokens[s.sent-s.base:]),
+		Done: s.done, Usage: s.usage, Failure: s.failure,
+	}
+	s.sent, s.endSent = end, s.ended()
+	return reply, true
+}
+
+// confirm drops the tokens before offset and makes the stream one of the
+// session's. With resend, the tokens from offset on are sent again. Late and
+// repeated confirmations change nothing.
+func (s *stream) confirm(ses *session, offset int, resend bool) (failure *upstream.Failure) {
 	s.idle.Reset(idleLimit)
-	timeout := time.NewTimer(wait)
-	defer timeout.Stop()
-	for {
-		s.mu.Lock()
-		s.confirm(offset)
-		reply = NextReply{Offset: offset}
-		if offset < s.base || offset > s.base+len(s.tokens) {
-			s.mu.Unlock()
-			reply.Failure = &upstream.Failure{
-				Reason: upstream.ReasonBadAnswer, Progress: upstream.Answered,
-				Detail: "the offset is outside of the tokens held",
-			}
-			return reply
-		}
-		reply.Tokens = append(reply.Tokens, s.tokens[offset-s.base:]...)
-		if len(reply.Tokens) > 0 || s.done || s.failure != nil {
-			reply.Done, reply.Usage, reply.Failure = s.done, s.usage, s.failure
-			s.mu.Unlock()
-			return reply
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	end := s.base + len(s.tokens)
+	if offset > end || resend && offset < s.base {
+		return &upstream.Failure{
+			Reason: upstream.ReasonBadAnswer, Progress: upstream.Answered,
+			Detail: "the offset is outside of the tokens held",
 		}
-		changed := s.changed
-		s.mu.Unlock()
+	}
+	if n := offset - s.base; n > 0 {
+		s.tokens = slices.Delete(s.tokens, 0, n)
+		s.base, s.sent = offset, max(s.sent, offset)
 		select {
-		case <-changed:
-		case <-timeout.C:
-			return reply
+		case s.space <- struct{}{}:
+		default:
 		}
 	}
-}
-
-// confirm drops the tokens before offset. The caller holds mu.
-func (s *stream) confirm(offset int) {
-	if n := offset - s.base; n > 0 && n <= len(s.tokens) {
-		s.tokens = append(s.tokens[:0], s.tokens[n:]...)
-		s.base = offset
-		s.signal()
+	if resend || s.session != ses {
+		s.session, s.sent, s.endSent = ses, max(offset, s.base), false
+		s.session.push(s)
 	}
+	return nil
 }
 
-// signal wakes all that wait for a change. The caller holds mu.
-func (s *stream) signal() {
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
+// ended reports whether no more tokens will follow. The caller holds mu.
+func (s *stream) ended() bool { return s.done || s.failure != nil }
