caller: append the stable parts of each event instead of encoding it

Cause: each token went through json.Marshal and set the write deadline, 7 µs of the 32 µs of CPU that a token cost.

Change: the event around a token is encoded once per answer. Tokens that JSON would escape, and the first one, still go through json.Marshal. The write deadline is renewed when an eighth of it has passed. The buffer for events is kept.

Before and after, 200,000 tokens, 1,000 streams: 32.4 and 25.3 µs of CPU a token at 50 tokens/s and stream (direct server 15.1), 7.9 and 4.3 µs unpaced (direct 2.6).

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -1,9 +1,11 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"github.com/guavagauge/guavagauge/upstream"
 )
@@ -46,10 +48,11 @@
 	if !g.stream {
 		return nil
 	}
-	var out []byte
+	out := g.out[:0]
 	for i, token := range tokens {
-		out = g.appendChunk(out, ex, choiceOf(g, token, first && i == 0, nil), nil)
+		out = g.appendToken(out, ex, token, first && i == 0)
 	}
+	g.out = out
 	return s.send(ex, out)
 }
 
@@ -106,7 +109,11 @@
 		ex.writer.WriteHeader(http.StatusOK)
 	}
 	controller := http.NewResponseController(ex.writer)
-	controller.SetWriteDeadline(time.Now().Add(s.options.WriteTimeout)) // not supported by test writers
+	// Setting the deadline for each token costs more than it is worth.
+	if now := time.Now(); ex.writeUntil.Sub(now) < s.options.WriteTimeout*7/8 {
+		ex.writeUntil = now.Add(s.options.WriteTimeout)
+		controller.SetWriteDeadline(ex.writeUntil) // not supported by test writers
+	}
 	if _, err := ex.writer.Write(out); err != nil {
 		return err
 	}
@@ -126,6 +133,37 @@
 	return []choice{c}
 }
 
+// appendToken appends the event of one token. All events of an answer are the
+// same but for the token, so the rest is encoded once.
+func (g *generation) appendToken(out []byte, ex *exchange, token string, first bool) []byte {
+	if first || !isPlain(token) {
+		return g.appendChunk(out, ex, choiceOf(g, token, first, nil), nil)
+	}
+	if g.before == nil {
+		chunk := g.appendChunk(nil, ex, choiceOf(g, "", false, nil), nil)
+		at := bytes.Index(chunk, []byte(`:"","finish_reason"`))
+		if g.chat {
+			at = bytes.Index(chunk, []byte(`:""},"finish_reason"`))
+		}
+		at += len(`:"`)
+		g.before, g.after = chunk[:at:at], chunk[at:]
+	}
+	out = append(out, g.before...)
+	out = append(out, token...)
+	return append(out, g.after...)
+}
+
+// isPlain reports whether a token is the same inside a JSON string.
+func isPlain(token string) bool {
+	for i := range len(token) {
+		switch c := token[i]; {
+		case c < ' ', c >= utf8.RuneSelf, c == '"', c == '\\', c == '<', c == '>', c == '&', c == 0x7f:
+			return false
+		}
+	}
+	return true
+}
+
 func (g *generation) appendChunk(out []byte, ex *exchange, choices []choice, usage *usageBody) []byte {
 	if choices == nil {
 		choices = []choice{}
--- a/caller/completions.go
+++ b/caller/completions.go
@@ -31,6 +31,9 @@
 		fingerprint  string
 		tokens       []string // relayed or collected so far
 		usage        upstream.Usage
+
+		before, after []byte // of a token in its event
+		out           []byte // buffer for events
 	}
 
 	// options that both kinds of completion share. Fields that this API doesn't
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -33,9 +33,10 @@
 		claim     *claimed
 
 		attempts      int
-		suspect       bool // it ran on an upstream that crashed
-		crashed       int  // upstreams that it crashed since it arrived here
-		answerStarted bool // the status line has been sent
+		suspect       bool      // it ran on an upstream that crashed
+		crashed       int       // upstreams that it crashed since it arrived here
+		answerStarted bool      // the status line has been sent
+		writeUntil    time.Time // the connection's write deadline
 	}
 
 	// work is what an exchange asks for: *generation, *call or *listing.
