peer: call receivers of the same process directly

Cause: a node that is itself the steward called itself over a loopback connection, with gob and four system calls a call.

Change: with Options.Local and LocalAddress set, a pool calls the registered method directly. Its context, its errors and the time at which it writes the reply are those of a remote call. The relay benchmark gets streams whose engines don't step together.

--- a/caller/bench_test.go
+++ b/caller/bench_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -44,8 +45,12 @@
 	directory netip.AddrPort
 
 	// pacedEngine generates tokens without any connection. As in a real engine
-	// with continuous batching, all streams get a token in each step.
-	pacedEngine struct{ pace time.Duration }
+	// with continuous batching, all streams get a token in each step. With
+	// staggered, each stream has an engine of its own that steps by itself.
+	pacedEngine struct {
+		pace      time.Duration
+		staggered bool
+	}
 )
 
 func (d directory) Stewards(*fleet.Upstream) []netip.AddrPort {
@@ -58,9 +63,13 @@
 func (d directory) Nodes() int { return 1 }
 
 func (e pacedEngine) Generate(_ context.Context, g upstream.Generation, emit func(upstream.Token) error) (usage upstream.Usage, err error) {
+	var phase time.Duration
+	if e.staggered {
+		phase = rand.N(e.pace)
+	}
 	for offset := g.Offset; offset < g.MaxTokens; offset++ {
 		if e.pace > 0 {
-			now := time.Now()
+			now := time.Now().Add(phase)
 			time.Sleep(now.Truncate(e.pace).Add(e.pace).Sub(now))
 		}
 		if err := emit(upstream.Token{Offset: offset, Text: "tok" + strconv.Itoa(offset%100)}); err != nil {
@@ -89,7 +98,7 @@
 	}
 }
 
-func startPath(b *testing.B, serviceAddress string, generator engine.Client) *path {
+func startPath(b *testing.B, serviceAddress string, generator engine.Client, local bool) *path {
 	snapshot := fleet.Compile(benchConfig(netip.MustParseAddrPort(serviceAddress)), 1)
 	current := func() *fleet.Snapshot { return snapshot }
 	logger, set := slog.New(slog.DiscardHandler), metrics.NewSet()
@@ -108,9 +117,13 @@
 		},
 	})
 	options := peer.Options{Set: set}
-	if err := runner.Register(peer.NewServer(ctx, listener, options)); err != nil {
+	peers := peer.NewServer(ctx, listener, options)
+	if err := runner.Register(peers); err != nil {
 		b.Fatal(err)
 	}
+	if local {
+		options.Local, options.LocalAddress = peers, p.steward
+	}
 	p.pool = peer.NewPool(ctx, transport.TCP{}, peer.Data, options)
 	server := caller.New(ctx, caller.Options{
 		Logger: logger, Set: set, Checker: checker, Snapshot: current, Directory: directory(p.steward),
@@ -141,7 +154,8 @@
 		defer front.Close()
 		run(b, front.Listener.Addr().String())
 	})
-	b.Run("Node", func(b *testing.B) { run(b, startPath(b, load.service, pacedEngine{}).entry) })
+	b.Run("Node", func(b *testing.B) { run(b, startPath(b, load.service, pacedEngine{}, false).entry) })
+	b.Run("NodeLocal", func(b *testing.B) { run(b, startPath(b, load.service, pacedEngine{}, true).entry) })
 }
 
 // forwarder passes requests on to one address and does nothing else.
@@ -177,7 +191,7 @@
 	for _, paced := range []struct {
 		name   string
 		engine pacedEngine
-	}{{"Paced", pacedEngine{benchPace}}, {"Unpaced", pacedEngine{}}} {
+	}{{"Paced", pacedEngine{pace: benchPace}}, {"Staggered", pacedEngine{benchPace, true}}, {"Unpaced", pacedEngine{}}} {
 		run := func(b *testing.B, address string) {
 			order := loadOrder{Address: address, Concurrent: 16, Requests: 16, Tokens: 10}
 			load.run(b, order)
@@ -206,7 +220,8 @@
 			defer front.Close()
 			run(b, front.Listener.Addr().String())
 		})
-		b.Run(paced.name+"/Node", func(b *testing.B) { run(b, startPath(b, load.service, paced.engine).entry) })
+		b.Run(paced.name+"/Node", func(b *testing.B) { run(b, startPath(b, load.service, paced.engine, false).entry) })
+		b.Run(paced.name+"/NodeLocal", func(b *testing.B) { run(b, startPath(b, load.service, paced.engine, true).entry) })
 	}
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -21,6 +21,7 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
 	"net/rpc"
@@ -58,6 +59,10 @@
 	Options struct {
 		Set *metrics.Set
 		TLS *tls.Config
+		// Local is the server of the pool's own process, and may be nil. Calls to
+		// LocalAddress go to it directly.
+		Local        *Server
+		LocalAddress netip.AddrPort
 	}
 
 	// Caller makes calls to peers.
@@ -69,6 +74,9 @@
 	Server struct {
 		rpc     *rpc.Server
 		options Options
+
+		mu      sync.RWMutex
+		methods map[string]localMethod
 	}
 
 	// Pool keeps one connection to each peer that is in use.
@@ -99,7 +107,7 @@
 
 // NewServer starts to accept connections. Register receivers right after.
 func NewServer(ctx context.Context, listener net.Listener, options Options) *Server {
-	s := &Server{rpc: rpc.NewServer(), options: options}
+	s := &Server{rpc: rpc.NewServer(), options: options, methods: make(map[string]localMethod)}
 	context.AfterFunc(ctx, func() { listener.Close() })
 	go func() {
 		for {
@@ -118,7 +126,13 @@
 
 // Register makes the methods of receiver callable as name.Method.
 func (s *Server) Register(name string, receiver any) (err error) {
-	return s.rpc.RegisterName(name, receiver)
+	if err = s.rpc.RegisterName(name, receiver); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.Copy(s.methods, localMethods(name, receiver))
+	return nil
 }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
@@ -167,6 +181,9 @@
 // after the context's end would otherwise race with the caller's next use of it.
 func (p *Pool) Call(ctx context.Context, address netip.AddrPort, method string, args, reply any) (err error) {
 	defer errors.DeferredAnnotatef(&err, "call %s at %s", method, address)
+	if p.options.Local != nil && address == p.options.LocalAddress {
+		return p.options.Local.callLocal(ctx, method, args, reply)
+	}
 	client, err := p.client(ctx, address)
 	if err != nil {
 		return err
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -76,3 +76,51 @@
 		}
 	})
 }
+
+// Guards against calls inside a process that behave unlike remote ones: that
+// outlive their context, write a reply after it, or run for an ended one.
+func TestLocalCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); synctest.Wait() }()
+		host, address := nettest.New().Host("10.0.0.1"), netip.MustParseAddrPort("10.0.0.1:7000")
+		listener, err := host.Listen(ctx, address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		server, receiver := peer.NewServer(ctx, listener, peer.Options{}), &echo{}
+		if err := server.Register("Echo", receiver); err != nil {
+			t.Fatal(err)
+		}
+		pool := peer.NewPool(ctx, host, peer.Data, peer.Options{Local: server, LocalAddress: address})
+		for _, test := range []struct {
+			method, reply string
+			timeout       time.Duration
+			want          func(err error) bool
+		}{
+			{"Echo.Say", "hello", time.Second, func(err error) bool { return err == nil }},
+			{"Echo.None", "", time.Second, func(err error) bool { return err != nil && !errors.Is(err, peer.ErrNotSent) }},
+			{"Echo.Late", "", time.Second, func(err error) bool {
+				return errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, peer.ErrNotSent)
+			}},
+			{"Echo.Say", "", 0, func(err error) bool { return errors.Is(err, peer.ErrNotSent) }},
+		} {
+			var reply string
+			ctx, end := context.WithTimeout(ctx, test.timeout)
+			err := pool.Call(ctx, address, test.method, "hello", &reply)
+			end()
+			time.Sleep(3 * time.Second) // a late reply would be written by now
+			if !test.want(err) || reply != test.reply {
+				t.Errorf("%s: reply %q, error %v", test.method, reply, err)
+			}
+		}
+		if calls := receiver.calls.Load(); calls != 2 {
+			t.Errorf("%d calls ran, want 2", calls)
+		}
+	})
+}
+
+func (e *echo) Late(text string, reply *string) error {
+	time.Sleep(2 * time.Second)
+	return e.Say(text, reply)
+}
--- a/steward/stream.go
+++ b/steward/stream.go
@@ -85,8 +85,11 @@
 		return reply, false
 	}
 	reply = NextReply{
-		Ident: s.ident, Offset: s.sent, Tokens: slices.Clone(s.tokens[s.sent-s.base:]),
-		Done: s.done, Usage: s.usage, Failure: s.failure,
+		Ident: s.ident, Offset: s.sent, Tokens: slices.Clone(s.tokens[s.sent-s.base:]), Done: s.done, Usage: s.usage,
+	}
+	if s.failure != nil {
+		failure := *s.failure // an entry node in the same process may change it
+		reply.Failure = &failure
 	}
 	s.sent, s.endSent = end, s.ended()
 	return reply, true
