steward: run a plain call in the goroutine that waits for it

Cause: each plain call started a goroutine whose stack had to grow to the depth of net/http while another one waited for its result.

Change: a job that leaves the queue only lets its work begin.

--- a/steward/lane.go
+++ b/steward/lane.go
@@ -49,10 +49,10 @@
 
 	// job is one attempt that waits or runs.
 	job struct {
-		item    policy.Item // in the queue
-		suspect bool        // it ran on an upstream that crashed
-		resumed bool        // its caller already has a part of the answer
-		start   func()
+		item    policy.Item                  // in the queue
+		suspect bool                         // it ran on an upstream that crashed
+		resumed bool                         // its caller already has a part of the answer
+		start   func()                       // lets the work begin and returns at once
 		refused func(reason upstream.Reason) // it left the queue without running
 		waiting bool
 		started time.Time
@@ -207,7 +207,7 @@
 		l.running[j] = struct{}{}
 		l.load.Running++
 		l.load.RunningCost += j.item.Cost
-		go j.start()
+		j.start()
 	}
 	for _, j := range held {
 		l.enqueue(j)
--- a/steward/receiver.go
+++ b/steward/receiver.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/guavagauge/guavagauge/fleet"
 	"github.com/guavagauge/guavagauge/policy"
 	"github.com/guavagauge/guavagauge/upstream"
 )
@@ -72,7 +73,7 @@
 	prompt := policy.Tokens(args.Generation.Prompt) + args.Generation.Offset
 	cost := policy.DefaultPrices.Cost(prompt, 0, args.Generation.MaxTokens-args.Generation.Offset)
 	j := newJob(args.Origin, args.Suspect, args.Generation.Offset > 0, cost)
-	j.start = func() {
+	run := func() {
 		defer cancel()
 		defer l.finished(j)
 		if failure := s.startable(l, args.Origin); failure != nil {
@@ -84,6 +85,7 @@
 		})
 		st.finish(usage, s.failureOf(ctx, l, j, err))
 	}
+	j.start = func() { go run() }
 	j.refused = func(reason upstream.Reason) {
 		s.count("refused", reason)
 		st.finish(upstream.Usage{}, refuse(reason, "the request left the queue before it ran"))
@@ -143,21 +145,10 @@
 		s.mu.Unlock()
 	}()
 
-	done := make(chan CallReply, 1)
+	started, refused := make(chan struct{}), make(chan upstream.Reason, 1)
 	j := newJob(args.Origin, args.Suspect, false, callCost)
-	j.start = func() {
-		defer l.finished(j)
-		if failure := s.startable(l, args.Origin); failure != nil {
-			done <- CallReply{Failure: failure}
-			return
-		}
-		answer, err := s.service(spec).Call(ctx, args.Call)
-		done <- CallReply{Answer: answer, Failure: s.failureOf(ctx, l, j, err)}
-	}
-	j.refused = func(reason upstream.Reason) {
-		s.count("refused", reason)
-		done <- CallReply{Failure: refuse(reason, "the request left the queue before it ran")}
-	}
+	j.start = func() { close(started) }
+	j.refused = func(reason upstream.Reason) { refused <- reason }
 	if _, failure := l.submit(j, args.Remaining); failure != nil {
 		s.count("refused", failure.Reason)
 		return CallReply{Load: l.current(), Failure: failure}
@@ -168,11 +159,26 @@
 		}
 	})
 	defer stop()
-	reply = <-done
+	select {
+	case <-started:
+		reply.Answer, reply.Failure = s.runCall(ctx, l, j, spec, args)
+	case reason := <-refused:
+		s.count("refused", reason)
+		reply.Failure = refuse(reason, "the request left the queue before it ran")
+	}
 	reply.Load = l.current()
 	return reply
 }
 
+func (s *Steward) runCall(ctx context.Context, l *lane, j *job, spec *fleet.Upstream, args CallArgs) (answer upstream.Answer, failure *upstream.Failure) {
+	defer l.finished(j)
+	if failure = s.startable(l, args.Origin); failure != nil {
+		return answer, failure
+	}
+	answer, err := s.service(spec).Call(ctx, args.Call)
+	return answer, s.failureOf(ctx, l, j, err)
+}
+
 // waitEnd says why a request that still waited has ended.
 func waitEnd(ctx context.Context) upstream.Reason {
 	if ctx.Err() == context.DeadlineExceeded {
