caller: fill a new limiter, and keep every key from upstreams

Cause: a workspace's limiter began with one token instead of its burst, so the first burst at a node was refused. When two of the key headers held different keys, a copy of the second in another header went to the upstream.

Change: a limiter is made with its share of rate and burst. Headers that contain any key that was sent are dropped; beside the key in use, values under 8 bytes don't count, since they are placeholders that would match ordinary headers.

--- a/caller/authenticate.go
+++ b/caller/authenticate.go
@@ -8,6 +8,10 @@
 	"github.com/guavagauge/guavagauge/upstream"
 )
 
+// minKeyBytes is the least length of a key beside the one in use. Shorter values
+// are placeholders of client libraries and would match ordinary headers.
+const minKeyBytes = 8
+
 // keyHeaders are the headers in which a caller may send its key. None of them
 // goes to an upstream.
 var keyHeaders = []string{"Authorization", "X-Api-Key", "Api-Key"}
@@ -39,8 +43,8 @@
 }
 
 func keyOf(header http.Header) (key string) {
-	if scheme, token, ok := strings.Cut(header.Get("Authorization"), " "); ok && strings.EqualFold(scheme, "Bearer") {
-		return strings.TrimSpace(token)
+	if token, ok := bearer(header.Get("Authorization")); ok {
+		return token
 	}
 	for _, name := range keyHeaders[1:] {
 		if key = header.Get(name); key != "" {
@@ -50,16 +54,47 @@
 	return ""
 }
 
+func bearer(value string) (token string, ok bool) {
+	scheme, token, ok := strings.Cut(value, " ")
+	return strings.TrimSpace(token), ok && strings.EqualFold(scheme, "Bearer")
+}
+
+// keysOf returns everything in the headers for keys that may be one. Besides
+// the key that lets the request in, a caller may send that of another workspace.
+func keysOf(header http.Header) (keys []string) {
+	add := func(key string) {
+		if len(key) >= minKeyBytes {
+			keys = append(keys, key)
+		}
+	}
+	for _, value := range header["Authorization"] {
+		if token, ok := bearer(value); ok {
+			add(token)
+		}
+	}
+	for _, name := range keyHeaders[1:] {
+		for _, value := range header[name] {
+			add(value)
+		}
+	}
+	if key := keyOf(header); key != "" && len(key) < minKeyBytes {
+		keys = append(keys, key)
+	}
+	return keys
+}
+
 // onwardHeader returns the headers that an upstream may see: no key, wherever
 // it was sent, and nothing that concerns the caller's connection only.
 func onwardHeader(header http.Header) (onward http.Header) {
-	key := keyOf(header)
+	keys := keysOf(header)
 	connection := strings.Split(strings.Join(header.Values("Connection"), ","), ",")
 	onward = make(http.Header, len(header))
 	for name, values := range header {
 		dropped := slices.Contains(keyHeaders, name) || slices.Contains(hopHeaders, name) ||
 			slices.ContainsFunc(connection, func(c string) bool { return strings.EqualFold(strings.TrimSpace(c), name) })
-		holdsKey := key != "" && slices.ContainsFunc(values, func(v string) bool { return strings.Contains(v, key) })
+		holdsKey := slices.ContainsFunc(values, func(v string) bool {
+			return slices.ContainsFunc(keys, func(key string) bool { return strings.Contains(v, key) })
+		})
 		if !dropped && !holdsKey {
 			onward[name] = values
 		}
--- a/caller/limit.go
+++ b/caller/limit.go
@@ -58,7 +58,7 @@
 	defer l.mu.Unlock()
 	u := l.workspaces[workspace.Key()]
 	if u == nil {
-		u = &usage{limiter: rate.NewLimiter(rate.Inf, 1)}
+		u = &usage{limiter: rate.NewLimiter(share(workspace, nodes))}
 		l.workspaces[workspace.Key()] = u
 	}
 	u.setRate(workspace, nodes, now)
@@ -83,12 +83,16 @@
 	}
 }
 
-func (u *usage) setRate(workspace *fleet.Workspace, nodes int, now time.Time) {
-	limit, burst := rate.Inf, 1
-	if workspace.RequestsPerSecond > 0 {
-		limit = rate.Limit(workspace.RequestsPerSecond / float64(nodes))
-		burst = max(1, workspace.Burst/nodes)
+// share returns one node's part of a workspace's rate and burst.
+func share(workspace *fleet.Workspace, nodes int) (limit rate.Limit, burst int) {
+	if workspace.RequestsPerSecond <= 0 {
+		return rate.Inf, 1
 	}
+	return rate.Limit(workspace.RequestsPerSecond / float64(nodes)), max(1, workspace.Burst/nodes)
+}
+
+func (u *usage) setRate(workspace *fleet.Workspace, nodes int, now time.Time) {
+	limit, burst := share(workspace, nodes)
 	if u.limiter.Limit() != limit {
 		u.limiter.SetLimitAt(now, limit)
 	}
