--- a/caller/bench_test.go
+++ b/caller/bench_test.go
@@ -34,13 +34,6 @@
 )
 
 type (
-	// path is a caller server and a steward, joined by a loopback connection.
-	path struct {
-		entry   string // address for callers
-		pool    *peer.Pool
-		steward netip.AddrPort
-	}
-
 	// directory knows one node.
 	directory netip.AddrPort
 
@@ -98,41 +91,44 @@
 	}
 }
 
-func startPath(b *testing.B, serviceAddress string, generator engine.Client, local bool) *path {
-	snapshot := fleet.Compile(benchConfig(netip.MustParseAddrPort(serviceAddress)), 1)
+func startPath(b *testing.B, serviceAddress string, generator engine.Client, local bool) (address string) {
+	server := startCaller(b, transport.TCP{}, netip.MustParseAddrPort("127.0.0.1:0"), benchConfig(netip.MustParseAddrPort(serviceAddress)), generator, local)
+	front := httptest.NewServer(server.Handler())
+	b.Cleanup(front.Close)
+	return front.Listener.Addr().String()
+}
+
+// startCaller starts a caller server and a steward that serves it.
+func startCaller(tb testing.TB, network transport.Network, address netip.AddrPort, config *fleet.Config, generator engine.Client, local bool) *caller.Server {
+	snapshot := fleet.Compile(config, 1)
 	current := func() *fleet.Snapshot { return snapshot }
 	logger, set := slog.New(slog.DiscardHandler), metrics.NewSet()
 	checker := invariant.New(logger, set, invariant.Options{Fatal: true})
-	ctx := b.Context()
-	listener, err := transport.TCP{}.Listen(ctx, netip.MustParseAddrPort("127.0.0.1:0"))
+	ctx := tb.Context()
+	listener, err := network.Listen(ctx, address)
 	if err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
 	}
-	p := &path{steward: transport.ListenAddress(listener)}
+	address = transport.ListenAddress(listener)
 	runner := steward.New(ctx, steward.Options{
 		Logger: logger, Set: set, Checker: checker, Snapshot: current,
 		Engine: func(*fleet.Upstream) engine.Client { return generator },
 		Service: func(spec *fleet.Upstream) service.Client {
-			return service.NewClient(transport.TCP{}, spec.Address, service.Options{})
+			return service.NewClient(network, spec.Address, service.Options{})
 		},
 	})
 	options := peer.Options{Set: set}
 	peers := peer.NewServer(ctx, listener, options)
 	if err := runner.Register(peers); err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
 	}
 	if local {
-		options.Local, options.LocalAddress = peers, p.steward
+		options.Local, options.LocalAddress = peers, address
 	}
-	p.pool = peer.NewPool(ctx, transport.TCP{}, peer.Data, options)
-	server := caller.New(ctx, caller.Options{
-		Logger: logger, Set: set, Checker: checker, Snapshot: current, Directory: directory(p.steward),
-		Peers: p.pool, Weights: policy.Goodput(),
+	return caller.New(ctx, caller.Options{
+		Logger: logger, Set: set, Checker: checker, Snapshot: current, Directory: directory(address),
+		Peers: peer.NewPool(ctx, network, peer.Data, options), Weights: policy.Goodput(),
 	})
-	front := httptest.NewServer(server.Handler())
-	b.Cleanup(front.Close)
-	p.entry = front.Listener.Addr().String()
-	return p
 }
 
 // BenchmarkPlain compares plain calls through the request path with a bare
@@ -154,8 +150,8 @@
 		defer front.Close()
 		run(b, front.Listener.Addr().String())
 	})
-	b.Run("Node", func(b *testing.B) { run(b, startPath(b, load.service, pacedEngine{}, false).entry) })
-	b.Run("NodeLocal", func(b *testing.B) { run(b, startPath(b, load.service, pacedEngine{}, true).entry) })
+	b.Run("Node", func(b *testing.B) { run(b, startPath(b, load.service, pacedEngine{}, false)) })
+	b.Run("NodeLocal", func(b *testing.B) { run(b, startPath(b, load.service, pacedEngine{}, true)) })
 }
 
 // forwarder passes requests on to one address and does nothing else.
@@ -220,8 +216,8 @@
 			defer front.Close()
 			run(b, front.Listener.Addr().String())
 		})
-		b.Run(paced.name+"/Node", func(b *testing.B) { run(b, startPath(b, load.service, paced.engine, false).entry) })
-		b.Run(paced.name+"/NodeLocal", func(b *testing.B) { run(b, startPath(b, load.service, paced.engine, true).entry) })
+		b.Run(paced.name+"/Node", func(b *testing.B) { run(b, startPath(b, load.service, paced.engine, false)) })
+		b.Run(paced.name+"/NodeLocal", func(b *testing.B) { run(b, startPath(b, load.service, paced.engine, true)) })
 	}
 }
 
