--- a/caller/api_test.go
+++ b/caller/api_test.go
@@ -65,7 +65,7 @@
 		slow := fleet.Meta{Owner: "o", Name: "slow"}
 		config.Workspaces = append(config.Workspaces, fleet.Workspace{Meta: slow, RequestsPerSecond: 0.2})
 		config.Keys = append(config.Keys, fleet.Key{Meta: slow, Workspace: "slow", SHA256: fleet.HashKey("slow-key")})
-		server := startCaller(t, nettest.New().Host("10.0.0.1"), netip.MustParseAddrPort("10.0.0.1:7000"), config, scriptedEngine{}, true)
+		server := startCaller(t, nettest.New().Host("10.0.0.1"), netip.MustParseAddrPort("10.0.0.1:7000"), config, scriptedEngine{}, true, nil)
 		var text bytes.Buffer
 		for _, test := range cases {
 			method, path, _ := strings.Cut(test.request, " ")
--- a/caller/bench_test.go
+++ b/caller/bench_test.go
@@ -92,14 +92,14 @@
 }
 
 func startPath(b *testing.B, serviceAddress string, generator engine.Client, local bool) (address string) {
-	server := startCaller(b, transport.TCP{}, netip.MustParseAddrPort("127.0.0.1:0"), benchConfig(netip.MustParseAddrPort(serviceAddress)), generator, local)
+	server := startCaller(b, transport.TCP{}, netip.MustParseAddrPort("127.0.0.1:0"), benchConfig(netip.MustParseAddrPort(serviceAddress)), generator, local, nil)
 	front := httptest.NewServer(server.Handler())
 	b.Cleanup(front.Close)
 	return front.Listener.Addr().String()
 }
 
 // startCaller starts a caller server and a steward that serves it.
-func startCaller(tb testing.TB, network transport.Network, address netip.AddrPort, config *fleet.Config, generator engine.Client, local bool) *caller.Server {
+func startCaller(tb testing.TB, network transport.Network, address netip.AddrPort, config *fleet.Config, generator engine.Client, local bool, change func(o *caller.Options)) *caller.Server {
 	snapshot := fleet.Compile(config, 1)
 	current := func() *fleet.Snapshot { return snapshot }
 	logger, set := slog.New(slog.DiscardHandler), metrics.NewSet()
@@ -125,10 +125,14 @@
 	if local {
 		options.Local, options.LocalAddress = peers, address
 	}
-	return caller.New(ctx, caller.Options{
+	callers := caller.Options{
 		Logger: logger, Set: set, Checker: checker, Snapshot: current, Directory: directory(address),
 		Peers: peer.NewPool(ctx, network, peer.Data, options), Weights: policy.Goodput(),
-	})
+	}
+	if change != nil {
+		change(&callers)
+	}
+	return caller.New(ctx, callers)
 }
 
 // BenchmarkPlain compares plain calls through the request path with a bare
--- /dev/null
+++ b/node/bench_test.go
@@ -0,0 +1,107 @@
+package node_test
+
+import (
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/guavagauge/guavagauge/fleet"
+	"github.com/guavagauge/guavagauge/node"
+	"github.com/guavagauge/guavagauge/policy"
+	"github.com/guavagauge/guavagauge/selector"
+	"github.com/guavagauge/guavagauge/transport"
+)
+
+// targetHeapMB is the share of a node's 256 MB for its configuration.
+const targetHeapMB = 100
+
+// BenchmarkHeap measures the live heap of a node without a configuration and
+// with one of the target's size. Guards against a node that doesn't fit its VM.
+func BenchmarkHeap(b *testing.B) {
+	for _, size := range []struct {
+		name   string
+		config func() *fleet.Config
+	}{{"Empty", func() *fleet.Config { return &fleet.Config{} }}, {"Target", targetConfig}} {
+		b.Run(size.name, func(b *testing.B) {
+			for range b.N {
+				before := liveHeap()
+				n, err := node.New(b.Context(), node.Options{
+					Name: "n", FailureDomain: "domain-0", Region: "region-0", Network: transport.TCP{},
+					Caller: netip.MustParseAddrPort("127.0.0.1:0"), Peer: netip.MustParseAddrPort("127.0.0.1:0"),
+					Logger: slog.New(slog.DiscardHandler), Weights: policy.Goodput(),
+				})
+				if err != nil {
+					b.Fatal(err)
+				}
+				n.Directory.Update([]node.Member{n.Member()})
+				start := time.Now()
+				n.Apply(fleet.Compile(size.config(), 1))
+				b.ReportMetric(float64(time.Since(start).Milliseconds()), "apply-ms")
+				decideAll(n.Snapshot())
+				heap := float64(liveHeap()-before) / (1 << 20)
+				b.ReportMetric(heap, "heap-MB")
+				if heap > targetHeapMB {
+					b.Errorf("heap of %.1f MB, want at most %d", heap, targetHeapMB)
+				}
+				n.Stop(b.Context())
+				runtime.KeepAlive(n)
+			}
+		})
+	}
+}
+
+// decideAll makes each decision about a model once, which fills all caches.
+func decideAll(snapshot *fleet.Snapshot) {
+	for i := range 4200 {
+		if workspace, _, ok := snapshot.WorkspaceByKey(fmt.Sprint(i)); ok {
+			for _, model := range snapshot.Models(workspace) {
+				snapshot.Decide(fleet.Query{Workspace: workspace, Target: model})
+			}
+		}
+	}
+}
+
+func liveHeap() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.GC() // the first leaves what has finalizers
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// targetConfig has 4,200 workspaces with a key each, 3,300 upstreams, 29 models
+// and 100 rules.
+func targetConfig() (c *fleet.Config) {
+	c = &fleet.Config{Owners: []fleet.Owner{{Name: "o0"}, {Name: "o1"}}}
+	meta := func(i int, labels selector.Labels) fleet.Meta {
+		return fleet.Meta{Owner: fmt.Sprint("o", i%2), Name: fmt.Sprint("object-", i), Labels: labels}
+	}
+	for i := range 3300 {
+		c.Upstreams = append(c.Upstreams, fleet.Upstream{
+			Meta:          meta(i, selector.Labels{"pool": fmt.Sprint("p", i%7), "size": fmt.Sprint("s", i%3)}),
+			Address:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 9000),
+			FailureDomain: fmt.Sprint("domain-", i%4), Region: fmt.Sprint("region-", i%2), Slots: 8,
+		})
+	}
+	models, _ := selector.Parse("size in (s0, s1)")
+	for i := range 4200 {
+		c.Workspaces = append(c.Workspaces, fleet.Workspace{
+			Meta: meta(i, selector.Labels{"tier": fmt.Sprint("t", i%5)}), RequestsPerSecond: 10, Models: models,
+		})
+		c.Keys = append(c.Keys, fleet.Key{Meta: meta(i, nil), Workspace: fmt.Sprint("object-", i), SHA256: fleet.HashKey(fmt.Sprint(i))})
+	}
+	for i := range 29 {
+		c.Models = append(c.Models, fleet.Model{Meta: meta(i, selector.Labels{"size": fmt.Sprint("s", i%3)})})
+	}
+	for i := range 100 {
+		r := fleet.Rule{Meta: meta(i, nil), Order: i, Priority: i % 10}
+		r.Workspaces, _ = selector.Parse(fmt.Sprintf("tier = t%d", i%6))
+		r.Targets, _ = selector.Parse(fmt.Sprintf("size notin (s%d, s%d)", i%3, i%2))
+		r.Upstreams, _ = selector.Parse(fmt.Sprintf("pool in (p%d, p%d), region = region-%d", i%7, i%5, i%2))
+		c.Rules = append(c.Rules, r)
+	}
+	return c
+}
