--- a/caller/limit.go
+++ b/caller/limit.go
@@ -56,13 +56,12 @@
 	nodes := max(1, l.nodes())
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	limit, burst := share(workspace, nodes)
 	u := l.workspaces[workspace.Key()]
 	if u == nil {
-		u = &usage{limiter: rate.NewLimiter(limit, burst)} // starts with its whole burst
+		u = &usage{limiter: rate.NewLimiter(share(workspace, nodes))}
 		l.workspaces[workspace.Key()] = u
 	}
-	u.setRate(limit, burst, now)
+	u.setRate(workspace, nodes, now)
 	if workspace.Concurrent > 0 && u.running >= max(1, (workspace.Concurrent+nodes-1)/nodes) {
 		return upstream.ReasonConcurrency, 0
 	}
@@ -84,7 +83,7 @@
 	}
 }
 
-// share returns this node's part of a workspace's rate.
+// share returns one node's part of a workspace's rate and burst.
 func share(workspace *fleet.Workspace, nodes int) (limit rate.Limit, burst int) {
 	if workspace.RequestsPerSecond <= 0 {
 		return rate.Inf, 1
@@ -92,7 +91,8 @@
 	return rate.Limit(workspace.RequestsPerSecond / float64(nodes)), max(1, workspace.Burst/nodes)
 }
 
-func (u *usage) setRate(limit rate.Limit, burst int, now time.Time) {
+func (u *usage) setRate(workspace *fleet.Workspace, nodes int, now time.Time) {
+	limit, burst := share(workspace, nodes)
 	if u.limiter.Limit() != limit {
 		u.limiter.SetLimitAt(now, limit)
 	}
