membership: keep the names sorted and count removed members

Cause: each change of the view sorted all members, and each second every node walked them to look for removed ones; the 390-node test took 21.6 s with the race detector on a busy machine. Change: the sorted names and the number of removed members are kept up to date. A member that left stays left when an update about its end arrives twice.

--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -200,12 +200,19 @@
 // tries at once, since it shows that the partition has healed.
 func (g *Group) reviveNext() {
 	g.mu.Lock()
+	if g.dead == 0 {
+		g.mu.Unlock()
+		return
+	}
 	var dead []Member
 	for name, r := range g.members {
 		switch age := time.Since(r.since); {
 		case r.live():
 		case age > g.options.DeadRetention || (r.left && age > leftRetention):
 			delete(g.members, name)
+			i, _ := slices.BinarySearch(g.names, name)
+			g.names = slices.Delete(g.names, i, i+1)
+			g.dead--
 			g.changed, g.reach.stale = true, true
 		case !r.left:
 			dead = append(dead, r.Member)
--- a/membership/member.go
+++ b/membership/member.go
@@ -85,18 +85,19 @@
 		return
 	}
 	g.changed = false
-	next := &View{Members: make([]Member, 0, len(g.members)+1)}
+	next := &View{Members: make([]Member, 0, len(g.names))}
 	if last := g.view.Load(); last != nil {
 		next.Version = last.Version + 1
 	}
-	next.Members = append(next.Members, g.self)
-	for _, r := range g.members {
-		next.Members = append(next.Members, r.Member)
-	}
-	slices.SortFunc(next.Members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
-	for _, m := range next.Members {
+	next.live = make([]Member, 0, len(g.names)-g.dead)
+	for _, name := range g.names {
+		m := &g.self
+		if r := g.members[name]; r != nil {
+			m = &r.Member
+		}
+		next.Members = append(next.Members, *m)
 		if m.State == Alive || m.State == Suspect {
-			next.live = append(next.live, m)
+			next.live = append(next.live, *m)
 		}
 	}
 	g.view.Store(next)
@@ -124,6 +125,8 @@
 		}
 		r = &record{Member: update}
 		g.members[update.Name] = r
+		i, _ := slices.BinarySearch(g.names, update.Name)
+		g.names = slices.Insert(g.names, i, update.Name)
 		r.State = 0
 		g.reach.stale = true
 		g.enter(r, update.State)
@@ -161,13 +164,19 @@
 		r.suspect.Stop()
 		r.suspect = nil
 	}
-	if left := state == Dead && r.State == Leaving; left != r.left {
+	if left := state == Dead && (r.State == Leaving || (r.State == Dead && r.left)); left != r.left {
 		r.left, g.reach.stale = left, true
 	}
 	if r.State != state {
 		g.options.Logger.Info("member changed", "Member", r.Name, "From", r.State.String(), "To", state.String(),
 			"Incarnation", r.Incarnation)
 	}
+	if r.State == Dead {
+		g.dead--
+	}
+	if state == Dead {
+		g.dead++
+	}
 	r.State, r.since = state, time.Now()
 	if state == Suspect {
 		g.startSuspicion(r, 1)
@@ -212,14 +221,7 @@
 
 // liveCount returns the number of other members that aren't removed. The
 // caller holds mu.
-func (g *Group) liveCount() (n int) {
-	for _, r := range g.members {
-		if r.live() {
-			n++
-		}
-	}
-	return n
-}
+func (g *Group) liveCount() int { return len(g.members) - g.dead }
 
 // randomLive returns up to n random members that aren't removed, other than the
 // named one. The caller holds mu.
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -128,6 +128,8 @@
 		random      *rand.Rand
 		self        Member
 		members     map[string]*record // without self
+		names       []string           // of all members and self, sorted
+		dead        int                // number of removed members
 		order       []string           // the rest of the current probe round
 		checks      []string           // members to probe out of turn
 		queue       map[string]*queued
@@ -167,6 +169,7 @@
 			State:       Alive, Payload: options.Payload,
 		},
 		members:     make(map[string]*record),
+		names:       []string{options.Name},
 		queue:       make(map[string]*queued),
 		subscribers: make(map[chan struct{}]struct{}),
 	}
