distribution: state the outcome of changes under old store answers

Cause: a change on an outdated revision, made while the store answers reads from before that, ended as an unknown outcome, although its write had been refused. Change: without an attempt of unknown outcome a conflict stays a conflict, and a head below the given base is refused as store.ErrUnavailable. ConflictError is a store.ErrConflict, so that store.Classify sorts it.

--- a/distribution/apply.go
+++ b/distribution/apply.go
@@ -40,8 +40,11 @@
 	if err != nil {
 		return 0, err
 	}
-	if h.Revision != base {
+	switch {
+	case h.Revision > base:
 		return 0, &ConflictError{Base: base, Current: h.Revision}
+	case h.Revision < base:
+		return 0, errors.Annotatef(store.ErrUnavailable, "the store answers with revision %d, which is older", h.Revision)
 	}
 	old, err := r.load(ctx, h.Revision, h.Chunks)
 	if err != nil {
@@ -207,7 +210,7 @@
 		case store.Conflict:
 			// Either another change or our own earlier attempt came first. No
 			// attempt of ours can take effect any more.
-			return r.readBack(ctx, version, p)
+			return r.readBack(ctx, version, p, unknown)
 		case store.NotApplied:
 			if !unknown {
 				return err
@@ -224,8 +227,9 @@
 }
 
 // readBack tells whether the plan's revision is in force, after the head has
-// moved on from the given version.
-func (r *Repository) readBack(ctx context.Context, version uint64, p *plan) (err error) {
+// moved on from the given version. Without an attempt of unknown outcome it
+// isn't, and only the revision to report is read.
+func (r *Repository) readBack(ctx context.Context, version uint64, p *plan, unknown bool) (err error) {
 	for {
 		h, seen, err := r.head(ctx)
 		switch {
@@ -243,8 +247,12 @@
 				return &ConflictError{Base: p.head.Revision - 1, Current: h.Revision}
 			}
 		}
-		if !pause(ctx) {
+		switch {
+		case pause(ctx):
+		case unknown:
 			return errors.WithType(errors.Annotate(ctx.Err(), "read back"), store.ErrUnknownOutcome)
+		default:
+			return errors.Annotatef(store.ErrConflict, "another change came first; reading it: %v", ctx.Err())
 		}
 	}
 }
--- a/distribution/distribution.go
+++ b/distribution/distribution.go
@@ -40,6 +40,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/store"
 )
 
 const (
@@ -97,6 +99,9 @@
 	return fmt.Sprintf("the change is based on revision %d, but revision %d is in force", e.Base, e.Current)
 }
 
+// Unwrap makes a ConflictError a store.ErrConflict.
+func (e *ConflictError) Unwrap() error { return store.ErrConflict }
+
 func newDocument(revision uint64, entries map[string][]byte) *Document {
 	d := &Document{Revision: revision, Entries: entries}
 	for name, value := range entries {
--- a/distribution/repository_test.go
+++ b/distribution/repository_test.go
@@ -197,3 +197,40 @@
 		})
 	}
 }
+
+// Guards against a change that is based on an old answer of the store and
+// replaces a newer revision, or leaves keys behind.
+func TestOldAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := storetest.New(storetest.Options{})
+		r := repository(t, server.Client("operator"), 100)
+		apply := func(base uint64) (revision uint64, err error) {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			return r.Apply(ctx, base, map[string][]byte{"base": fmt.Append(nil, base, time.Now())}, distribution.Change{})
+		}
+		if _, err := apply(0); err != nil {
+			t.Fatal(err)
+		}
+		old := server.Revision()
+		if _, err := apply(1); err != nil {
+			t.Fatal(err)
+		}
+		keys := func() int { entries, _ := server.Client("test").List(t.Context(), ""); return len(entries) }
+		before := keys()
+		server.SetReadRevision(old)
+		if revision, err := apply(1); store.Classify(err) != store.Conflict {
+			t.Errorf("change of an old revision: %d, %v, want a conflict", revision, err)
+		}
+		if revision, err := apply(2); store.Classify(err) != store.NotApplied {
+			t.Errorf("change while the store answers old: %d, %v, want a refusal", revision, err)
+		}
+		server.SetReadRevision(0)
+		if after := keys(); after != before {
+			t.Errorf("%d keys, %d before", after, before)
+		}
+		if revision, err := apply(2); err != nil || revision != 3 {
+			t.Errorf("revision %d, %v", revision, err)
+		}
+	})
+}
