usage, node: stop at once when no other node is alive

Cause: the heap benchmark stopped a lone node, which then waited for a witness until its context ended, ten minutes in production.

--- a/node/node.go
+++ b/node/node.go
@@ -167,8 +167,8 @@
 		err = drainErr
 	}
 	n.Steward.Drain(ctx)
-	if flushErr := n.ledger.Flush(ctx); err == nil {
-		err = flushErr
+	if flushErr := n.ledger.Flush(ctx); flushErr != nil {
+		n.logger.Warn("usage not handed over", "Error", flushErr)
 	}
 	n.cancel()
 	n.logger.Info("stopped", "Error", err)
--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -16,6 +16,7 @@
 const (
 	witnesses       = 2
 	holdTimeout     = time.Second
+	flushTimeout    = 5 * time.Second
 	retryPause      = 50 * time.Millisecond
 	refreshPeriod   = time.Second // a new witness gets all figures within this
 	maxCellsPerCall = 2000        // about 100 KB
@@ -137,8 +138,10 @@
 }
 
 // Flush sends all figures to the witnesses and marks them as final, for a node
-// that stops.
+// that stops. It tries for a few seconds, unless no other node is alive.
 func (l *Ledger) Flush(ctx context.Context) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
 	l.mu.Lock()
 	l.final = true
 	l.version++
@@ -148,11 +151,24 @@
 		k.wake()
 	}
 	for ctx.Err() == nil {
+		if _, ok := l.witness(0); !ok {
+			return l.unheld()
+		}
 		if err = l.await(ctx, version); err == nil {
 			return nil
 		}
 	}
-	return err
+	return errors.Trace(ErrNotHeld)
+}
+
+// unheld returns an error if there are figures that no other node can hold.
+func (l *Ledger) unheld() (err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.cells) > 0 {
+		return errors.Trace(ErrNotHeld)
+	}
+	return nil
 }
 
 // await returns when a witness holds a version of the figures.
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -380,3 +380,17 @@
 		f.check()
 	})
 }
+
+// Guards against a last node that waits for a peer before it stops.
+func TestFlushWithoutPeers(t *testing.T) {
+	inFleet(t, 1, func(f *fleet) {
+		if err := f.nodes[0].ledger.Flush(f.ctx); err != nil {
+			t.Errorf("flush without figures: %v", err)
+		}
+		f.nodes[0].ledger.Record(f.ctx, workspaces[0], upstream.Usage{CompletionTokens: 1}, time.Second)
+		start := time.Now()
+		if err := f.nodes[0].ledger.Flush(f.ctx); !errors.Is(err, usage.ErrNotHeld) || !time.Now().Equal(start) {
+			t.Errorf("flush of figures that nobody holds: %v after %s, want ErrNotHeld at once", err, time.Since(start))
+		}
+	})
+}
