caller, steward: keep begun answers through crashes, found by random faults

Change: a begun answer waits for the budget and goes on beyond it after a wait that doubles; crashes are counted by distinct upstream; a lane refuses work with reason Down for a second after a crash or a refused connection. The check allows a poison refusal when two engines crashed during the request: its trace shows nothing that tells it from a request that crashed both.

--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -21,6 +21,7 @@
 	crashTimeout    = 50 * time.Millisecond // a home node in the region answers in a few
 	crashFarTimeout = 2 * time.Second
 	roundWait       = 500 * time.Millisecond // between rounds over all upstreams, with jitter
+	budgetWait      = 4 * time.Second        // of a begun answer, before it retries beyond the budget
 	cancelWait      = 2 * time.Second
 	claimTimeout    = 5 * time.Second
 )
@@ -123,22 +124,48 @@
 	}
 	if reachedUpstream(failure) {
 		s.suspect(spec)
-		if !s.spend(ex, spec) {
+		if !s.mayRetry(ex, spec) {
 			s.count("refused_retries", failure.Reason)
 			return refusal(upstream.ReasonRetryBudget, ran, "too many attempts are failing; the last: "+failure.Detail)
 		}
 	}
+	if failure.Reason == upstream.ReasonDown {
+		s.suspect(spec)
+	}
 	s.count("retries", failure.Reason)
 	return nil
 }
 
+// mayRetry takes a retry out of the budget. A caller that has a part of its
+// answer waits for the budget in place of being cut off. As idle workspaces earn
+// nothing, it goes on without after a wait that doubles each time.
+func (s *Server) mayRetry(ex *exchange, spec *fleet.Upstream) (ok bool) {
+	if s.spend(ex, spec) {
+		return true
+	}
+	if !ex.answerStarted {
+		return false
+	}
+	for patience := budgetWait << ex.forced; patience > 0; patience -= roundWait {
+		if !pause(ex) {
+			return false
+		}
+		if s.spend(ex, spec) {
+			return true
+		}
+	}
+	ex.forced++
+	s.count("forced_retries", upstream.ReasonRetryBudget)
+	return true
+}
+
 // reachedUpstream reports whether an attempt went to the upstream. Refusals by
 // a steward and failures of nodes cost upstreams nothing and don't count
 // against the retry budget.
 func reachedUpstream(failure *upstream.Failure) bool {
 	switch failure.Reason {
 	case upstream.ReasonBusy, upstream.ReasonDraining, upstream.ReasonStopping, upstream.ReasonNotSteward,
-		upstream.ReasonNoUpstream, upstream.ReasonPeer:
+		upstream.ReasonNoUpstream, upstream.ReasonPeer, upstream.ReasonDown:
 		return false
 	default:
 		return true
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -33,10 +33,11 @@
 		claim     *claimed
 
 		attempts      int
-		suspect       bool      // it ran on an upstream that crashed
-		crashed       int       // upstreams that it crashed since it arrived here
-		answerStarted bool      // the status line has been sent
-		writeUntil    time.Time // the connection's write deadline
+		suspect       bool            // it ran on an upstream that crashed
+		crashed       map[string]bool // upstreams that it crashed since it arrived here
+		answerStarted bool            // the status line has been sent
+		forced        int             // retries beyond the budget
+		writeUntil    time.Time       // the connection's write deadline
 	}
 
 	// work is what an exchange asks for: *generation, *call or *listing.
--- a/caller/poison.go
+++ b/caller/poison.go
@@ -35,8 +35,11 @@
 // reportCrash tells the home nodes, and returns how many upstreams the request
 // has crashed by what this node and the homes in its region know.
 func (s *Server) reportCrash(ex *exchange, fingerprint string, spec *fleet.Upstream) (upstreams int) {
-	ex.crashed++
-	upstreams = ex.crashed
+	if ex.crashed == nil {
+		ex.crashed = make(map[string]bool)
+	}
+	ex.crashed[spec.Key()] = true
+	upstreams = len(ex.crashed)
 	args := steward.CrashArgs{Fingerprint: fingerprint, Upstream: spec.Key()}
 	near, far := s.options.Directory.Homes(fingerprint)
 	for _, home := range near {
--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -70,6 +70,7 @@
 	upstream.ReasonStopping:    time.Second,
 	upstream.ReasonDraining:    time.Second,
 	upstream.ReasonNoUpstream:  5 * time.Second,
+	upstream.ReasonDown:        time.Second,
 	upstream.ReasonConnect:     time.Second,
 	upstream.ReasonPeer:        time.Second,
 }
--- a/steward/lane.go
+++ b/steward/lane.go
@@ -16,6 +16,10 @@
 	// other such job. Most requests that crash an upstream do so early, and a
 	// longer time would delay the innocent ones behind them.
 	probation = 2 * time.Second
+	// downTime is how long a lane refuses work after its upstream crashed or
+	// refused a connection, so that an upstream that is down costs one attempt
+	// in that time and not one for each request.
+	downTime = time.Second
 )
 
 // Whether a job may have crashed its upstream.
@@ -45,6 +49,8 @@
 		running map[*job]struct{}
 		load    Load
 		rate    float64 // cost served per second and slot; 0 until measured
+
+		downUntil time.Time
 	}
 
 	// job is one attempt that waits or runs.
@@ -88,6 +94,9 @@
 	if remaining <= 0 {
 		return l.digest(), refuse(upstream.ReasonDeadline, "the deadline has passed")
 	}
+	if l.now().Before(l.downUntil) {
+		return l.digest(), refuse(upstream.ReasonDown, "the upstream is down")
+	}
 	admission := policy.Admit(policy.AdmitRequest{
 		Ahead: l.ahead(j), Rate: l.rate * float64(l.spec.Slots), Deadline: remaining,
 	})
@@ -164,6 +173,15 @@
 	}
 }
 
+// down refuses work for a moment, after the upstream crashed or refused a
+// connection.
+func (l *lane) down() {
+	l.mu.Lock()
+	l.downUntil = l.now().Add(downTime)
+	l.mu.Unlock()
+	l.drain(upstream.ReasonDown)
+}
+
 // drain refuses all jobs that wait.
 func (l *lane) drain(reason upstream.Reason) {
 	l.mu.Lock()
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -243,6 +243,9 @@
 	}
 	copied := *cause
 	failure = &copied
+	if failure.Crashed || failure.Reason == upstream.ReasonConnect {
+		l.down()
+	}
 	if failure.Crashed {
 		failure.Crashed = l.crashed(j)
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -45,6 +45,7 @@
 	ReasonConnect      Reason = "Connect"      // no connection to the upstream
 	ReasonBroken       Reason = "Broken"       // the connection broke
 	ReasonBusy         Reason = "Busy"         // the upstream or its queue is full
+	ReasonDown         Reason = "Down"         // its steward knows it to be down
 	ReasonDeadline     Reason = "Deadline"     // it would not, or did not, end in time
 	ReasonDraining     Reason = "Draining"     // the upstream takes no new work
 	ReasonNotSteward   Reason = "NotSteward"   // the peer isn't responsible for the upstream
