steward: drain until the answers have been sent

Cause: Drain returned when the running work was done. The node then closes its connections to peers, so an entry node could lose the reply of a call that may not be repeated, and had to open another attempt for the last tokens of a stream.

--- a/steward/session_test.go
+++ b/steward/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -123,3 +124,30 @@
 		b.removeStream(listed, b.streams[listed])
 	})
 }
+
+// Guards against a graceful stop that closes the connections to entry nodes
+// before they have the answers: the end of a stream, and the reply of a call.
+func TestDrainWaitsForAnswers(t *testing.T) {
+	inBench(t, 4, func(b *bench) {
+		b.generate = generateFast
+		b.openStream("a", 5)
+		var group sync.WaitGroup
+		b.start(&group, "call", "", time.Minute, false)
+		begin := time.Now()
+		drained := make(chan time.Duration, 1)
+		go func() {
+			b.Drain(b.ctx)
+			drained <- time.Since(begin)
+		}()
+		group.Wait()
+		time.Sleep(time.Second)
+		if got := b.pull(1, false)["a"]; !got.Done || len(got.Tokens) != 5 {
+			t.Errorf("pull while draining: %+v", got)
+		}
+		if took := <-drained; took <= 2*time.Second || took > 3*time.Second {
+			t.Errorf("drained after %v, want soon after 2 s, when the stream was pulled", took)
+		}
+		b.start(&group, "second", "", time.Minute, false)
+		group.Wait()
+	})
+}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -119,7 +119,8 @@
 }
 
 // Drain refuses new and waiting work and returns when the running work is done
-// or ctx ends. What runs then is failed, so that streams go on elsewhere.
+// and its answers have been sent, or ctx ends. What runs then is failed, so that
+// streams go on elsewhere.
 func (s *Steward) Drain(ctx context.Context) {
 	s.mu.Lock()
 	s.stopping = true
@@ -127,7 +128,9 @@
 		l.drain(upstream.ReasonStopping)
 	}
 	s.mu.Unlock()
-	for !s.idle() {
+	for settled := false; !settled; {
+		// Replies that are ready now are written while this waits.
+		settled = s.idle() && s.delivered()
 		select {
 		case <-time.After(drainPoll):
 		case <-ctx.Done():
@@ -151,6 +154,18 @@
 
 func (s *Steward) idle() bool { return s.Running() == 0 }
 
+// delivered reports whether the ends of all streams have been sent.
+func (s *Steward) delivered() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, st := range s.streams {
+		if !st.delivered() {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Steward) failStreams() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/steward/stream.go
+++ b/steward/stream.go
@@ -124,5 +124,11 @@
 	return nil
 }
 
+func (s *stream) delivered() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endSent
+}
+
 // ended reports whether no more tokens will follow. The caller holds mu.
 func (s *stream) ended() bool { return s.done || s.failure != nil }
