--- a/node/listeners.go
+++ b/node/listeners.go
@@ -34,7 +34,7 @@
 	if options.TLS, err = n.peerTLS(); err != nil {
 		return err
 	}
-	server := peer.NewServer(n.ctx, listener, options)
+	n.peers = peer.NewServer(n.ctx, listener, options)
 	n.control = peer.NewPool(n.ctx, n.options.Network, peer.Control, options)
 	n.Steward = steward.New(n.ctx, steward.Options{
 		Logger: n.logger, Set: n.Set, Checker: n.checker, Snapshot: n.Snapshot,
@@ -48,7 +48,7 @@
 	for _, register := range []func(server *peer.Server) error{
 		n.Steward.Register, n.join, n.follow, n.keepLedger,
 	} {
-		if err = register(server); err != nil {
+		if err = register(n.peers); err != nil {
 			return err
 		}
 	}
@@ -68,7 +68,9 @@
 	limits := n.settings.Limits
 	n.callers = caller.New(n.ctx, caller.Options{
 		Logger: n.logger, Set: n.Set, Checker: n.checker, Snapshot: n.Snapshot, Directory: n.Directory,
-		Peers:  peer.NewPool(n.ctx, n.options.Network, peer.Data, peer.Options{Set: n.Set, TLS: peerTLS}),
+		Peers: peer.NewPool(n.ctx, n.options.Network, peer.Data, peer.Options{
+			Set: n.Set, TLS: peerTLS, Local: n.peers, LocalAddress: n.addresses.peer,
+		}),
 		Claims: n.newClaims(), Meter: n.ledger, Isolated: n.Isolated,
 		FailureDomain: n.settings.FailureDomain, Region: n.settings.Region, Weights: n.options.Weights,
 		MaxBodyBytes: limits.BodyBytes, ModelDeadline: limits.RequestDeadline, WriteTimeout: limits.WriteTimeout,
--- a/node/node.go
+++ b/node/node.go
@@ -74,6 +74,7 @@
 		ledger     *usage.Ledger
 		callers    *caller.Server
 		callerHTTP *http.Server
+		peers      *peer.Server
 		control    *peer.Pool
 		addresses  addresses
 	}
