caller: tell the truth about repeated entries, and keep addresses to the log

Cause: a read of the running program found that a repeated entry heard NoUpstream and NotRun while its service drained, although its first run had an outcome; that one idempotency key could stand for two different requests, and on open routes for two callers; that refusals showed internal addresses; and that a route's body limit could exceed the node's. Change: the claim is taken before placement and given back when placement refuses; a record holds the request's hash, and another request under the key is refused with KeyReused; a refusal during a store outage carries Idempotency-Key-Status: Unknown when the caller sent a key; details go to the log only. The at-most-once, key and graceful-stop invariants are checked in the program. New metrics: requests by outcome, request time, time to first token.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -45,6 +45,9 @@
 func (s *Server) relay(ex *exchange, g *generation, tokens []string) (err error) {
 	first := len(g.tokens) == 0
 	g.tokens = append(g.tokens, tokens...)
+	if first {
+		s.firstToken.Update(time.Since(ex.started).Seconds())
+	}
 	if !g.stream {
 		return nil
 	}
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -94,8 +94,10 @@
 		pulls    *pulls
 		loads    sync.Map // upstream key -> *knownLoad
 		inFlight atomic.Int64
-		stopping atomic.Bool
-		handler  http.Handler
+
+		firstToken *metrics.Histogram
+		stopping   atomic.Bool
+		handler    http.Handler
 	}
 )
 
@@ -108,8 +110,9 @@
 	setDefault(&options.MaxTokensLimit, 16384)
 	s := &Server{
 		ctx: ctx, options: options,
-		limits:  newLimits(options.Directory.Nodes),
-		retries: policy.NewRetryBudget(policy.RetryOptions{}),
+		limits:     newLimits(options.Directory.Nodes),
+		retries:    policy.NewRetryBudget(policy.RetryOptions{}),
+		firstToken: options.Set.GetOrCreateHistogram("guavagauge_first_token_seconds"),
 	}
 	s.pulls = newPulls(s)
 	router := chi.NewRouter()
--- a/caller/claim.go
+++ b/caller/claim.go
@@ -22,6 +22,7 @@
 
 	// record is the outcome of claimed work. Body is left out when Oversize.
 	record struct {
+		Request  string // hash of the request
 		Status   int
 		Header   map[string][]string
 		Body     []byte
@@ -40,9 +41,20 @@
 		id = ex.id
 	}
 	key := fingerprint(ex.workspaceKey(), ex.route.ID().String(), id)
+	if ex.workspace == nil {
+		// Callers of an open route are strangers to each other and may choose the
+		// same key, so that one would get the other's answer.
+		key = fingerprint(key, ex.request.URL.RequestURI(), string(ex.body))
+	}
 	result, err := s.options.Claims.Claim(ex.ctx, claim.Request{Key: key})
 	if err != nil {
-		return notRun(upstream.ReasonStoreDown, "the work could not be claimed and did not run: "+err.Error())
+		refused = notRun(upstream.ReasonStoreDown, "the work could not be claimed, so this request did not run")
+		refused.Detail = err.Error()
+		if id != ex.id {
+			refused.KeyUnknown = true
+			refused.Message += "; an earlier one with the same idempotency key may have: repeat it with that key"
+		}
+		return refused
 	}
 	switch result := result.(type) {
 	case claim.Granted:
@@ -61,16 +73,36 @@
 func (s *Server) recall(ex *exchange, text []byte) (refused *Refusal) {
 	var r record
 	if err := json.Unmarshal(text, &r); err != nil {
-		return refusal(upstream.ReasonUnknown, upstream.MayHaveRun, "the recorded outcome can't be read: "+err.Error())
+		return refusal(upstream.ReasonUnknown, upstream.MayHaveRun, "the recorded outcome can't be read")
 	}
 	if r.Oversize {
 		return refusal(upstream.ReasonUnknown, upstream.MayHaveRun,
 			fmt.Sprintf("the request ran and was answered with status %d; the answer was too large to be kept", r.Status))
 	}
+	if r.Request != ex.bodyHash() {
+		return notRun(upstream.ReasonKeyReused, "the idempotency key was used for another request; choose a new one")
+	}
 	ex.claim = &claimed{record: &r}
 	return nil
 }
 
+// bodyHash tells whether a repeated request is the same one.
+func (ex *exchange) bodyHash() (hash string) {
+	return fingerprint(ex.request.Method, ex.request.URL.RequestURI(), string(ex.body))
+}
+
+// abandon gives back the claim of work that was refused before it was sent.
+func (s *Server) abandon(ex *exchange) {
+	if ex.claim == nil || ex.claim.granted == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ex.ctx), claimTimeout)
+	defer cancel()
+	if err := ex.claim.granted.Withdraw(ctx); err != nil {
+		s.options.Logger.Warn("claim not concluded", "RequestID", ex.id, "Error", err)
+	}
+}
+
 // concludeClaim records what became of claimed work. When the work may have run
 // and its answer is lost, the claim stays, so that nobody runs it again.
 func (s *Server) concludeClaim(ex *exchange, c *call, refused *Refusal) {
@@ -82,7 +114,7 @@
 	var err error
 	switch {
 	case refused == nil:
-		err = s.finishClaim(ctx, ex.claim.granted, c.answer)
+		err = s.finishClaim(ctx, ex, c.answer)
 	case refused.Ran == upstream.NotRun:
 		err = ex.claim.granted.Withdraw(ctx)
 	}
@@ -91,15 +123,16 @@
 	}
 }
 
-func (s *Server) finishClaim(ctx context.Context, granted *claim.Claim, answer upstream.Answer) (err error) {
-	text, err := json.Marshal(record{Status: answer.Status, Header: answer.Header, Body: answer.Body})
+func (s *Server) finishClaim(ctx context.Context, ex *exchange, answer upstream.Answer) (err error) {
+	granted := ex.claim.granted
+	text, err := json.Marshal(record{Request: ex.bodyHash(), Status: answer.Status, Header: answer.Header, Body: answer.Body})
 	if err != nil {
 		return err
 	}
 	if err = granted.Finish(ctx, text); !errors.Is(err, claim.ErrTooLarge) {
 		return err
 	}
-	if text, err = json.Marshal(record{Status: answer.Status, Oversize: true}); err != nil {
+	if text, err = json.Marshal(record{Request: ex.bodyHash(), Status: answer.Status, Oversize: true}); err != nil {
 		return err
 	}
 	return granted.Finish(ctx, text)
--- a/caller/completions.go
+++ b/caller/completions.go
@@ -206,7 +206,8 @@
 	case err == nil:
 		return nil
 	case errors.As(err, &wrongType):
-		return badField(wrongType.Field, fmt.Sprintf("%s is a %s: want %s", wrongType.Field, wrongType.Value, wrongType.Type.Kind()))
+		field := strings.TrimPrefix(wrongType.Field, "options.") // the fields of an embedded struct
+		return badField(field, fmt.Sprintf("%s is a %s: want %s", field, wrongType.Value, wrongType.Type.Kind()))
 	case errors.As(err, &syntax):
 		return badField("", fmt.Sprintf("the body isn't valid JSON at byte %d: %v", syntax.Offset, err))
 	default:
--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -66,6 +66,10 @@
 		}
 		spec := specs[0]
 		tried[spec.Key()] = true
+		s.options.Checker.Check(ran == upstream.NotRun || ex.repeat() == fleet.Idempotent, invariant.AtMostOnce,
+			"work that may have run was to run again", "RequestID", ex.id)
+		s.options.Checker.Check(ex.workspace != nil || ex.route != nil && ex.route.Open, invariant.KeyOwnsRequest,
+			"work without a key was to run", "RequestID", ex.id)
 		ex.attempts++
 		s.earn(ex, spec)
 		failure := run(spec)
@@ -126,7 +130,7 @@
 		s.suspect(spec)
 		if !s.mayRetry(ex, spec) {
 			s.count("refused_retries", failure.Reason)
-			return refusal(upstream.ReasonRetryBudget, ran, "too many attempts are failing; the last: "+failure.Detail)
+			return refusal(upstream.ReasonRetryBudget, ran, "too many attempts are failing")
 		}
 	}
 	if failure.Reason == upstream.ReasonDown {
@@ -175,7 +179,12 @@
 func (s *Server) giveUp(ex *exchange, failure *upstream.Failure, ran upstream.Ran) (refused *Refusal) {
 	s.options.Checker.Check(ran == upstream.MayHaveRun || failure.Progress.Ran() == upstream.NotRun,
 		invariant.NotRunIsTrue, "a refusal says NotRun after a write", "RequestID", ex.id)
-	refused = refusal(failure.Reason, ran, failure.Detail)
+	message, ok := messages[failure.Reason]
+	if !ok {
+		message = failure.Detail // the upstream's own words on a request that it rejected
+	}
+	refused = refusal(failure.Reason, ran, message)
+	refused.Detail = failure.Detail
 	refused.RetryAfter = max(refused.RetryAfter, failure.RetryAfter)
 	return refused
 }
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -62,7 +62,7 @@
 			ex.work, refused = read(ex)
 			return refused
 		},
-		s.decide, s.takeClaim, s.dispatch,
+		s.takeClaim, s.decide, s.dispatch,
 	}
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.inFlight.Add(1)
@@ -136,12 +136,18 @@
 }
 
 func (s *Server) log(ex *exchange, refused *Refusal) {
+	outcome := "Answered"
+	if refused != nil {
+		outcome = "Refused"
+	}
+	s.options.Set.GetOrCreateCounter(`guavagauge_requests_total{outcome="` + outcome + `"}`).Inc()
+	s.options.Set.GetOrCreateHistogram("guavagauge_request_seconds").Update(time.Since(ex.started).Seconds())
 	args := []any{
 		"RequestID", ex.id, "Method", ex.request.Method, "Path", ex.request.URL.Path,
 		"Workspace", ex.workspaceKey(), "Attempts", ex.attempts, "Elapsed", time.Since(ex.started),
 	}
 	if refused != nil {
-		args = append(args, "Reason", string(refused.Reason), "Ran", string(refused.Ran), "Detail", refused.Message)
+		args = append(args, "Reason", string(refused.Reason), "Ran", string(refused.Ran), "Message", refused.Message, "Detail", refused.Detail)
 	}
 	s.options.Logger.Info("request", args...)
 }
--- a/caller/limit.go
+++ b/caller/limit.go
@@ -106,7 +106,7 @@
 func (s *Server) readBody(ex *exchange) (refused *Refusal) {
 	limit := s.options.MaxBodyBytes
 	if ex.route != nil && ex.route.MaxBodyBytes > 0 {
-		limit = ex.route.MaxBodyBytes
+		limit = min(limit, ex.route.MaxBodyBytes)
 	}
 	controller := http.NewResponseController(ex.writer)
 	controller.SetReadDeadline(time.Now().Add(s.options.BodyTimeout)) // not supported by test writers
--- a/caller/place.go
+++ b/caller/place.go
@@ -31,6 +31,14 @@
 
 // decide finds the rule for the work and the upstreams that it allows.
 func (s *Server) decide(ex *exchange) (refused *Refusal) {
+	if ex.claim != nil && ex.claim.record != nil {
+		return nil // nothing runs
+	}
+	defer func() {
+		if refused != nil {
+			s.abandon(ex)
+		}
+	}()
 	query := fleet.Query{Workspace: ex.workspace, Route: ex.route}
 	switch w := ex.work.(type) {
 	case *listing:
--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -10,8 +10,13 @@
 	"github.com/guavagauge/guavagauge/upstream"
 )
 
-// HeaderRequestID identifies the request in logs.
-const HeaderRequestID = "X-Request-Id"
+const (
+	// HeaderRequestID identifies the request in logs.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderKeyStatus is Unknown on a refusal that says NotRun of itself, while
+	// an earlier request with the same idempotency key may have run.
+	HeaderKeyStatus = "Idempotency-Key-Status"
+)
 
 type (
 	// Refusal is why a request gets no answer from an upstream.
@@ -19,7 +24,9 @@
 		Status     int
 		Reason     upstream.Reason
 		Ran        upstream.Ran
-		Message    string
+		Message    string // for the caller
+		Detail     string // for the log, with addresses that are no caller's business
+		KeyUnknown bool   // whether an earlier request with its idempotency key ran isn't known
 		Parameter  string // the body's field at fault, if any
 		RetryAfter time.Duration
 	}
@@ -52,6 +59,7 @@
 	upstream.ReasonInProgress:   http.StatusConflict,
 	upstream.ReasonUnknown:      http.StatusConflict,
 	upstream.ReasonPoison:       http.StatusUnprocessableEntity,
+	upstream.ReasonKeyReused:    http.StatusUnprocessableEntity,
 	upstream.ReasonDeadline:     http.StatusGatewayTimeout,
 	upstream.ReasonBadAnswer:    http.StatusBadGateway,
 	upstream.ReasonBroken:       http.StatusBadGateway,
@@ -75,6 +83,23 @@
 	upstream.ReasonPeer:        time.Second,
 }
 
+// messages tell callers why an attempt failed.
+var messages = map[upstream.Reason]string{
+	upstream.ReasonConnect:    "the upstream can't be reached",
+	upstream.ReasonBroken:     "the upstream broke off",
+	upstream.ReasonBusy:       "all upstreams are busy",
+	upstream.ReasonDown:       "the upstream is down",
+	upstream.ReasonDeadline:   "the deadline has passed",
+	upstream.ReasonDraining:   "the upstream is being drained",
+	upstream.ReasonNotSteward: "the upstream is changing hands",
+	upstream.ReasonPeer:       "a node on the way failed",
+	upstream.ReasonBadAnswer:  "the upstream's answer was faulty",
+	upstream.ReasonCanceled:   "the request was canceled",
+	upstream.ReasonNoUpstream: "no upstream takes this work at the moment",
+	upstream.ReasonStopping:   "a node on the way is shutting down",
+	upstream.ReasonWithdrawn:  "the key was withdrawn while the request waited",
+}
+
 // notRun is a refusal of work that certainly didn't run.
 func notRun(reason upstream.Reason, message string) *Refusal {
 	return refusal(reason, upstream.NotRun, message)
@@ -121,6 +146,9 @@
 	header.Set("Content-Type", "application/json")
 	header.Set(upstream.HeaderWorkStatus, string(r.Ran))
 	header.Set(upstream.HeaderReason, string(r.Reason))
+	if r.KeyUnknown {
+		header.Set(HeaderKeyStatus, "Unknown")
+	}
 	if r.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
 	}
--- a/node/claims_test.go
+++ b/node/claims_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/guavagauge/guavagauge/fleet"
 	"github.com/guavagauge/guavagauge/storetest"
 )
 
@@ -131,3 +132,36 @@
 		}
 	})
 }
+
+// Guards against a repeated entry that hears NotRun although it ran, and
+// against an idempotency key that stands for two different requests.
+func TestRepeatedEntryHearsTheTruth(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		if a := c.enter(0, "k", "entry"); a.status != http.StatusCreated {
+			t.Fatalf("entry: %d %s", a.status, a.body)
+		}
+		time.Sleep(time.Second)
+		c.enter(1, "k", "other entry").checkRefusal(t, http.StatusUnprocessableEntity, "NotRun", "KeyReused")
+		c.config.Upstreams[3].State = fleet.Draining
+		c.apply()
+		if a := c.enter(1, "k", "entry"); a.status != http.StatusCreated {
+			t.Errorf("repeat while the service drains: %d %s", a.status, a.body)
+		}
+		c.enter(1, "k2", "entry 2").checkRefusal(t, http.StatusServiceUnavailable, "NotRun", "NoUpstream")
+		c.config.Upstreams[3].State = fleet.Active
+		c.apply()
+		if a := c.enter(2, "k2", "entry 2"); a.status != http.StatusCreated {
+			t.Errorf("repeat of an entry that was refused: %d %s", a.status, a.body)
+		}
+		c.store.SetDown(true)
+		time.Sleep(time.Minute)
+		a := c.enter(2, "k", "entry")
+		a.checkRefusal(t, http.StatusServiceUnavailable, "NotRun", "StoreDown")
+		if status := a.header.Get("Idempotency-Key-Status"); status != "Unknown" {
+			t.Errorf("repeat while the store is down: key status %q, want Unknown", status)
+		}
+		if c.desk.RunsOf("entry") != 1 || c.desk.RunsOf("entry 2") != 1 || c.desk.RunsOf("other entry") != 0 {
+			t.Errorf("%d entries ran, want 2", c.desk.Runs())
+		}
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -168,6 +168,8 @@
 		err = drainErr
 	}
 	n.Steward.Drain(ctx)
+	n.checker.Check(ctx.Err() != nil || n.callers.InFlight()+n.Steward.Running() == 0, invariant.GracefulStop,
+		"requests were running when the node stopped", "InFlight", n.callers.InFlight(), "Running", n.Steward.Running())
 	if flushErr := n.ledger.Flush(ctx); flushErr != nil {
 		n.logger.Warn("usage not handed over", "Error", flushErr)
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -60,6 +60,7 @@
 	ReasonStoreDown    Reason = "StoreDown"    // a claim could not be made
 	ReasonInProgress   Reason = "InProgress"   // the idempotency key is in use
 	ReasonUnknown      Reason = "Unknown"      // the first run's outcome is unknown
+	ReasonKeyReused    Reason = "KeyReused"    // the idempotency key belongs to another request
 	ReasonUnauthorized Reason = "Unauthorized" // no or unknown key
 	ReasonIsolated     Reason = "Isolated"     // withdrawals can't reach this node
 	ReasonRate         Reason = "Rate"         // the workspace's rate limit
