caller, steward: place by what was sent, and account the real cost of answers

Cause: all requests between two load digests went to the same upstream; the fair queue and the measured service rate counted the whole of max_tokens, also of answers that ended early or failed. Change: placement adds the cost sent since the last digest (policy.Sent); a job that succeeded corrects its workspace's share and the rate by its real cost.

--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -72,6 +72,7 @@
 			"work without a key was to run", "RequestID", ex.id)
 		ex.attempts++
 		s.earn(ex, spec)
+		s.sending(spec, ex.cost())
 		failure := run(spec)
 		if failure == nil {
 			return nil
--- a/caller/place.go
+++ b/caller/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/guavagauge/guavagauge/fleet"
@@ -20,14 +21,15 @@
 	crossingRegion = 4096
 )
 
-type (
-	// knownLoad is what this node last heard of an upstream.
-	knownLoad struct {
-		load      steward.Load
-		at        time.Time
-		suspected bool
-	}
-)
+// knownLoad is what this node knows of an upstream's load: what its steward last
+// said, and what was sent there since.
+type knownLoad struct {
+	mu        sync.Mutex
+	load      steward.Load
+	at        time.Time
+	suspected bool
+	sent      policy.Sent
+}
 
 // decide finds the rule for the work and the upstreams that it allows.
 func (s *Server) decide(ex *exchange) (refused *Refusal) {
@@ -73,6 +75,7 @@
 	var choices [policy.MaxChoices]policy.Choice
 	chosen := policy.Place(choices[:0], policy.PlaceRequest{
 		Prefix: prefix, Spread: rendezvous.Hash(ex.id), Domain: s.options.FailureDomain, Region: s.options.Region,
+		Cost: ex.cost(),
 	}, candidates, s.options.Weights)
 	for _, choice := range chosen {
 		specs = append(specs, left[choice.Index])
@@ -90,27 +93,58 @@
 	case spec.FailureDomain != s.options.FailureDomain:
 		c.Crossing = crossingDomain
 	}
-	value, ok := s.loads.Load(spec.Key())
-	if !ok {
-		return c
-	}
-	known := value.(*knownLoad)
-	if now.Sub(known.at) < loadLifetime {
+	known := s.known(spec)
+	known.mu.Lock()
+	defer known.mu.Unlock()
+	if age := now.Sub(known.at); age < loadLifetime {
 		c.Queued, c.Running, c.Draining = known.load.WaitingCost, known.load.RunningCost, known.load.Draining
 	}
+	c.Queued += known.sent.Since(known.at, now)
 	c.Suspected = known.suspected && now.Sub(known.at) < suspectLifetime
 	return c
 }
 
+func (s *Server) known(spec *fleet.Upstream) *knownLoad {
+	if value, ok := s.loads.Load(spec.Key()); ok {
+		return value.(*knownLoad)
+	}
+	value, _ := s.loads.LoadOrStore(spec.Key(), &knownLoad{})
+	return value.(*knownLoad)
+}
+
 // learn keeps the load that came with a steward's answer.
 func (s *Server) learn(spec *fleet.Upstream, load steward.Load) {
-	s.loads.Store(spec.Key(), &knownLoad{load: load, at: time.Now()})
+	known := s.known(spec)
+	known.mu.Lock()
+	defer known.mu.Unlock()
+	known.load, known.at, known.suspected = load, time.Now(), false
 }
 
 // suspect remembers that an upstream failed, so that other work avoids it until
 // it answers again.
 func (s *Server) suspect(spec *fleet.Upstream) {
-	s.loads.Store(spec.Key(), &knownLoad{at: time.Now(), suspected: true})
+	known := s.known(spec)
+	known.mu.Lock()
+	defer known.mu.Unlock()
+	known.load, known.at, known.suspected = steward.Load{}, time.Now(), true
+}
+
+// sending counts work that is about to be sent. Until its steward reports the load
+// again, all requests would otherwise go to the same upstream.
+func (s *Server) sending(spec *fleet.Upstream, cost int64) {
+	known := s.known(spec)
+	known.mu.Lock()
+	defer known.mu.Unlock()
+	known.sent.Add(time.Now(), cost)
+}
+
+// cost is that of the work in the fair queues, as its steward counts it.
+func (ex *exchange) cost() (cost int64) {
+	g, ok := ex.work.(*generation)
+	if !ok {
+		return steward.CallCost
+	}
+	return policy.DefaultPrices.Cost(policy.Tokens(g.spec.Prompt), 0, g.spec.MaxTokens-len(g.tokens))
 }
 
 // stewards returns the nodes to ask for an upstream, in order.
--- a/steward/lane.go
+++ b/steward/lane.go
@@ -62,6 +62,7 @@
 		refused func(reason upstream.Reason) // it left the queue without running
 		waiting bool
 		started time.Time
+		served  int64 // real cost of a job that succeeded
 		blamed  blame
 	}
 
@@ -129,16 +130,28 @@
 	delete(l.running, j)
 	l.load.Running--
 	l.load.RunningCost -= j.item.Cost
-	if took := l.now().Sub(j.started).Seconds(); took > 0 {
-		sample := float64(j.item.Cost) / took
-		if l.rate == 0 {
-			l.rate = sample
-		}
-		l.rate += rateWeight * (sample - l.rate)
+	if j.served > 0 {
+		l.account(j)
 	}
 	l.startWaiting()
 }
 
+// account takes the real cost of a job into the workspace's share and into the
+// measured rate. The estimate counts the whole of max_tokens, which most answers
+// don't reach. The caller holds mu.
+func (l *lane) account(j *job) {
+	l.queue.Charge(j.item.Workspace, j.served-j.item.Cost)
+	took := l.now().Sub(j.started).Seconds()
+	if took <= 0 {
+		return
+	}
+	sample := float64(j.served) / took
+	if l.rate == 0 {
+		l.rate = sample
+	}
+	l.rate += rateWeight * (sample - l.rate)
+}
+
 // crashed decides which of the running jobs may have crashed the upstream. A
 // job that was running at an earlier crash is on probation alone, so it alone
 // is blamed for the next crash. Without one, all such jobs are, or else all.
--- a/steward/receiver.go
+++ b/steward/receiver.go
@@ -83,6 +83,9 @@
 		usage, err := s.engine(spec).Generate(ctx, args.Generation, func(token upstream.Token) error {
 			return st.append(ctx, token)
 		})
+		if err == nil {
+			j.served = policy.DefaultPrices.Cost(usage.PromptTokens, usage.CachedTokens, usage.CompletionTokens-args.Generation.Offset)
+		}
 		st.finish(usage, s.failureOf(ctx, l, j, err))
 	}
 	j.start = func() { go run() }
@@ -146,7 +149,7 @@
 	}()
 
 	started, refused := make(chan struct{}), make(chan upstream.Reason, 1)
-	j := newJob(args.Origin, args.Suspect, false, callCost)
+	j := newJob(args.Origin, args.Suspect, false, CallCost)
 	j.start = func() { close(started) }
 	j.refused = func(reason upstream.Reason) { refused <- reason }
 	if _, failure := l.submit(j, args.Remaining); failure != nil {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -33,11 +33,14 @@
 )
 
 const (
+	// CallCost is the cost of a plain service call in the fair queue, as of so
+	// many prompt tokens.
+	CallCost = 256
+
 	maxUnconfirmed = 256              // tokens held for an entry node that doesn't pull
 	idleLimit      = 10 * time.Second // a stream that nobody pulls is canceled
 	maxWait        = 5 * time.Second  // longest wait of one pull
 	drainPoll      = 50 * time.Millisecond
-	callCost       = 256 // cost of a plain service call in the fair queue, in prompt tokens
 )
 
 type (
