--- a/command/command.go
+++ b/command/command.go
@@ -53,7 +53,7 @@
 	parser.DisableShowVersionWithVersion()
 	commands := []*subcommand{
 		newDev(), newNode(), newStandin(), newCheck(), newExplain(), newApply(), newGet(), newHistory(), newRollback(),
-		newLabel(), newKey(),
+		newLabel(), newKey(), newExperiment(),
 	}
 	for _, c := range commands {
 		attach(&parser.Subcommand, c)
--- /dev/null
+++ b/command/experiment.go
@@ -0,0 +1,19 @@
+package command
+
+import (
+	"fmt"
+
+	"github.com/guavagauge/guavagauge/experiment"
+)
+
+func newExperiment() *subcommand {
+	seed := uint64(1)
+	c := newSubcommand("experiment", "measures the decisions against a naive version and a bound",
+		"  guavagauge experiment --seed 1\n\nThe same seed prints the same table.",
+		func(env environment) (err error) {
+			_, err = fmt.Fprint(env.stdout, experiment.Run(experiment.Options{Seed: seed}))
+			return err
+		})
+	c.flags.UInt64(&seed, "s", "seed", "seed of the workloads")
+	return c
+}
--- a/steward/receiver.go
+++ b/steward/receiver.go
@@ -84,7 +84,7 @@
 			return st.append(ctx, token)
 		})
 		if err == nil {
-			j.served = policy.DefaultPrices.Cost(usage.PromptTokens, usage.CachedTokens, usage.CompletionTokens-args.Generation.Offset)
+			j.served = policy.DefaultPrices.Cost(usage.PromptTokens, usage.CachedTokens, usage.CompletionTokens)
 		}
 		st.finish(usage, s.failureOf(ctx, l, j, err))
 	}
