--- a/command/node.go
+++ b/command/node.go
@@ -11,7 +11,6 @@
 	"github.com/guavagauge/guavagauge/logging"
 	"github.com/guavagauge/guavagauge/node"
 	"github.com/guavagauge/guavagauge/platform"
-	"github.com/guavagauge/guavagauge/policy"
 	"github.com/guavagauge/guavagauge/settings"
 	"github.com/guavagauge/guavagauge/store"
 	"github.com/guavagauge/guavagauge/transport"
@@ -41,7 +40,7 @@
 	// The node outlives the signal, so that it can stop gracefully.
 	ctx, cancel := context.WithCancel(context.WithoutCancel(env.ctx))
 	defer cancel()
-	options := node.Options{Settings: s, Network: transport.TCP{}, Logger: logger, Weights: policy.Goodput()}
+	options := node.Options{Settings: s, Network: transport.TCP{}, Logger: logger}
 	options.Store = storeClient(s)
 	if len(s.Platform.Addresses) > 0 {
 		options.Platform = platform.NewClient(transport.TCP{}, s.Platform.Addresses[0], platform.Options{Timeout: s.Platform.CallTimeout})
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -27,7 +27,6 @@
 	"github.com/guavagauge/guavagauge/logging"
 	"github.com/guavagauge/guavagauge/node"
 	"github.com/guavagauge/guavagauge/platformtest"
-	"github.com/guavagauge/guavagauge/policy"
 	"github.com/guavagauge/guavagauge/servicetest"
 	"github.com/guavagauge/guavagauge/settings"
 	"github.com/guavagauge/guavagauge/storetest"
@@ -196,7 +195,6 @@
 		s.FillDefaults()
 		n, err := node.New(f.ctx, node.Options{
 			Settings: s, Network: transport.TCP{}, Store: f.Store.Client(s.Name), Platform: f.Platform, Logger: f.logger,
-			Weights: policy.Goodput(),
 		})
 		if err != nil {
 			return err
--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -11,7 +11,6 @@
 	"github.com/guavagauge/guavagauge/distribution"
 	"github.com/guavagauge/guavagauge/fleet"
 	"github.com/guavagauge/guavagauge/node"
-	"github.com/guavagauge/guavagauge/policy"
 	"github.com/guavagauge/guavagauge/selector"
 	"github.com/guavagauge/guavagauge/settings"
 	"github.com/guavagauge/guavagauge/storetest"
@@ -50,7 +49,7 @@
 				own.FillDefaults()
 				n, err := node.New(b.Context(), node.Options{
 					Settings: own, Network: transport.TCP{}, Store: server.Client("n"),
-					Logger: slog.New(slog.DiscardHandler), Weights: policy.Goodput(),
+					Logger: slog.New(slog.DiscardHandler),
 				})
 				if err != nil {
 					b.Fatal(err)
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -21,7 +21,6 @@
 	"github.com/guavagauge/guavagauge/nettest"
 	"github.com/guavagauge/guavagauge/node"
 	"github.com/guavagauge/guavagauge/platformtest"
-	"github.com/guavagauge/guavagauge/policy"
 	"github.com/guavagauge/guavagauge/servicetest"
 	"github.com/guavagauge/guavagauge/settings"
 	"github.com/guavagauge/guavagauge/storetest"
@@ -127,7 +126,7 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	n, err := node.New(ctx, node.Options{
 		Settings: s, Network: c.network.Host(host), Store: c.store.Client(s.Name), Platform: c.platform,
-		Logger: logging.New(c.t.Output(), slog.LevelInfo), Weights: policy.Goodput(),
+		Logger: logging.New(c.t.Output(), slog.LevelInfo),
 	})
 	if err != nil {
 		c.t.Fatal(err)
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -16,7 +16,9 @@
 	"github.com/guavagauge/guavagauge/fleet"
 	"github.com/guavagauge/guavagauge/operator"
 	"github.com/guavagauge/guavagauge/peer"
+	"github.com/guavagauge/guavagauge/policy"
 	"github.com/guavagauge/guavagauge/service"
+	"github.com/guavagauge/guavagauge/settings"
 	"github.com/guavagauge/guavagauge/steward"
 	"github.com/guavagauge/guavagauge/transport"
 )
@@ -72,7 +74,7 @@
 			Set: n.Set, TLS: peerTLS, Local: n.peers, LocalAddress: n.addresses.peer,
 		}),
 		Claims: n.newClaims(), Meter: n.ledger, Isolated: n.Isolated,
-		FailureDomain: n.settings.FailureDomain, Region: n.settings.Region, Weights: n.options.Weights,
+		FailureDomain: n.settings.FailureDomain, Region: n.settings.Region, Weights: weights(n.settings.Preference),
 		MaxBodyBytes: limits.BodyBytes, ModelDeadline: limits.RequestDeadline, WriteTimeout: limits.WriteTimeout,
 		BodyTimeout: limits.BodyReadTimeout,
 	})
@@ -105,6 +107,13 @@
 	return err
 }
 
+func weights(preference settings.Preference) policy.Weights {
+	if preference == settings.PreferWorstServed {
+		return policy.WorstServed()
+	}
+	return policy.Goodput()
+}
+
 // serveHTTP serves until the node ends, over TLS if there is a certificate.
 func (n *Node) serveHTTP(listener net.Listener, handler http.Handler, certificateFile, keyFile string) (server *http.Server, err error) {
 	limits := n.settings.Limits
--- a/node/node.go
+++ b/node/node.go
@@ -29,7 +29,6 @@
 	"github.com/guavagauge/guavagauge/membership"
 	"github.com/guavagauge/guavagauge/peer"
 	"github.com/guavagauge/guavagauge/platform"
-	"github.com/guavagauge/guavagauge/policy"
 	"github.com/guavagauge/guavagauge/settings"
 	"github.com/guavagauge/guavagauge/steward"
 	"github.com/guavagauge/guavagauge/store"
@@ -49,7 +48,6 @@
 		Store    store.Client
 		Platform platform.Client // nil: no VM list and no usage reports
 		Logger   *slog.Logger
-		Weights  policy.Weights
 	}
 
 	// Node is one running node.
--- a/settings/check.go
+++ b/settings/check.go
@@ -25,6 +25,11 @@
 	c.name(s.Name, "Name")
 	c.name(s.FailureDomain, "FailureDomain")
 	c.name(s.Region, "Region")
+	switch s.Preference {
+	case "", PreferGoodput, PreferWorstServed:
+	default:
+		c.report(fleet.Show(string(s.Preference)), fleet.Show(string(PreferGoodput))+" or "+fleet.Show(string(PreferWorstServed)), "Preference")
+	}
 	c.listeners(s)
 	c.addresses(s.Seeds, "Seeds")
 	c.addresses(s.Store.Addresses, "Store", "Addresses")
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -7,6 +7,7 @@
 
 // FillDefaults sets every setting that was left out.
 func (s *Settings) FillDefaults() {
+	fill(&s.Preference, PreferGoodput)
 	fill(&s.Listen.Caller, netip.MustParseAddrPort("0.0.0.0:8080"))
 	fill(&s.Listen.Operator, netip.MustParseAddrPort("127.0.0.1:8081"))
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -19,12 +19,24 @@
 	"github.com/guavagauge/guavagauge/fleet"
 )
 
+const (
+	// PreferGoodput favours the share of all requests that meet their objective.
+	PreferGoodput Preference = "Goodput"
+	// PreferWorstServed favours the worst-served workspace, and spends more.
+	PreferWorstServed Preference = "WorstServed"
+)
+
 type (
+	// Preference names a preset of the weights of decisions.
+	Preference string
+
 	// Settings are the settings of one node.
 	Settings struct {
 		Name          string
 		FailureDomain string
 		Region        string
+		// Preference chooses what decisions favour when they can't have both.
+		Preference Preference
 		// Seeds are the peer addresses of some nodes to join the fleet through.
 		Seeds []netip.AddrPort
 		// FatalInvariants makes a broken invariant end the process. Tests set it.
