--- a/steward/steward.go
+++ b/steward/steward.go
@@ -228,24 +228,23 @@
 }
 
 func (s *Steward) engine(spec *fleet.Upstream) engine.Client {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if c, ok := s.engines[spec.Key()]; ok && c.spec.Address == spec.Address {
-		return c.client
-	}
-	client := s.options.Engine(spec)
-	s.engines[spec.Key()] = cached[engine.Client]{spec, client}
-	return client
+	return clientOf(s, s.engines, spec, s.options.Engine)
 }
 
 func (s *Steward) service(spec *fleet.Upstream) service.Client {
+	return clientOf(s, s.services, spec, s.options.Service)
+}
+
+// clientOf returns the client of an upstream, and makes a new one when its
+// address has changed.
+func clientOf[T any](s *Steward, clients map[string]cached[T], spec *fleet.Upstream, build func(spec *fleet.Upstream) T) (client T) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c, ok := s.services[spec.Key()]; ok && c.spec.Address == spec.Address {
+	if c, ok := clients[spec.Key()]; ok && c.spec.Address == spec.Address {
 		return c.client
 	}
-	client := s.options.Service(spec)
-	s.services[spec.Key()] = cached[service.Client]{spec, client}
+	client = build(spec)
+	clients[spec.Key()] = cached[T]{spec, client}
 	return client
 }
 
