operator: accept the credential as a bearer token only

Cause: a credential in an Authorization header without the scheme Bearer was accepted, although the API asks for a bearer token. Change: the prefix is required. The operator API has tests of racing changes, dry runs, faulty files, lost store answers, keys, credentials and nodes behind, on a store stand-in in a synctest bubble.

--- a/operator/server.go
+++ b/operator/server.go
@@ -117,11 +117,11 @@
 
 func (s *Server) authenticate(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		token, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		sum := sha256.Sum256([]byte(token))
 		given := []byte(hex.EncodeToString(sum[:]))
 		want := []byte(strings.ToLower(s.options.CredentialSHA256))
-		if subtle.ConstantTimeCompare(given, want) != 1 {
+		if !bearer || subtle.ConstantTimeCompare(given, want) != 1 {
 			s.options.Logger.Warn("operator call refused", "Method", r.Method, "Path", r.URL.Path, "Remote", r.RemoteAddr)
 			writeReply(w, http.StatusUnauthorized, ErrorReply{Error: "the operator's credential is missing or wrong"})
 			return
