operator: read a request's body to its end

Cause: only the first JSON value of a body was read, so a second request in the same body was dropped silently, and a body over the limit could be carried out. A body over the limit gave status 400. More than one value gives 400, a larger body 413.

--- a/operator/server.go
+++ b/operator/server.go
@@ -15,11 +15,13 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
+	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -142,10 +144,8 @@
 func handleBody[Q, T any](call func(ctx context.Context, request Q) (reply T, err error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var request Q
-		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-		decoder.DisallowUnknownFields()
-		if err := decoder.Decode(&request); err != nil {
-			writeReply(w, http.StatusBadRequest, ErrorReply{Error: "the body can't be read: " + err.Error()})
+		if status, err := readBody(http.MaxBytesReader(w, r.Body, maxBodyBytes), &request); err != nil {
+			writeReply(w, status, ErrorReply{Error: "the body can't be read: " + err.Error()})
 			return
 		}
 		reply, err := call(r.Context(), request)
@@ -153,6 +153,28 @@
 	}
 }
 
+// readBody reads one JSON value up to the end of the body, and returns the
+// status for a body that holds anything else.
+func readBody(body io.Reader, request any) (status int, err error) {
+	text, err := io.ReadAll(body)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return http.StatusRequestEntityTooLarge, errors.Errorf("it is larger than %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return http.StatusBadRequest, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err = decoder.Decode(request); err != nil {
+		return http.StatusBadRequest, err
+	}
+	if rest := bytes.TrimSpace(text[decoder.InputOffset():]); len(rest) > 0 {
+		return http.StatusBadRequest, errors.New("there is more than one JSON value")
+	}
+	return http.StatusOK, nil
+}
+
 func answer(w http.ResponseWriter, reply any, err error) {
 	var problems *problemsError
 	var conflict *conflictError
