operator: answer a change whose outcome stays unknown

Cause: a change is read back until its context ends, which was the operator's own. While the store's answers stayed away the command hung, and the reply that the change may be in force never reached anybody. Change: each call ends after 30 s.

--- a/operator/config.go
+++ b/operator/config.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -13,8 +14,13 @@
 	"github.com/guavagauge/guavagauge/fleet"
 )
 
-// editTries bounds the repeats of a small edit that others' changes outran.
-const editTries = 10
+const (
+	// editTries bounds the repeats of a small edit that others' changes outran.
+	editTries = 10
+	// surveyTimeout bounds the question where a revision is in force. Nodes that
+	// don't answer use up a share of it, and Client.Await asks again.
+	surveyTimeout = 5 * time.Second
+)
 
 func (s *Server) get(r *http.Request) (reply ConfigReply, err error) {
 	document, config, err := s.latest(r.Context())
@@ -101,7 +107,9 @@
 	if err != nil {
 		return reply, err
 	}
-	result, err := s.options.Follower.InForce(r.Context(), revision)
+	ctx, cancel := context.WithTimeout(r.Context(), surveyTimeout)
+	defer cancel()
+	result, err := s.options.Follower.InForce(ctx, revision)
 	return InForceReply(result), err
 }
 
--- a/operator/server.go
+++ b/operator/server.go
@@ -26,6 +26,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
@@ -38,6 +39,9 @@
 const (
 	maxBodyBytes   = 16 << 20 // a fleet of the target size has about 4 MB of TOML
 	defaultHistory = 20
+	// callTimeout bounds a call. Without it, a change whose outcome can't be read
+	// back would stay unanswered for as long as the store is down.
+	callTimeout = 30 * time.Second
 )
 
 type (
@@ -135,7 +139,9 @@
 // handle serves a call without a body.
 func handle[T any](call func(r *http.Request) (reply T, err error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		reply, err := call(r)
+		ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+		defer cancel()
+		reply, err := call(r.WithContext(ctx))
 		answer(w, reply, err)
 	}
 }
@@ -148,7 +154,9 @@
 			writeReply(w, status, ErrorReply{Error: "the body can't be read: " + err.Error()})
 			return
 		}
-		reply, err := call(r.Context(), request)
+		ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+		defer cancel()
+		reply, err := call(ctx, request)
 		answer(w, reply, err)
 	}
 }
