operator: refuse a base that no revision has

Cause: apply with a base above the newest revision was answered with a conflict: the configuration had changed meanwhile, to an older revision. Change: such a base gives status 400 with both revisions. Result: the test failed with status 409 before and passes.

--- a/operator/change_test.go
+++ b/operator/change_test.go
@@ -50,6 +50,17 @@
 	})
 }
 
+// Guards against a base that no revision has yet being reported as changed
+// meanwhile.
+func TestApplyOnFutureBase(t *testing.T) {
+	inFixture(t, func(f *fixture) {
+		_, err := f.clients[0].Apply(f.ctx, operator.ApplyRequest{Text: firstText, Base: 99})
+		if reply := refusal(t, err, http.StatusBadRequest); !strings.Contains(reply.Error, "99") || !strings.Contains(reply.Error, "1") {
+			t.Errorf("reply %+v, want both revisions", reply)
+		}
+	})
+}
+
 // Guards against small changes made at the same time through different nodes
 // of which one is lost.
 func TestRacingLabels(t *testing.T) {
--- a/operator/config.go
+++ b/operator/config.go
@@ -41,6 +41,10 @@
 	if err != nil {
 		return reply, err
 	}
+	if request.Base > document.Revision {
+		return reply, errors.WithType(errors.Errorf("base %d is newer than the newest revision that the store has, %d",
+			request.Base, document.Revision), errors.BadRequest)
+	}
 	if request.Base != 0 && request.Base != document.Revision {
 		return reply, s.conflict(ctx, request.Base, document.Revision)
 	}
