certificate: find replaced files by their contents

Cause: a replacement with the former's time of modification, as left by copies that preserve times, was taken for the former and never used.

--- a/certificate/certificate.go
+++ b/certificate/certificate.go
@@ -7,11 +7,12 @@
 //	listener = tls.NewListener(listener, files.ServerConfig()) // for callers
 //	options.TLS = files.MutualConfig()                         // between nodes
 //
-// The files are looked at every few seconds. A replacement that can't be read is
-// logged by the next look's caller as an error and the former one stays in use.
+// The files are read every few seconds. A replacement that can't be used is
+// logged as an error, and the former one stays in use.
 package certificate
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
@@ -36,7 +37,7 @@
 
 	// loaded is the content of the files at one time.
 	loaded struct {
-		modified    [3]time.Time
+		texts       [3][]byte // of the certificate, the key and the authorities
 		certificate tls.Certificate
 		authorities *x509.CertPool
 	}
@@ -66,7 +67,8 @@
 	return files, nil
 }
 
-// Reload reads the files if any of them has changed.
+// Reload reads the files, and takes them over if any of them has changed. It
+// compares contents, since tools that copy files may keep their times.
 func (f *Files) Reload() (err error) {
 	defer errors.DeferredAnnotatef(&err, "load certificate %s", f.certificateFile)
 	next := &loaded{}
@@ -74,25 +76,19 @@
 		if file == "" {
 			continue
 		}
-		info, err := os.Stat(file)
-		if err != nil {
+		if next.texts[i], err = os.ReadFile(file); err != nil {
 			return err
 		}
-		next.modified[i] = info.ModTime()
 	}
-	if current := f.current.Load(); current != nil && current.modified == next.modified {
+	if current := f.current.Load(); current != nil && current.equal(next) {
 		return nil
 	}
-	if next.certificate, err = tls.LoadX509KeyPair(f.certificateFile, f.keyFile); err != nil {
+	if next.certificate, err = tls.X509KeyPair(next.texts[0], next.texts[1]); err != nil {
 		return err
 	}
 	if f.authoritiesFile != "" {
-		text, err := os.ReadFile(f.authoritiesFile)
-		if err != nil {
-			return err
-		}
 		next.authorities = x509.NewCertPool()
-		if !next.authorities.AppendCertsFromPEM(text) {
+		if !next.authorities.AppendCertsFromPEM(next.texts[2]) {
 			return errors.Errorf("%s holds no certificate in PEM", f.authoritiesFile)
 		}
 	}
@@ -100,6 +96,15 @@
 	return nil
 }
 
+func (l *loaded) equal(other *loaded) bool {
+	for i := range l.texts {
+		if !bytes.Equal(l.texts[i], other.texts[i]) {
+			return false
+		}
+	}
+	return true
+}
+
 // ServerConfig is for a listener whose clients need no certificate.
 func (f *Files) ServerConfig() *tls.Config {
 	return &tls.Config{MinVersion: tls.VersionTLS13, GetCertificate: f.server}
