command: refuse revisions that aren't numbers

Cause: rollback read the digits that its argument begins with, so that 41x or 4,1 made a rollback to revision 41 or 4. Change: all of them are wrong usage, status 2.

--- a/command/operator.go
+++ b/command/operator.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"os/user"
+	"strconv"
 	"strings"
 	"time"
 
@@ -36,6 +37,9 @@
 		"  guavagauge apply fleet.toml --dry-run\n  guavagauge apply fleet.toml --base 17 --comment 'two engines more'\n\n"+
 			"A file without keys leaves the keys as they are.",
 		func(env environment, client *operator.Client) (err error) {
+			if base < 0 {
+				return usageError("--base %d: want a revision, as in guavagauge history", base)
+			}
 			text, err := os.ReadFile(file)
 			if err != nil {
 				return err
@@ -74,6 +78,9 @@
 	limit := 20
 	c := f.subcommand("history", "lists the newest revisions", "  guavagauge history --limit 5",
 		func(env environment, client *operator.Client) (err error) {
+			if limit < 1 {
+				return usageError("--limit %d: want 1 or more", limit)
+			}
 			reply, err := client.History(env.ctx, limit)
 			if err != nil {
 				return err
@@ -94,8 +101,8 @@
 	c := f.subcommand("rollback", "makes a new revision with the objects of an older one",
 		"  guavagauge rollback 41\n\nKeys stay as they are, so that no withdrawn key comes back.",
 		func(env environment, client *operator.Client) (err error) {
-			var to uint64
-			if _, err := fmt.Sscanf(revision, "%d", &to); err != nil {
+			to, err := strconv.ParseUint(revision, 10, 63)
+			if err != nil || to == 0 {
 				return usageError("REVISION %q: want a number, as in guavagauge history", revision)
 			}
 			reply, err := client.Rollback(env.ctx, operator.RollbackRequest{To: to, Author: f.author})
