command: name the unknown command and suggest a similar one

Cause: after an unknown command the flag library printed the known ones on the output, and an error that didn't name what was given. Change: names are checked before the arguments are parsed. The error names the command, the known ones and a similar one, as the errors of configuration files do. Result: chek and key isue give status 2, nothing on the output, and suggest check and issue.

--- a/command/command.go
+++ b/command/command.go
@@ -12,9 +12,12 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/integrii/flaggy"
 	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/fleet"
 )
 
 const (
@@ -58,6 +61,10 @@
 	for _, c := range commands {
 		attach(&parser.Subcommand, c)
 	}
+	if err := checkName(commands, args); err != nil {
+		fmt.Fprintln(stderr, "guavagauge:", err)
+		return exitUsage
+	}
 	if err := parser.ParseArgs(args); err != nil {
 		fmt.Fprintln(stderr, "guavagauge:", err)
 		return exitUsage
@@ -95,6 +102,26 @@
 	}
 }
 
+// checkName refuses a command that doesn't exist. The flag library would list
+// the known ones on the output, without the name that was given.
+func checkName(commands []*subcommand, args []string) (err error) {
+	if len(commands) == 0 || len(args) == 0 || strings.HasPrefix(args[0], "-") {
+		return nil
+	}
+	var names []string
+	for _, c := range commands {
+		if c.flags.Name == args[0] {
+			return checkName(c.sub, args[1:])
+		}
+		names = append(names, c.flags.Name)
+	}
+	hint := ""
+	if near := fleet.Nearest(args[0], names); near != "" {
+		hint = fmt.Sprintf("; did you mean %q?", near)
+	}
+	return usageError("no command %q; want one of %s%s", args[0], strings.Join(names, ", "), hint)
+}
+
 // used returns the innermost command that the arguments named.
 func used(commands []*subcommand) (chosen *subcommand) {
 	for _, c := range commands {
--- a/command/status_test.go
+++ b/command/status_test.go
@@ -81,6 +81,8 @@
 		{"get --operator 127.0.0.1:1", 1, "127.0.0.1:1"},
 		{"", 2, "name a command"},
 		{"key", 2, "name a command"},
+		{"chek", 2, "did you mean \"check\"?"},
+		{"key isue", 2, "did you mean \"issue\"?"},
 		{"check", 2, "FILE"},
 		{"check ../dev/fleet.toml another.toml", 2, "another.toml"},
 		{"check --fast ../dev/fleet.toml", 2, "fast"},
