command: check node settings that have no table yet

Cause: check told node settings from a fleet configuration by their tables only. Settings without any were reported as a fleet configuration with unknown keys. Tests pass with -race -short.

--- a/command/check.go
+++ b/command/check.go
@@ -11,13 +11,19 @@
 	"github.com/guavagauge/guavagauge/settings"
 )
 
-// settingsTable begins a table that only node settings have.
-var settingsTable = regexp.MustCompile(`(?m)^\s*\[\s*(Listen|Store|Platform|TLS|Limits|Intervals|Operator)\s*\]`)
+var (
+	// settingsTable begins a table that only node settings have.
+	settingsTable = regexp.MustCompile(`(?m)^\s*\[\s*(Listen|Store|Platform|TLS|Limits|Intervals|Operator)\s*\]`)
+	// settingsKey is a key of node settings outside of tables.
+	settingsKey = regexp.MustCompile(`(?m)^\s*(Name|FailureDomain|Region|Seeds|FatalInvariants)\s*=`)
+	// fleetTable begins an object of a fleet configuration.
+	fleetTable = regexp.MustCompile(`(?m)^\s*\[\[`)
+)
 
 // checkText checks node settings or a fleet configuration, by the tables that
 // the file has: those of a fleet configuration are all arrays.
 func checkText(file string, text []byte) (problems []fleet.Problem) {
-	if settingsTable.Match(text) {
+	if settingsTable.Match(text) || settingsKey.Match(text) && !fleetTable.Match(text) {
 		_, problems = settings.Parse(file, text)
 	} else {
 		_, problems = fleet.Parse(file, text)
