logging: write errors that are nil pointers

Cause: a log call with an error that is a nil pointer called its Error method, which ended the process for most error types. Change: package fmt prints errors, which recovers from that.

--- a/logging/logging.go
+++ b/logging/logging.go
@@ -7,6 +7,7 @@
 package logging
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 )
@@ -17,10 +18,11 @@
 }
 
 // shortError prints errors by their message. The default is a format that
-// includes the stack of errors that have one, over many lines.
+// includes the stack of errors that have one, over many lines. Package fmt
+// recovers from the Error method of a nil pointer, which would end the process.
 func shortError(_ []string, attr slog.Attr) slog.Attr {
 	if err, ok := attr.Value.Any().(error); ok {
-		attr.Value = slog.StringValue(err.Error())
+		attr.Value = slog.StringValue(fmt.Sprint(err))
 	}
 	return attr
 }
