dev: report why a fleet can't start

Cause: on a faulty configuration Start returned a nil fleet, and its deferred function then called that fleet's cancel: guavagauge dev ended with a panic in place of the problem's file and line. Change: the deferred function uses a variable of its own.

--- a/command/status_test.go
+++ b/command/status_test.go
@@ -77,6 +77,7 @@
 		{"check ../fleet/testdata/faulty.toml", 1, "problems"},
 		{"node --config " + missing, 1, "missing.toml"},
 		{"dev --nodes 0", 1, "want 1 to 32"},
+		{"dev --config ../fleet/testdata/faulty.toml", 1, "faulty.toml"},
 		{"apply " + missing, 1, "missing.toml"},
 		{"get --operator 127.0.0.1:1", 1, "127.0.0.1:1"},
 		{"", 2, "name a command"},
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -104,10 +104,10 @@
 	if options.Nodes < 1 || options.Nodes > maxNodes {
 		return nil, errors.Errorf("%d nodes: want 1 to %d", options.Nodes, maxNodes)
 	}
-	f = newFleet(ctx, options)
+	started := newFleet(ctx, options)
 	defer func() {
 		if err != nil {
-			f.cancel()
+			started.cancel()
 		}
 	}()
 	config, err := options.parse()
@@ -117,16 +117,16 @@
 	for i := range config.Upstreams {
 		config.Upstreams[i].Address = loopback()
 	}
-	if err = f.startUpstreams(config); err != nil {
+	if err = started.startUpstreams(config); err != nil {
 		return nil, err
 	}
-	if err = f.store(config); err != nil {
+	if err = started.store(config); err != nil {
 		return nil, err
 	}
-	if err = f.startNodes(); err != nil {
+	if err = started.startNodes(); err != nil {
 		return nil, err
 	}
-	return f, nil
+	return started, nil
 }
 
 // Address returns where the first node serves callers.
