--- a/command/operator_test.go
+++ b/command/operator_test.go
@@ -35,6 +35,8 @@
 	}{
 		{"get", 0, `Name = "alpha"`, "revision 1"},
 		{"apply " + file + " --dry-run", 0, "revision 1 stays in force", ""},
+		{"apply --dry-run " + file, 0, "revision 1 stays in force", ""},
+		{"apply -n " + file, 0, "revision 1 stays in force", ""},
 		{"apply " + file + " --base 1 --comment heavier", 0, "Weight = 2 -> 3", "revision 2 in force on 1 of 1 nodes"},
 		{"apply " + file, 0, "no difference from revision 2", ""},
 		{"apply " + file + " --base 1", 1, "", "Weight = 2 -> 3"},
--- a/command/status_test.go
+++ b/command/status_test.go
@@ -103,6 +103,10 @@
 		{"rollback 41x", 2, "41x"},
 		{"rollback 0", 2, "0"},
 		{"apply ../dev/fleet.toml --base=-1", 2, "--base -1"},
+		{"apply ../dev/fleet.toml --dry-rum", 2, "dry-rum"},
+		{"apply ../dev/fleet.toml --dry-run=yes", 2, "yes"},
+		{"apply ../dev/fleet.toml --base 1x", 2, "1x"},
+		{"completion bash", 2, "completion"},
 		{"history --limit=-1", 2, "--limit -1"},
 		{"history --limit 0", 2, "--limit 0"},
 	} {
