--- a/operator/server.go
+++ b/operator/server.go
@@ -15,15 +15,18 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
+	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
@@ -36,6 +39,9 @@
 const (
 	maxBodyBytes   = 16 << 20 // a fleet of the target size has about 4 MB of TOML
 	defaultHistory = 20
+	// callTimeout bounds a call. Without it, a change whose outcome can't be read
+	// back would stay unanswered for as long as the store is down.
+	callTimeout = 30 * time.Second
 )
 
 type (
@@ -117,11 +123,11 @@
 
 func (s *Server) authenticate(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		token, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		sum := sha256.Sum256([]byte(token))
 		given := []byte(hex.EncodeToString(sum[:]))
 		want := []byte(strings.ToLower(s.options.CredentialSHA256))
-		if subtle.ConstantTimeCompare(given, want) != 1 {
+		if !bearer || subtle.ConstantTimeCompare(given, want) != 1 {
 			s.options.Logger.Warn("operator call refused", "Method", r.Method, "Path", r.URL.Path, "Remote", r.RemoteAddr)
 			writeReply(w, http.StatusUnauthorized, ErrorReply{Error: "the operator's credential is missing or wrong"})
 			return
@@ -133,7 +139,9 @@
 // handle serves a call without a body.
 func handle[T any](call func(r *http.Request) (reply T, err error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		reply, err := call(r)
+		ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+		defer cancel()
+		reply, err := call(r.WithContext(ctx))
 		answer(w, reply, err)
 	}
 }
@@ -142,17 +150,39 @@
 func handleBody[Q, T any](call func(ctx context.Context, request Q) (reply T, err error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var request Q
-		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-		decoder.DisallowUnknownFields()
-		if err := decoder.Decode(&request); err != nil {
-			writeReply(w, http.StatusBadRequest, ErrorReply{Error: "the body can't be read: " + err.Error()})
+		if status, err := readBody(http.MaxBytesReader(w, r.Body, maxBodyBytes), &request); err != nil {
+			writeReply(w, status, ErrorReply{Error: "the body can't be read: " + err.Error()})
 			return
 		}
-		reply, err := call(r.Context(), request)
+		ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+		defer cancel()
+		reply, err := call(ctx, request)
 		answer(w, reply, err)
 	}
 }
 
+// readBody reads one JSON value up to the end of the body, and returns the
+// status for a body that holds anything else.
+func readBody(body io.Reader, request any) (status int, err error) {
+	text, err := io.ReadAll(body)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return http.StatusRequestEntityTooLarge, errors.Errorf("it is larger than %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return http.StatusBadRequest, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err = decoder.Decode(request); err != nil {
+		return http.StatusBadRequest, err
+	}
+	if rest := bytes.TrimSpace(text[decoder.InputOffset():]); len(rest) > 0 {
+		return http.StatusBadRequest, errors.New("there is more than one JSON value")
+	}
+	return http.StatusOK, nil
+}
+
 func answer(w http.ResponseWriter, reply any, err error) {
 	var problems *problemsError
 	var conflict *conflictError
