node: read an accepted configuration once

Each change was read from its entries twice, once to check it and once to put it in force. At 4,200 workspaces and 3,300 upstreams reading takes most of a change's processor time. The configuration that was checked is now kept until it is put in force.

--- a/node/fleet.go
+++ b/node/fleet.go
@@ -71,7 +71,10 @@
 	n.follower, err = distribution.NewFollower(n.ctx, distribution.FollowerOptions{
 		Self: n.distributionMember(), Members: n.distributionMembers, Caller: n.control, Repository: n.repository,
 		Accept: func(document *distribution.Document) (err error) {
-			_, err = fleet.FromEntries(document.Entries)
+			config, err := fleet.FromEntries(document.Entries)
+			if err == nil {
+				n.accepted.Store(&accepted{document, config})
+			}
 			return err
 		},
 		CompareInterval: n.settings.Intervals.RevisionCompare, Logger: n.logger, Set: n.Set,
@@ -102,7 +105,7 @@
 	}
 	n.checker.Check(document.Revision > current, invariant.ConfigurationRises, "a lower revision was to be applied",
 		"Current", current, "Got", document.Revision)
-	config, err := fleet.FromEntries(document.Entries)
+	config, err := n.configOf(document)
 	if err != nil {
 		n.logger.Error("configuration not applied", "Revision", document.Revision, "Error", err)
 		return
@@ -113,6 +116,15 @@
 	n.logger.Info("configuration in force", "Revision", document.Revision)
 }
 
+// configOf returns the configuration that was read when the document was
+// accepted. Reading that of the target takes most of a change's processor time.
+func (n *Node) configOf(document *distribution.Document) (config *fleet.Config, err error) {
+	if last := n.accepted.Swap(nil); last != nil && last.document == document {
+		return last.config, nil
+	}
+	return fleet.FromEntries(document.Entries)
+}
+
 // Isolated reports whether a withdrawal of a key may have been accepted without
 // this node knowing. While the newest revision was confirmed lately, none can
 // have been. Neither can one when most of the nodes are in touch and all readers
--- a/node/node.go
+++ b/node/node.go
@@ -67,6 +67,7 @@
 		cancel     context.CancelFunc
 		self       usage.Source
 		snapshot   atomic.Pointer[fleet.Snapshot]
+		accepted   atomic.Pointer[accepted] // until it is put in force
 		stopping   atomic.Bool
 		members    *membership.Group
 		repository *distribution.Repository
@@ -78,6 +79,12 @@
 		addresses  addresses
 	}
 
+	// accepted is the configuration of a document that was checked.
+	accepted struct {
+		document *distribution.Document
+		config   *fleet.Config
+	}
+
 	// addresses are those of the listeners, with their actual ports.
 	addresses struct{ caller, peer, operator netip.AddrPort }
 )
