--- a/scale/bench_test.go
+++ b/scale/bench_test.go
@@ -73,6 +73,49 @@
 	runtime.KeepAlive(f)
 }
 
+// BenchmarkScaleLoad measures the processor time of requests, from which that of
+// a token follows. Callers and engine stand-ins count as well.
+func BenchmarkScaleLoad(b *testing.B) {
+	for _, tokens := range []int{4, 64, 472} { // 472 is the target's mean
+		b.Run(fmt.Sprint(tokens), func(b *testing.B) {
+			for b.Loop() {
+				load(b, tokens)
+			}
+		})
+	}
+}
+
+func load(b *testing.B, tokens int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f, err := scale.Start(ctx, scale.Options{Nodes: 9, Config: scale.Small.Config()})
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err = f.ServeEngines(); err != nil {
+		b.Fatal(err)
+	}
+	if _, err = f.AwaitReady(joinLimit); err != nil {
+		b.Fatal(err)
+	}
+	start := processor()
+	f.Observe(benchWhile, nil)
+	idle := processor() - start
+	answered, failed := f.Load(ctx, scale.LoadPerNode, tokens)
+	time.Sleep(benchWhile) // as many requests begin as end
+	before := answered.Load()
+	start = processor()
+	cost := f.Observe(benchWhile, nil)
+	used := processor() - start - idle
+	n := float64(answered.Load() - before)
+	b.ReportMetric(n/benchWhile.Seconds(), "requests/s")
+	b.ReportMetric(float64(failed.Load()), "failed")
+	b.ReportMetric(1000*used.Seconds()/n, "ms/request")
+	b.ReportMetric(float64(cost.Peers["Steward"].Messages)/n, "steward-messages/request")
+	b.ReportMetric(float64(cost.Peers["Steward"].Bytes)/n, "steward-B/request")
+	b.ReportMetric(float64(cost.Peers["Usage"].Bytes)/n, "usage-B/request")
+}
+
 func heap() int64 {
 	runtime.GC()
 	var m runtime.MemStats
