node: seek roles only once the configuration is confirmed

A starting node knows no other member, so it was a candidate for every role that one node holds, and read and watched all their leases. When a failure domain of 48 nodes returned to a fleet of 192, the store had 418 reads in the worst second.

--- a/node/roles.go
+++ b/node/roles.go
@@ -41,6 +41,13 @@
 // holdRole works under a lease whenever this node is a candidate for it and no
 // other holds it.
 func (n *Node) holdRole(key string, work func(ctx context.Context, held *lease.Held) error) {
+	// A node that knows no other member yet would be a candidate for all roles,
+	// so that a returning failure domain would burden the store.
+	select {
+	case <-n.follower.Ready():
+	case <-n.ctx.Done():
+		return
+	}
 	changes := n.members.Subscribe(n.ctx)
 	for n.ctx.Err() == nil {
 		if !n.isCandidate(key) {
