--- a/node/node.go
+++ b/node/node.go
@@ -65,6 +65,7 @@
 		cancel     context.CancelFunc
 		self       usage.Source
 		snapshot   atomic.Pointer[fleet.Snapshot]
+		accepted   atomic.Pointer[accepted] // until it is put in force
 		stopping   atomic.Bool
 		members    *membership.Group
 		repository *distribution.Repository
@@ -77,6 +78,12 @@
 		addresses  addresses
 	}
 
+	// accepted is the configuration of a document that was checked.
+	accepted struct {
+		document *distribution.Document
+		config   *fleet.Config
+	}
+
 	// addresses are those of the listeners, with their actual ports.
 	addresses struct{ caller, peer, operator netip.AddrPort }
 )
