operator, command: keep withdrawn keys withdrawn; TLS for the commands

Cause: applying a file that was printed before a key's withdrawal brought the key back; the commands could not call a listener with TLS; a change's report left out nodes that had been removed from the live ones. Result: TestOldFileBringsNoKeyBack and the tests of operator, command, node and dev pass. TLS on the command line has no test yet.

--- a/command/operator.go
+++ b/command/operator.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"net/netip"
 	"os"
@@ -26,16 +28,17 @@
 // operatorFlags are common to all commands that call a running node.
 type operatorFlags struct {
 	address string
+	tlsCA   string
 	author  string
 	wait    time.Duration
 }
 
 func newApply() *subcommand {
 	f := &operatorFlags{}
-	file, comment, dryRun, base := "", "", false, 0
+	file, comment, dryRun, base, keys := "", "", false, 0, false
 	c := f.subcommand("apply", "checks a fleet configuration and puts it in force",
 		"  guavagauge apply fleet.toml --dry-run\n  guavagauge apply fleet.toml --base 17 --comment 'two engines more'\n\n"+
-			"A file without keys leaves the keys as they are.",
+			"Keys stay as they are: see guavagauge key.",
 		func(env environment, client *operator.Client) (err error) {
 			if base < 0 {
 				return usageError("--base %d: want a revision, as in guavagauge history", base)
@@ -46,6 +49,7 @@
 			}
 			reply, err := client.Apply(env.ctx, operator.ApplyRequest{
 				File: file, Text: string(text), Base: uint64(base), Author: f.author, Comment: comment, DryRun: dryRun,
+				Keys: keys,
 			})
 			if err != nil {
 				return err
@@ -53,6 +57,7 @@
 			return f.report(env, client, reply, dryRun)
 		})
 	c.flags.AddPositionalValue(&file, "FILE", 1, true, "fleet configuration in TOML")
+	c.flags.Bool(&keys, "k", "keys", "replace the keys by those of the file, withdrawn ones among them")
 	c.flags.Bool(&dryRun, "n", "dry-run", "print the difference and change nothing")
 	c.flags.Int(&base, "b", "base", "revision that the file was derived from; fails if another is in force")
 	c.flags.String(&comment, "m", "comment", "comment for the history")
@@ -61,9 +66,10 @@
 
 func newGet() *subcommand {
 	f := &operatorFlags{}
-	return f.subcommand("get", "prints the newest configuration", "  guavagauge get > fleet.toml",
+	keys := false
+	c := f.subcommand("get", "prints the newest configuration", "  guavagauge get > fleet.toml",
 		func(env environment, client *operator.Client) (err error) {
-			reply, err := client.Config(env.ctx)
+			reply, err := client.Config(env.ctx, keys)
 			if err != nil {
 				return err
 			}
@@ -71,6 +77,8 @@
 			fmt.Fprint(env.stdout, reply.Text)
 			return nil
 		})
+	c.flags.Bool(&keys, "k", "keys", "print the keys' hashes too")
+	return c
 }
 
 func newHistory() *subcommand {
@@ -214,9 +222,16 @@
 			if credential == "" {
 				return usageError("set %s to the operators' credential", credentialVariable)
 			}
-			return run(env, operator.NewClient(transport.TCP{}, address, credential))
+			client := operator.NewClient(transport.TCP{}, address, credential)
+			if f.tlsCA != "" {
+				if err := useTLS(client, f.tlsCA); err != nil {
+					return err
+				}
+			}
+			return run(env, client)
 		})
 	c.flags.String(&f.address, "a", "operator", "operator listener of any node")
+	c.flags.String(&f.tlsCA, "ca", "tls-ca", "PEM file of the authorities of a listener with TLS")
 	c.flags.String(&f.author, "u", "author", "name for the history")
 	c.flags.Duration(&f.wait, "t", "wait", "how long to wait until all nodes have a change")
 	return c
@@ -249,12 +264,29 @@
 		return errors.Annotatef(err, "revision %d is accepted, but no node said whether it is in force", revision)
 	}
 	fmt.Fprintf(env.stderr, "revision %d in force on %d of %d nodes\n", revision, len(reply.Have), len(reply.Have)+len(missing))
+	if len(reply.Removed) > 0 {
+		fmt.Fprintf(env.stderr, "no longer live, and refusing keyed work if only cut off: %s\n", strings.Join(reply.Removed, ", "))
+	}
 	if len(missing) > 0 {
 		return errors.Errorf("not yet in force on: %s", strings.Join(missing, ", "))
 	}
 	return nil
 }
 
+// useTLS makes the client accept certificates of the authorities in a file only.
+func useTLS(client *operator.Client, file string) (err error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return errors.Errorf("--tls-ca %s: holds no certificate in PEM", file)
+	}
+	client.UseTLS(&tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool})
+	return nil
+}
+
 func currentUser() (name string) {
 	if u, err := user.Current(); err == nil {
 		return u.Username
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -168,3 +168,14 @@
 	}
 	return members
 }
+
+// removed returns the nodes that died or are cut off, as far as they are still
+// remembered. Replaced VMs have other names and stay among them for two hours.
+func (n *Node) removed() (names []string) {
+	for _, m := range n.members.View().Members {
+		if m.State == membership.Dead {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -101,6 +101,7 @@
 	n.addresses.operator = transport.ListenAddress(listener)
 	server := operator.NewServer(operator.Options{
 		Repository: n.repository, Follower: n.follower, Set: n.Set, Logger: n.logger, Ready: n.Ready,
+		Removed:          n.removed,
 		CredentialSHA256: n.settings.Operator.CredentialSHA256,
 	})
 	_, err = n.serveHTTP(listener, server.Handler(), n.settings.TLS.OperatorCertificate, n.settings.TLS.OperatorKey)
--- a/operator/change_test.go
+++ b/operator/change_test.go
@@ -237,3 +237,32 @@
 		}
 	})
 }
+
+// Guards against a withdrawn key that comes back with a file from before its
+// withdrawal, and against a file of its own printing that drops the keys.
+func TestOldFileBringsNoKeyBack(t *testing.T) {
+	inFixture(t, func(f *fixture) {
+		f.issue("old")
+		withKeys, err := f.clients[0].Config(f.ctx, true)
+		f.check(err)
+		f.withdraw("old")
+		before := f.keys()
+		f.apply(operator.ApplyRequest{File: "old.toml", Text: withKeys.Text})
+		if after := f.keys(); !slices.Equal(after, before) {
+			t.Errorf("keys after an old file: %v, want %v", after, before)
+		}
+		printed, err := f.clients[0].Config(f.ctx, false)
+		f.check(err)
+		if strings.Contains(printed.Text, "SHA256") {
+			t.Error("the configuration is printed with the hashes of keys")
+		}
+		f.apply(operator.ApplyRequest{File: "printed.toml", Text: printed.Text})
+		if after := f.keys(); !slices.Equal(after, before) {
+			t.Errorf("keys after a file without keys: %v, want %v", after, before)
+		}
+		f.apply(operator.ApplyRequest{File: "old.toml", Text: withKeys.Text, Keys: true})
+		if after := f.keys(); !slices.Contains(after, "old") {
+			t.Errorf("keys after a file whose keys were asked for: %v, want old among them", after)
+		}
+	})
+}
--- a/operator/client.go
+++ b/operator/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -50,13 +51,21 @@
 }
 
 // UseTLS makes the client speak TLS.
-func (c *Client) UseTLS(client *http.Client) {
-	c.http, c.base = client, "https://"+strings.TrimPrefix(c.base, "http://")
+func (c *Client) UseTLS(config *tls.Config) {
+	c.base = "https://" + strings.TrimPrefix(c.base, "http://")
+	if t, ok := c.http.Transport.(*http.Transport); ok {
+		t.TLSClientConfig = config
+	}
 }
 
-// Config reads the newest configuration.
-func (c *Client) Config(ctx context.Context) (reply ConfigReply, err error) {
-	return reply, c.call(ctx, http.MethodGet, PathConfig, nil, &reply)
+// Config reads the newest configuration, without its keys unless they are asked
+// for.
+func (c *Client) Config(ctx context.Context, keys bool) (reply ConfigReply, err error) {
+	path := PathConfig
+	if keys {
+		path += "?keys=1"
+	}
+	return reply, c.call(ctx, http.MethodGet, path, nil, &reply)
 }
 
 // Apply replaces the configuration.
--- a/operator/config.go
+++ b/operator/config.go
@@ -27,11 +27,15 @@
 	if err != nil {
 		return reply, err
 	}
+	if r.URL.Query().Get("keys") == "" {
+		config.Keys = nil
+	}
 	return ConfigReply{Revision: document.Revision, Text: string(fleet.Format(config))}, nil
 }
 
-// apply replaces the configuration. A file without keys leaves the keys alone:
-// they are issued and withdrawn by calls of their own.
+// apply replaces the configuration. Keys are issued and withdrawn by calls of
+// their own, so those of the file count only on request or in a store that has
+// no configuration yet: an old file would bring withdrawn keys back.
 func (s *Server) apply(ctx context.Context, request ApplyRequest) (reply ApplyReply, err error) {
 	config, problems := fleet.Parse(request.File, []byte(request.Text))
 	if len(problems) > 0 {
@@ -48,7 +52,7 @@
 	if request.Base != 0 && request.Base != document.Revision {
 		return reply, s.conflict(ctx, request.Base, document.Revision)
 	}
-	if len(config.Keys) == 0 {
+	if !request.Keys && document.Revision > 0 {
 		config.Keys = keysOfExisting(current.Keys, config.Workspaces)
 	}
 	changes := texts(fleet.Diff(current, config))
@@ -114,7 +118,11 @@
 	ctx, cancel := context.WithTimeout(r.Context(), surveyTimeout)
 	defer cancel()
 	result, err := s.options.Follower.InForce(ctx, revision)
-	return InForceReply(result), err
+	reply = InForceReply{Have: result.Have, Behind: result.Behind, Unreached: result.Unreached, Rejected: result.Rejected}
+	if s.options.Removed != nil {
+		reply.Removed = s.options.Removed()
+	}
+	return reply, err
 }
 
 // edit changes the newest configuration by a function that can be repeated on
--- a/operator/fixture_test.go
+++ b/operator/fixture_test.go
@@ -116,7 +116,7 @@
 // config returns the newest configuration.
 func (f *fixture) config() (revision uint64, config *fleet.Config) {
 	f.t.Helper()
-	reply, err := f.clients[0].Config(f.ctx)
+	reply, err := f.clients[0].Config(f.ctx, true)
 	f.check(err)
 	config, problems := fleet.Parse("stored", []byte(reply.Text))
 	if len(problems) > 0 {
--- a/operator/messages.go
+++ b/operator/messages.go
@@ -28,6 +28,8 @@
 		Author  string
 		Comment string
 		DryRun  bool
+		// Keys replaces the keys as well. Without it they stay as they are.
+		Keys bool
 	}
 
 	// ApplyReply describes a change. Revision is the one that holds it, or that
@@ -97,6 +99,10 @@
 		Behind    []string
 		Unreached []string
 		Rejected  []string
+		// Removed nodes were live within the last hours and don't answer. If one
+		// of them is only cut off, it refuses keyed work until it has the newest
+		// revision.
+		Removed []string
 	}
 
 	// ErrorReply is the body of every answer that isn't a success. Problems are
--- a/operator/server.go
+++ b/operator/server.go
@@ -57,6 +57,9 @@
 		Set        *metrics.Set
 		Logger     *slog.Logger
 		Ready      func() bool
+		// Removed returns the nodes that were taken off the live ones without
+		// having left. It may be nil.
+		Removed func() (names []string)
 		// CredentialSHA256 is the hash of the operators' credential in
 		// hexadecimal. Without one, all calls that need it are refused.
 		CredentialSHA256 string
