node, steward: move work off upstreams that the platform reclaims

Cause: nodes took no notice of reclaims, so streams on a reclaimed failure domain were cut by the end of their engines and blamed for it, and then ran on probation one after the other. Change: two nodes of each failure domain read the platform's notices and tell the stewards, which refuse new work, move streams at once, let plain calls finish and blame nobody. The check of invariant I10 looks at the moment a job was started: a job that started just before a drain was reported, and was fatal in a test with the race detector.

--- a/node/roles.go
+++ b/node/roles.go
@@ -35,6 +35,7 @@
 			}()
 		}
 		go func() { n.settleUsage() }()
+		go func() { n.watchReclaims() }()
 	}
 }
 
--- a/steward/lane.go
+++ b/steward/lane.go
@@ -20,6 +20,9 @@
 	// refused a connection, so that an upstream that is down costs one attempt
 	// in that time and not one for each request.
 	downTime = time.Second
+	// reclaimTime is how long a reclaim notice holds. Another VM may get the
+	// address later.
+	reclaimTime = time.Minute
 )
 
 // Whether a job may have crashed its upstream.
@@ -50,7 +53,8 @@
 		load    Load
 		rate    float64 // cost served per second and slot; 0 until measured
 
-		downUntil time.Time
+		downUntil      time.Time
+		reclaimedUntil time.Time
 	}
 
 	// job is one attempt that waits or runs.
@@ -60,9 +64,11 @@
 		resumed bool                         // its caller already has a part of the answer
 		start   func()                       // lets the work begin and returns at once
 		refused func(reason upstream.Reason) // it left the queue without running
+		move    func()                       // ends it here so that it goes on elsewhere; nil for plain calls
 		waiting bool
 		started time.Time
 		served  int64 // real cost of a job that succeeded
+		late    bool  // it was started although the upstream is leaving
 		blamed  blame
 	}
 
@@ -89,7 +95,7 @@
 func (l *lane) submit(j *job, remaining time.Duration) (load Load, failure *upstream.Failure) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.spec.State == fleet.Draining {
+	if l.leaving() {
 		return l.digest(), refuse(upstream.ReasonDraining, "the upstream is draining")
 	}
 	if remaining <= 0 {
@@ -186,6 +192,38 @@
 	}
 }
 
+// reclaim refuses new and waiting work and moves what can go on elsewhere.
+func (l *lane) reclaim() (running int) {
+	l.mu.Lock()
+	l.reclaimedUntil = l.now().Add(reclaimTime)
+	var moves []func()
+	for j := range l.running {
+		if j.move != nil {
+			moves = append(moves, j.move)
+		}
+	}
+	running = len(l.running)
+	l.mu.Unlock()
+	l.drain(upstream.ReasonDraining)
+	for _, move := range moves {
+		move()
+	}
+	return running
+}
+
+// reclaimed reports whether the upstream ends by a reclaim, so that no request
+// is blamed for it.
+func (l *lane) reclaimed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.now().Before(l.reclaimedUntil)
+}
+
+// leaving reports whether the upstream takes no new work. The caller holds mu.
+func (l *lane) leaving() bool {
+	return l.spec.State == fleet.Draining || l.now().Before(l.reclaimedUntil)
+}
+
 // down refuses work for a moment, after the upstream crashed or refused a
 // connection.
 func (l *lane) down() {
@@ -234,7 +272,7 @@
 		if j.suspect {
 			time.AfterFunc(probation, l.wake)
 		}
-		j.started = l.now()
+		j.started, j.late = l.now(), l.leaving()
 		l.running[j] = struct{}{}
 		l.load.Running++
 		l.load.RunningCost += j.item.Cost
@@ -298,7 +336,7 @@
 func (l *lane) digest() (load Load) {
 	load = l.load
 	load.Slots = l.spec.Slots
-	load.Draining = l.spec.State == fleet.Draining
+	load.Draining = l.leaving()
 	return load
 }
 
--- a/steward/messages.go
+++ b/steward/messages.go
@@ -136,6 +136,12 @@
 		Upstream    string
 	}
 
+	// ReclaimArgs says that an upstream ends within seconds.
+	ReclaimArgs struct{ Upstream string }
+
+	// ReclaimReply counts the requests that were running there.
+	ReclaimReply struct{ Running int }
+
 	// CrashReply counts the distinct upstreams that the request crashed.
 	CrashReply struct{ Upstreams int }
 )
--- a/steward/receiver.go
+++ b/steward/receiver.go
@@ -45,6 +45,25 @@
 	return nil
 }
 
+// Reclaim moves the work of an upstream that ends within seconds. Streams go on
+// elsewhere now, while their engine still lives; plain calls may finish.
+func (r *Receiver) Reclaim(args ReclaimArgs, reply *ReclaimReply) (err error) {
+	s := r.steward
+	spec, ok := s.options.Snapshot().Upstream(args.Upstream)
+	if !ok {
+		return nil
+	}
+	s.mu.Lock()
+	l := s.lanes[args.Upstream]
+	if l == nil {
+		l = newLane(spec)
+		s.lanes[args.Upstream] = l
+	}
+	s.mu.Unlock()
+	reply.Running = l.reclaim()
+	return nil
+}
+
 // Crash counts the upstreams that a request crashed.
 func (r *Receiver) Crash(args CrashArgs, reply *CrashReply) (err error) {
 	s := r.steward
@@ -76,7 +95,7 @@
 	run := func() {
 		defer cancel()
 		defer l.finished(j)
-		if failure := s.startable(l, args.Origin); failure != nil {
+		if failure := s.startable(l, j, args.Origin); failure != nil {
 			st.finish(upstream.Usage{}, failure)
 			return
 		}
@@ -89,6 +108,12 @@
 		st.finish(usage, s.failureOf(ctx, l, j, err))
 	}
 	j.start = func() { go run() }
+	j.move = func() {
+		st.finish(upstream.Usage{}, &upstream.Failure{
+			Reason: upstream.ReasonDraining, Progress: upstream.Answered, Detail: "the upstream is being reclaimed",
+		})
+		cancel()
+	}
 	j.refused = func(reason upstream.Reason) {
 		s.count("refused", reason)
 		st.finish(upstream.Usage{}, refuse(reason, "the request left the queue before it ran"))
@@ -175,7 +200,7 @@
 
 func (s *Steward) runCall(ctx context.Context, l *lane, j *job, spec *fleet.Upstream, args CallArgs) (answer upstream.Answer, failure *upstream.Failure) {
 	defer l.finished(j)
-	if failure = s.startable(l, args.Origin); failure != nil {
+	if failure = s.startable(l, j, args.Origin); failure != nil {
 		return answer, failure
 	}
 	answer, err := s.service(spec).Call(ctx, args.Call)
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -217,12 +217,12 @@
 }
 
 // startable is checked when a job leaves the queue.
-func (s *Steward) startable(l *lane, origin Origin) (failure *upstream.Failure) {
+func (s *Steward) startable(l *lane, j *job, origin Origin) (failure *upstream.Failure) {
 	if s.withdrawn(origin) {
 		s.count("refused", upstream.ReasonWithdrawn)
 		return refuse(upstream.ReasonWithdrawn, "the key was withdrawn while the request waited")
 	}
-	s.options.Checker.Check(!l.current().Draining, invariant.NoWorkWhenLeaving,
+	s.options.Checker.Check(!j.late, invariant.NoWorkWhenLeaving,
 		"work started on a draining upstream", "Upstream", l.spec.Key())
 	return nil
 }
@@ -260,6 +260,9 @@
 	}
 	copied := *cause
 	failure = &copied
+	if l.reclaimed() {
+		failure.Crashed = false
+	}
 	if failure.Crashed || failure.Reason == upstream.ReasonConnect {
 		l.down()
 	}
