nettest: reset connections in a closed listener's queue

Cause: of 450 random fault runs, the one hung. A client had connected to a node at the moment of its death; the connection stayed in the listener's queue, neither accepted nor reset, and the client waited for ever. An operating system resets such connections; no code of the program was at fault.

--- a/nettest/nettest.go
+++ b/nettest/nettest.go
@@ -169,6 +169,9 @@
 	near, far := newConnPair(h.network, local, address)
 	select {
 	case l.accept <- far:
+		if l.isClosed() {
+			l.resetWaiting()
+		}
 		return near, nil
 	case <-l.closed:
 		near.reset()
@@ -213,9 +216,34 @@
 		l.host.network.mu.Lock()
 		delete(l.host.network.listeners, l.address)
 		l.host.network.mu.Unlock()
+		l.resetWaiting()
 	})
 	return nil
 }
 
+func (l *listener) isClosed() bool {
+	select {
+	case <-l.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// resetWaiting breaks the connections that nobody will accept any more, as an
+// operating system does with those in a closed listener's queue.
+func (l *listener) resetWaiting() {
+	for {
+		select {
+		case waiting := <-l.accept:
+			if c, ok := waiting.(*conn); ok {
+				c.reset()
+			}
+		default:
+			return
+		}
+	}
+}
+
 // Addr returns the listener's address.
 func (l *listener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.address) }
--- /dev/null
+++ b/nettest/nettest_test.go
@@ -0,0 +1,31 @@
+package nettest_test
+
+import (
+	"io"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+
+	"github.com/guavagauge/guavagauge/nettest"
+)
+
+// Guards against a dialer that waits for ever on a connection which was in the
+// queue of a listener when its process ended.
+func TestClosedListenerResetsItsQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := nettest.New()
+		address := netip.MustParseAddrPort("10.0.0.2:80")
+		listener, err := network.Host("10.0.0.2").Listen(t.Context(), address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn, err := network.Host("10.0.0.1").Dial(t.Context(), address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		listener.Close()
+		if _, err := conn.Read(make([]byte, 1)); err == nil || err == io.EOF {
+			t.Errorf("read on a connection that was never accepted: %v, want a reset", err)
+		}
+	})
+}
