settings: drop settings without effect, and let Quarantine have one

Cause: Limits.Connections and Intervals.StreamPull, LoadReport, Planner and Capacity were checked and documented, and nothing read them; Quarantine neither. Change: the five are gone; Quarantine sets how long poison requests are refused. Result: tests of settings, steward, node, policy, command, operator and dev pass.

--- a/node/listeners.go
+++ b/node/listeners.go
@@ -40,6 +40,7 @@
 	n.control = peer.NewPool(n.ctx, n.options.Network, peer.Control, options)
 	n.Steward = steward.New(n.ctx, steward.Options{
 		Logger: n.logger, Set: n.Set, Checker: n.checker, Snapshot: n.Snapshot,
+		Quarantine: n.settings.Intervals.Quarantine,
 		Engine: func(spec *fleet.Upstream) engine.Client {
 			return engine.NewClient(n.options.Network, spec.Address, engine.Options{})
 		},
--- a/settings/check.go
+++ b/settings/check.go
@@ -56,7 +56,6 @@
 	l := &s.Limits
 	inRange(c, l.HeaderBytes, 1<<10, 1<<20, "Limits", "HeaderBytes")
 	inRange(c, l.BodyBytes, 1<<10, 1<<30, "Limits", "BodyBytes")
-	inRange(c, l.Connections, 1, 1_000_000, "Limits", "Connections")
 	inRange(c, l.HeaderReadTimeout, 100*time.Millisecond, 5*time.Minute, "Limits", "HeaderReadTimeout")
 	inRange(c, l.BodyReadTimeout, 100*time.Millisecond, time.Hour, "Limits", "BodyReadTimeout")
 	inRange(c, l.IdleTimeout, time.Second, time.Hour, "Limits", "IdleTimeout")
@@ -73,10 +72,6 @@
 	inRange(c, i.RevisionCompare, 100*time.Millisecond, 3*time.Second, "Intervals", "RevisionCompare")
 	// A withdrawn key stops working within 5 s, also on a node that is cut off.
 	inRange(c, i.KeyConfirmation, 500*time.Millisecond, 4*time.Second, "Intervals", "KeyConfirmation")
-	inRange(c, i.StreamPull, time.Second, time.Minute, "Intervals", "StreamPull")
-	inRange(c, i.LoadReport, 100*time.Millisecond, time.Minute, "Intervals", "LoadReport")
-	inRange(c, i.Planner, time.Second, 10*time.Minute, "Intervals", "Planner")
-	inRange(c, i.Capacity, time.Second, 10*time.Minute, "Intervals", "Capacity")
 	inRange(c, i.UsageWindow, 10*time.Second, 24*time.Hour, "Intervals", "UsageWindow")
 	inRange(c, i.UsageLateness, 5*time.Second, time.Hour, "Intervals", "UsageLateness")
 	inRange(c, i.ClaimRetention, time.Minute, 7*24*time.Hour, "Intervals", "ClaimRetention")
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -18,7 +18,6 @@
 	l := &s.Limits
 	fill(&l.HeaderBytes, 64<<10)
 	fill(&l.BodyBytes, 8<<20)
-	fill(&l.Connections, 10_000)
 	fill(&l.HeaderReadTimeout, 10*time.Second)
 	fill(&l.BodyReadTimeout, time.Minute)
 	fill(&l.IdleTimeout, 2*time.Minute)
@@ -32,10 +31,6 @@
 	fill(&i.Lease, 10*time.Second)
 	fill(&i.RevisionCompare, time.Second)
 	fill(&i.KeyConfirmation, 4*time.Second)
-	fill(&i.StreamPull, 10*time.Second)
-	fill(&i.LoadReport, time.Second)
-	fill(&i.Planner, 5*time.Second)
-	fill(&i.Capacity, 10*time.Second)
 	fill(&i.UsageWindow, time.Minute)
 	fill(&i.UsageLateness, 30*time.Second)
 	fill(&i.ClaimRetention, 24*time.Hour)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -95,7 +95,6 @@
 	Limits struct {
 		HeaderBytes       int
 		BodyBytes         int64 // also bounds the MaxBodyBytes of routes
-		Connections       int   // open at the same time on the caller listener
 		HeaderReadTimeout time.Duration
 		BodyReadTimeout   time.Duration
 		IdleTimeout       time.Duration // of a connection without a request
@@ -111,10 +110,6 @@
 		Lease            time.Duration // time to live of leases in the store
 		RevisionCompare  time.Duration // between comparisons of revisions with a peer
 		KeyConfirmation  time.Duration // without contact until keyed work is refused
-		StreamPull       time.Duration // until a stream that isn't pulled is cancelled
-		LoadReport       time.Duration // between load reports of engines
-		Planner          time.Duration // between role plans
-		Capacity         time.Duration // between capacity plans
 		UsageWindow      time.Duration
 		UsageLateness    time.Duration // after a window's end until it is frozen
 		ClaimRetention   time.Duration // of the outcomes of claimed calls
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -53,6 +53,9 @@
 		Snapshot func() *fleet.Snapshot
 		Engine   func(spec *fleet.Upstream) engine.Client
 		Service  func(spec *fleet.Upstream) service.Client
+		// Quarantine is how long a request that crashed upstreams is held out; 0
+		// takes the default of policy.Crashes.
+		Quarantine time.Duration
 	}
 
 	// Steward runs requests on the upstreams that this node is responsible for.
@@ -91,7 +94,7 @@
 		// A restarted steward must not repeat the epochs that it gave before.
 		lastEpoch: rand.Uint64() >> 1,
 		calls:     make(map[Ident]context.CancelFunc),
-		crashes:   policy.NewCrashes(policy.CrashOptions{}),
+		crashes:   policy.NewCrashes(policy.CrashOptions{Keep: options.Quarantine}),
 	}
 }
 
