membership: probe around one ring, so that nobody is left out for seconds

Each node probed in a random order of its own, so a member was now and then probed by nobody for several intervals. Change: all nodes step around the sorted list of live members at the same pace, by the wall clock; in each interval about one node probes each member. Clocks that disagree cost evenness only. The bound stays. Tests of membership, node and scale were run with the race detector; of them only TestScaleBurst fails, which is known.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -1,5 +1,5 @@
 // Package membership keeps the list of the live nodes of a fleet. Each node
-// probes one member per interval, in randomised round-robin order, so the
+// probes one member per interval, in round-robin order, so the
 // messages of a node don't grow with the fleet. A member that answers neither
 // a direct probe nor an indirect one through other members is suspected; it is
 // removed unless it refutes the suspicion with a higher incarnation in time.
@@ -130,7 +130,6 @@
 		members     map[string]*record // without self
 		names       []string           // of all members and self, sorted
 		dead        int                // number of removed members
-		order       []string           // the rest of the current probe round
 		checks      []string           // members to probe out of turn
 		queue       map[string]*queued
 		subscribers map[chan struct{}]struct{}
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -40,18 +41,22 @@
 			return r.Member, &Member{Name: name, Incarnation: r.Incarnation, State: Dead}, true
 		}
 	}
-	for range 2 { // the rest of this round, then a new one
-		for len(g.order) > 0 {
-			name := g.order[0]
-			g.order = g.order[1:]
-			if r := g.members[name]; r != nil && r.live() {
-				return r.Member, nil, true
-			}
-		}
-		for _, m := range g.randomLive(len(g.members), "") {
-			g.order = append(g.order, m.Name)
+	ring := []string{g.self.Name}
+	for name, r := range g.members {
+		if r.live() {
+			ring = append(ring, name)
 		}
 	}
+	if len(ring) > 1 {
+		slices.Sort(ring)
+		self, _ := slices.BinarySearch(ring, g.self.Name)
+		// All nodes step around the same ring at the same pace, so that in each
+		// interval every member is probed by about one other. With an order of
+		// its own for each node, a member was now and then probed by nobody for
+		// seconds. Clocks that disagree cost evenness only.
+		step := int(time.Now().UnixNano()/int64(g.options.Interval))%(len(ring)-1) + 1
+		return g.members[ring[(self+step)%len(ring)]].Member, nil, true
+	}
 	return Member{}, nil, false
 }
 
