--- a/nettest/conn.go
+++ b/nettest/conn.go
@@ -182,6 +182,9 @@
 }
 
 func (s *stream) write(b []byte) (n int, err error) {
+	if s.network.isDead(s.from) {
+		return 0, syscall.ECONNRESET
+	}
 	delay := s.network.delayOf(s.from, s.to)
 	for {
 		s.mu.Lock()
--- a/nettest/nettest.go
+++ b/nettest/nettest.go
@@ -31,6 +31,7 @@
 		changed   chan struct{} // closed and replaced when a cut is made or healed
 		listeners map[netip.AddrPort]*listener
 		cuts      map[direction]bool
+		dead      map[netip.Addr]bool // reset, and not listening again yet
 		delay     func(from, to netip.Addr) time.Duration
 		conns     map[*conn]struct{}
 		nextPort  uint16
@@ -59,6 +60,7 @@
 		changed:   make(chan struct{}),
 		listeners: make(map[netip.AddrPort]*listener),
 		cuts:      make(map[direction]bool),
+		dead:      make(map[netip.Addr]bool),
 		delay:     func(netip.Addr, netip.Addr) time.Duration { return 0 },
 		conns:     make(map[*conn]struct{}),
 		nextPort:  firstEphemeralPort,
@@ -86,10 +88,12 @@
 func (n *Network) Heal(from, to string) { n.setCut(from, to, false) }
 
 // Reset breaks all connections of an address and closes its listeners, as the
-// death of its process does.
+// death of its process does. From the first broken connection on, nothing more
+// comes from the address until it listens again.
 func (n *Network) Reset(address string) {
 	host := netip.MustParseAddr(address)
 	n.mu.Lock()
+	n.dead[host] = true
 	var broken []*conn
 	for c := range n.conns {
 		if c.local.Addr() == host || c.remote.Addr() == host {
@@ -132,6 +136,12 @@
 	return n.cuts[direction{from, to}], n.changed
 }
 
+func (n *Network) isDead(host netip.Addr) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dead[host]
+}
+
 func (n *Network) delayOf(from, to netip.Addr) time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -152,6 +162,9 @@
 			return nil, ctx.Err()
 		}
 	}
+	if h.network.isDead(h.address) {
+		return nil, errors.Errorf("dial %s: the host is down", address)
+	}
 	roundTrip := h.network.delayOf(h.address, address.Addr()) + h.network.delayOf(address.Addr(), h.address)
 	select {
 	case <-time.After(roundTrip):
@@ -194,6 +207,7 @@
 	if address.Addr() != h.address || h.network.listeners[address] != nil {
 		return nil, errors.Errorf("listen %s: address not available", address)
 	}
+	delete(h.network.dead, h.address)
 	l := &listener{host: h, address: address, accept: make(chan net.Conn, 128), closed: make(chan struct{})}
 	h.network.listeners[address] = l
 	return l, nil
--- a/steward/lane.go
+++ b/steward/lane.go
@@ -45,6 +45,7 @@
 	// without the upstream's reports.
 	lane struct {
 		now func() time.Time
+		key string // of the upstream
 
 		mu      sync.Mutex
 		spec    *fleet.Upstream
@@ -78,7 +79,7 @@
 
 func newLane(spec *fleet.Upstream) *lane {
 	return &lane{
-		now: time.Now, spec: spec, queue: policy.NewQueue(policy.QueueOptions{}),
+		now: time.Now, key: spec.Key(), spec: spec, queue: policy.NewQueue(policy.QueueOptions{}),
 		running: make(map[*job]struct{}),
 	}
 }
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -226,7 +226,7 @@
 		return refuse(upstream.ReasonWithdrawn, "the key was withdrawn while the request waited")
 	}
 	s.options.Checker.Check(!j.late, invariant.NoWorkWhenLeaving,
-		"work started on a draining upstream", "Upstream", l.spec.Key())
+		"work started on a draining upstream", "Upstream", l.key)
 	return nil
 }
 
@@ -279,7 +279,7 @@
 		failure.Reason, failure.Crashed = upstream.ReasonCanceled, false
 	}
 	s.count("failed", failure.Reason)
-	s.options.Logger.Warn("upstream attempt failed", "Upstream", l.spec.Key(), "Reason", string(failure.Reason),
+	s.options.Logger.Warn("upstream attempt failed", "Upstream", l.key, "Reason", string(failure.Reason),
 		"Progress", failure.Progress.String(), "Crashed", failure.Crashed, "Detail", failure.Detail)
 	return failure
 }
