--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -394,3 +394,19 @@
 		}
 	})
 }
+
+// Guards against answers that wait for more than one round trip to the first
+// witness, or for the second one.
+func TestRecordCostsOneRoundTrip(t *testing.T) {
+	inFleet(t, 3, func(f *fleet) {
+		const oneWay = 500 * time.Microsecond
+		f.network.SetDelay(func(netip.Addr, netip.Addr) time.Duration { return oneWay })
+		f.record(0, workspaces[0], 1) // connects
+		time.Sleep(time.Second)
+		start := time.Now()
+		f.record(0, workspaces[0], 1)
+		if took := time.Since(start); took != 2*oneWay {
+			t.Errorf("a record took %s of fake time, want one round trip of %s", took, 2*oneWay)
+		}
+	})
+}
