command: leave no process behind after the test of separate processes

Cause: after test runs, stand-in processes were still alive: the test's process ended before it had killed them. Change: the test kills and waits for each process that it started.

--- a/command/process_test.go
+++ b/command/process_test.go
@@ -89,6 +89,7 @@
 		if err := cmd.Start(); err != nil {
 			t.Fatal(err)
 		}
+		p.killAtEnd(cmd)
 		p.nodes = append(p.nodes, cmd)
 		p.callers = append(p.callers, "http://"+caller)
 		p.ops = append(p.ops, operator)
@@ -121,9 +122,19 @@
 	if err := cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
+	p.killAtEnd(cmd)
 	return output
 }
 
+// killAtEnd leaves no process behind. The end of the context alone doesn't: the
+// test's process may be gone before it has killed the others.
+func (p *processes) killAtEnd(cmd *exec.Cmd) {
+	p.t.Cleanup(func() {
+		cmd.Process.Kill()
+		cmd.Wait() // fails for those that were waited for already
+	})
+}
+
 // run runs a command to its end and returns its output and exit status.
 func (p *processes) run(args ...string) (output string, status int) {
 	cmd := p.command(args...)
