--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -30,7 +30,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/juju/errors"
 
 	"github.com/guavagauge/guavagauge/intent"
 	"github.com/guavagauge/guavagauge/invariant"
@@ -162,26 +161,11 @@
 // platform are logged and tried again; it returns early only when another
 // holder took over.
 func (m *Manager) Run(ctx context.Context, authority intent.Authority) (err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer context.AfterFunc(authority.Context(), cancel)()
 	h := newHolder(m.options, authority)
-	ticker := time.NewTicker(m.options.Period)
-	defer ticker.Stop()
-	for {
-		switch err := h.tick(ctx); {
-		case errors.Is(err, intent.ErrSuperseded):
-			return err
-		case err != nil && ctx.Err() == nil:
-			m.options.Logger.Warn("capacity not managed", "Epoch", authority.Epoch(), "Err", err)
-			h.count("failures", "tick")
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		}
-	}
+	return intent.Loop(ctx, authority, m.options.Period, h.tick, func(err error) {
+		m.options.Logger.Warn("capacity not managed", "Epoch", authority.Epoch(), "Err", err)
+		h.count("failures", "tick")
+	})
 }
 
 // Key returns the key of the document of a failure domain's orders.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -31,7 +31,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/juju/errors"
 
 	"github.com/guavagauge/guavagauge/engine"
 	"github.com/guavagauge/guavagauge/fleet"
@@ -193,22 +192,10 @@
 			h.settled.Store(true)
 		}
 	}()
-	ticker := time.NewTicker(p.options.Period)
-	defer ticker.Stop()
-	for {
-		switch err := h.tick(ctx); {
-		case errors.Is(err, intent.ErrSuperseded), errors.Is(err, engine.ErrStaleEpoch):
-			return err
-		case err != nil && ctx.Err() == nil:
-			p.options.Logger.Warn("planning failed", "Epoch", authority.Epoch(), "Err", err)
-			h.count("failures", "tick")
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		}
-	}
+	return intent.Loop(ctx, authority, p.options.Period, h.tick, func(err error) {
+		p.options.Logger.Warn("planning failed", "Epoch", authority.Epoch(), "Err", err)
+		h.count("failures", "tick")
+	}, engine.ErrStaleEpoch)
 }
 
 // Key returns the key of the document of a failure domain's planner.
