--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -33,7 +33,7 @@
 
 	"github.com/guavagauge/guavagauge/intent"
 	"github.com/guavagauge/guavagauge/invariant"
-	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/provider"
 	"github.com/guavagauge/guavagauge/store"
 )
 
@@ -67,7 +67,7 @@
 
 	// UpstreamView is one upstream that runs or is ordered.
 	UpstreamView struct {
-		platform.VM
+		provider.VM
 		Load
 		Draining bool // for a planned stop, which a start can still revoke
 		// Going upstreams are about to be reclaimed or stopped.
@@ -89,7 +89,7 @@
 	// leaves, or to send them again. A notice with a lower version than one seen
 	// before for the same VM is ignored.
 	DrainNotice struct {
-		VM      platform.VM
+		VM      provider.VM
 		On      bool
 		Version intent.Version
 	}
@@ -98,7 +98,7 @@
 	Options struct {
 		FailureDomain string
 		Store         store.Client
-		Platform      platform.Client
+		Platform      provider.Client
 		// Load returns the load by the names of VMs. Without an answer nothing is
 		// stopped.
 		Load func(ctx context.Context) (load map[string]Load, err error)
@@ -176,7 +176,7 @@
 	for _, u := range v.Upstreams {
 		switch {
 		case u.Going || u.Draining:
-		case u.Capacity == platform.Reclaimable:
+		case u.Capacity == provider.Reclaimable:
 			reclaimable++
 		default:
 			reserved++
--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -22,9 +22,9 @@
 	"github.com/guavagauge/guavagauge/intent"
 	"github.com/guavagauge/guavagauge/intenttest"
 	"github.com/guavagauge/guavagauge/invariant"
-	"github.com/guavagauge/guavagauge/platform"
-	"github.com/guavagauge/guavagauge/platformtest"
 	"github.com/guavagauge/guavagauge/policy"
+	"github.com/guavagauge/guavagauge/provider"
+	"github.com/guavagauge/guavagauge/providertest"
 	"github.com/guavagauge/guavagauge/storetest"
 )
 
@@ -46,7 +46,7 @@
 	t        *testing.T
 	ctx      context.Context
 	store    *storetest.Server
-	platform *platformtest.Server
+	platform *providertest.Server
 	lease    intenttest.Lease
 	set      *metrics.Set
 	decide   func(capacity.View) capacity.Plan // nil: the default
@@ -70,21 +70,21 @@
 			t: t, ctx: ctx, store: storetest.New(storetest.Options{}), set: metrics.NewSet(),
 			told: make(map[string]bool), versions: make(map[string]intent.Version), draining: make(map[string]bool), load: make(map[string]capacity.Load), gone: make(map[string]bool),
 		}
-		w.platform = platformtest.New(ctx, platformtest.Options{Ended: w.ended})
-		w.platform.Add(platform.VM{Name: "first", Kind: platform.Upstream, FailureDomain: domain, Capacity: platform.Reserved, State: platform.Live})
-		w.platform.Add(platform.VM{Name: "other", Kind: platform.Upstream, FailureDomain: "kzn-a", Capacity: platform.Reserved, State: platform.Live})
-		w.platform.Add(platform.VM{Name: "entry", Kind: platform.Entry, FailureDomain: domain, Capacity: platform.Reserved, State: platform.Live})
+		w.platform = providertest.New(ctx, providertest.Options{Ended: w.ended})
+		w.platform.Add(provider.VM{Name: "first", Kind: provider.Upstream, FailureDomain: domain, Capacity: provider.Reserved, State: provider.Live})
+		w.platform.Add(provider.VM{Name: "other", Kind: provider.Upstream, FailureDomain: "kzn-a", Capacity: provider.Reserved, State: provider.Live})
+		w.platform.Add(provider.VM{Name: "entry", Kind: provider.Entry, FailureDomain: domain, Capacity: provider.Reserved, State: provider.Live})
 		time.Sleep(10 * time.Second) // until they are on the list
 		test(w)
 	})
 }
 
 // ended notes what the end of an upstream cut off.
-func (w *world) ended(vm platform.VM) {
+func (w *world) ended(vm provider.VM) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.gone[vm.Name] = true
-	if l := w.load[vm.Name]; l.Running > 0 && vm.State != platform.Leaving {
+	if l := w.load[vm.Name]; l.Running > 0 && vm.State != provider.Leaving {
 		w.cut = append(w.cut, fmt.Sprintf("%d on %s", l.Running, vm.Name))
 	}
 	delete(w.load, vm.Name)
@@ -92,12 +92,12 @@
 
 // request runs one on a live upstream that isn't draining, as a steward does.
 func (w *world) request(n int) {
-	vms := slices.DeleteFunc(w.platform.Fleet(), func(vm platform.VM) bool {
-		return vm.FailureDomain != domain || vm.Kind != platform.Upstream || vm.State != platform.Live
+	vms := slices.DeleteFunc(w.platform.Fleet(), func(vm provider.VM) bool {
+		return vm.FailureDomain != domain || vm.Kind != provider.Upstream || vm.State != provider.Live
 	})
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	vms = slices.DeleteFunc(vms, func(vm platform.VM) bool { return w.draining[vm.Name] })
+	vms = slices.DeleteFunc(vms, func(vm provider.VM) bool { return w.draining[vm.Name] })
 	if len(vms) == 0 {
 		return
 	}
@@ -184,8 +184,8 @@
 func (w *world) running() (reserved, reclaimable int) {
 	for _, vm := range w.platform.Fleet() {
 		switch {
-		case vm.FailureDomain != domain || vm.Kind != platform.Upstream:
-		case vm.Capacity == platform.Reclaimable:
+		case vm.FailureDomain != domain || vm.Kind != provider.Upstream:
+		case vm.Capacity == provider.Reclaimable:
 			reclaimable++
 		default:
 			reserved++
@@ -269,13 +269,13 @@
 		w.hold(w.lease.Acquire(w.ctx))
 		time.Sleep(2 * time.Minute)
 		w.calm(1, 4)
-		w.platform.SetAvailable(domain, platform.Reclaimable, 0)
+		w.platform.SetAvailable(domain, provider.Reclaimable, 0)
 		w.platform.Reclaim(domain)
 		time.Sleep(2 * time.Second)
 		leaving := w.platform.Fleet()
 		w.mu.Lock()
 		for _, vm := range leaving {
-			if vm.Capacity == platform.Reclaimable && !w.told[vm.Name] {
+			if vm.Capacity == provider.Reclaimable && !w.told[vm.Name] {
 				t.Errorf("%s isn't drained two seconds after the notice", vm.Name)
 			}
 		}
@@ -324,7 +324,7 @@
 // again, since the stewards forgot the drain in between.
 func TestStopOfPredecessor(t *testing.T) {
 	newWorld(t, func(w *world) {
-		w.platform.Add(platform.VM{Name: "second", Kind: platform.Upstream, FailureDomain: domain, Capacity: platform.Reserved, State: platform.Live})
+		w.platform.Add(provider.VM{Name: "second", Kind: provider.Upstream, FailureDomain: domain, Capacity: provider.Reserved, State: provider.Live})
 		time.Sleep(10 * time.Second)
 		reserved, reclaimable := 1, 0
 		w.decideTo(&reserved, &reclaimable)
@@ -482,7 +482,7 @@
 		case 9:
 			w.platform.Reclaim(domain)
 		case 10:
-			w.platform.SetAvailable(domain, platform.Reclaimable, which)
+			w.platform.SetAvailable(domain, provider.Reclaimable, which)
 		case 11:
 			w.mu.Lock()
 			w.deaf = which%2 == 0
@@ -498,7 +498,7 @@
 	w.store.SetDown(false)
 	w.platform.SetDown(false)
 	w.platform.SetDelay(0)
-	w.platform.SetAvailable(domain, platform.Reclaimable, 100)
+	w.platform.SetAvailable(domain, provider.Reclaimable, 100)
 	w.mu.Lock()
 	w.deaf = false
 	w.mu.Unlock()
--- a/capacity/holder.go
+++ b/capacity/holder.go
@@ -11,7 +11,7 @@
 
 	"github.com/guavagauge/guavagauge/intent"
 	"github.com/guavagauge/guavagauge/invariant"
-	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/provider"
 )
 
 const lookTimeout = 5 * time.Second // for the list, the notices and the load
@@ -24,7 +24,7 @@
 		document  *intent.Document
 
 		ledger  ledger
-		list    []platform.VM
+		list    []provider.VM
 		listed  time.Time // when the list was read
 		decided time.Time
 		load    map[string]Load
@@ -45,7 +45,7 @@
 		now    time.Time
 		due    bool // for a decision
 		listed bool // the notices were read, and the list not long ago
-		vms    map[string]platform.VM
+		vms    map[string]provider.VM
 		loaded bool // the load was read
 		load   map[string]Load
 	}
@@ -110,7 +110,7 @@
 func (h *holder) look(ctx context.Context) (seen sight) {
 	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
 	defer cancel()
-	seen = sight{now: time.Now(), vms: make(map[string]platform.VM)}
+	seen = sight{now: time.Now(), vms: make(map[string]provider.VM)}
 	if h.listed.IsZero() || seen.now.Sub(h.listed) >= h.options.ListEvery {
 		if list, err := h.options.Platform.Upstreams(ctx, h.options.FailureDomain); err == nil {
 			h.list, h.listed = list, seen.now
@@ -124,7 +124,7 @@
 	}
 	seen.listed = err == nil && !h.listed.IsZero() && seen.now.Sub(h.listed) < 2*h.options.ListEvery
 	for _, vm := range slices.Concat(h.list, notices) { // notices are newer
-		if vm.Kind == platform.Upstream {
+		if vm.Kind == provider.Upstream {
 			seen.vms[vm.Name] = vm
 		}
 	}
@@ -152,7 +152,7 @@
 	}
 	for name, vm := range seen.vms {
 		switch l := load[name]; {
-		case vm.State == platform.Starting || l.Running+l.Queued > 0 || l.Started != before[name].Started:
+		case vm.State == provider.Starting || l.Running+l.Queued > 0 || l.Started != before[name].Started:
 			delete(h.idle, name)
 		case h.idle[name].IsZero():
 			h.idle[name] = seen.now
@@ -176,11 +176,11 @@
 	h.decided = seen.now
 	view := h.view(next, seen)
 	plan := h.options.Decide(view)
-	h.start(next, platform.Reclaimable, plan.StartReclaimable, view)
-	h.start(next, platform.Reserved, plan.StartReserved, view)
+	h.start(next, provider.Reclaimable, plan.StartReclaimable, view)
+	h.start(next, provider.Reserved, plan.StartReserved, view)
 	if seen.loaded {
-		h.stop(next, platform.Reclaimable, plan.StopReclaimable, view)
-		h.stop(next, platform.Reserved, plan.StopReserved, view)
+		h.stop(next, provider.Reclaimable, plan.StopReclaimable, view)
+		h.stop(next, provider.Reserved, plan.StopReserved, view)
 	}
 }
 
@@ -195,7 +195,7 @@
 		_, stopped := next.Stopped[name]
 		u := UpstreamView{
 			VM: vm, Load: seen.load[name], Draining: draining && !d.Reclaim && !stopped,
-			Going: stopped || d.Reclaim || vm.State == platform.Leaving,
+			Going: stopped || d.Reclaim || vm.State == provider.Leaving,
 		}
 		if since := h.idle[name]; !since.IsZero() {
 			u.IdleFor = seen.now.Sub(since)
@@ -203,9 +203,9 @@
 		view.Upstreams = append(view.Upstreams, u)
 	}
 	for name, o := range next.Ordered {
-		view.Upstreams = append(view.Upstreams, UpstreamView{VM: platform.VM{
-			Name: name, Kind: platform.Upstream, FailureDomain: h.options.FailureDomain, Capacity: o.Capacity,
-			State: platform.Starting,
+		view.Upstreams = append(view.Upstreams, UpstreamView{VM: provider.VM{
+			Name: name, Kind: provider.Upstream, FailureDomain: h.options.FailureDomain, Capacity: o.Capacity,
+			State: provider.Starting,
 		}})
 	}
 	slices.SortFunc(view.Upstreams, func(a, b UpstreamView) int { return strings.Compare(a.Name, b.Name) })
@@ -213,7 +213,7 @@
 }
 
 // start revokes drains first, as an upstream that still runs is there at once.
-func (h *holder) start(next *ledger, capacity platform.Capacity, n int, view View) {
+func (h *holder) start(next *ledger, capacity provider.Capacity, n int, view View) {
 	for _, u := range view.Upstreams {
 		if n > 0 && u.Draining && u.Capacity == capacity {
 			delete(next.Draining, u.Name)
@@ -221,8 +221,8 @@
 			n--
 		}
 	}
-	if capacity == platform.Reclaimable && view.NoReclaimable {
-		capacity = platform.Reserved
+	if capacity == provider.Reclaimable && view.NoReclaimable {
+		capacity = provider.Reserved
 	}
 	if n > 0 {
 		next.add(h.authority.Epoch(), h.options.FailureDomain, order{Capacity: capacity, Count: n})
@@ -230,9 +230,9 @@
 }
 
 // stop drains the upstreams with the least work.
-func (h *holder) stop(next *ledger, capacity platform.Capacity, n int, view View) {
+func (h *holder) stop(next *ledger, capacity provider.Capacity, n int, view View) {
 	candidates := slices.DeleteFunc(slices.Clone(view.Upstreams), func(u UpstreamView) bool {
-		return u.Capacity != capacity || u.Draining || u.Going || u.State != platform.Live
+		return u.Capacity != capacity || u.Draining || u.Going || u.State != provider.Live
 	})
 	slices.SortStableFunc(candidates, func(a, b UpstreamView) int {
 		if work := (a.Running + a.Queued) - (b.Running + b.Queued); work != 0 {
@@ -317,9 +317,9 @@
 	if o.VM != "" {
 		return h.sendStop(ctx, next, o, seen)
 	}
-	var started []platform.VM
+	var started []provider.VM
 	err = h.authority.Do(ctx, func(ctx context.Context) (err error) {
-		started, err = h.options.Platform.Start(ctx, platform.StartOrder{
+		started, err = h.options.Platform.Start(ctx, provider.StartOrder{
 			Token: o.Token, FailureDomain: h.options.FailureDomain, Capacity: o.Capacity, Count: o.Count,
 			Epoch: h.authority.Epoch(),
 		})
@@ -331,9 +331,9 @@
 	for _, vm := range started {
 		next.Ordered[vm.Name] = ordered{o.Capacity, seen.now}
 	}
-	if errors.Is(err, platform.ErrNoneAvailable) && o.Capacity == platform.Reclaimable {
+	if errors.Is(err, provider.ErrNoneAvailable) && o.Capacity == provider.Reclaimable {
 		next.NoneAt = seen.now
-		next.add(h.authority.Epoch(), h.options.FailureDomain, order{Capacity: platform.Reserved, Count: o.Count})
+		next.add(h.authority.Epoch(), h.options.FailureDomain, order{Capacity: provider.Reserved, Count: o.Count})
 	}
 	return true, nil
 }
@@ -343,7 +343,7 @@
 	switch {
 	case !seen.listed:
 		return false, nil
-	case !listed, vm.State == platform.Leaving:
+	case !listed, vm.State == provider.Leaving:
 		// An earlier attempt stopped it, or it ends by itself when its last
 		// requests have had their time.
 		h.count("orders", "ends anyway")
@@ -356,7 +356,7 @@
 	h.options.Checker.Check(seen.load[o.VM].Running == 0, invariant.GracefulStop,
 		"stop of a busy upstream", "VM", o.VM, "Running", seen.load[o.VM].Running)
 	err = h.authority.Do(ctx, func(ctx context.Context) error {
-		return h.options.Platform.Stop(ctx, platform.StopOrder{
+		return h.options.Platform.Stop(ctx, provider.StopOrder{
 			Token: o.Token, FailureDomain: h.options.FailureDomain, VM: o.VM, Epoch: h.authority.Epoch(),
 		})
 	})
@@ -373,12 +373,12 @@
 	result := "done"
 	switch {
 	case err == nil:
-	case errors.Is(err, platform.ErrNoneAvailable):
+	case errors.Is(err, provider.ErrNoneAvailable):
 		result = "none available"
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, provider.ErrConflict):
 		h.options.Checker.Check(false, invariant.SingleCapacity, "the token is known with other content", "Token", o.Token)
 		result = "conflict"
-	case errors.Is(err, platform.ErrInvalid):
+	case errors.Is(err, provider.ErrInvalid):
 		result = "invalid"
 	default:
 		result, repeat = "unknown", true
--- a/capacity/ledger.go
+++ b/capacity/ledger.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/provider"
 )
 
 type (
@@ -31,12 +31,12 @@
 	order struct {
 		Token    string
 		VM       string            `json:",omitempty"`
-		Capacity platform.Capacity `json:",omitempty"`
+		Capacity provider.Capacity `json:",omitempty"`
 		Count    int               `json:",omitempty"`
 	}
 
 	ordered struct {
-		Capacity platform.Capacity
+		Capacity provider.Capacity
 		At       time.Time
 	}
 
@@ -75,7 +75,7 @@
 }
 
 // match brings the ledger in line with the list and the notices.
-func (l *ledger) match(vms map[string]platform.VM, now time.Time, startTimeout time.Duration) (lost []string) {
+func (l *ledger) match(vms map[string]provider.VM, now time.Time, startTimeout time.Duration) (lost []string) {
 	for name, o := range l.Ordered {
 		_, listed := vms[name]
 		if late := now.Sub(o.At) > startTimeout; listed || late {
@@ -91,7 +91,7 @@
 		}
 	}
 	for name, vm := range vms {
-		if d, draining := l.Draining[name]; vm.State == platform.Leaving && !d.Reclaim {
+		if d, draining := l.Draining[name]; vm.State == provider.Leaving && !d.Reclaim {
 			if !draining {
 				d.Since = now
 			}
--- a/capacity/threshold.go
+++ b/capacity/threshold.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/provider"
 )
 
 const (
@@ -71,7 +71,7 @@
 		if total == t.Min || u.Going || u.Draining || u.IdleFor < t.StopAfter {
 			continue
 		}
-		if u.Capacity == platform.Reclaimable {
+		if u.Capacity == provider.Reclaimable {
 			plan.StopReclaimable = 1
 		} else if reserved > t.MinReserved {
 			plan.StopReserved = 1
--- a/command/node.go
+++ b/command/node.go
@@ -10,7 +10,7 @@
 
 	"github.com/guavagauge/guavagauge/logging"
 	"github.com/guavagauge/guavagauge/node"
-	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/provider"
 	"github.com/guavagauge/guavagauge/settings"
 	"github.com/guavagauge/guavagauge/store"
 	"github.com/guavagauge/guavagauge/transport"
@@ -43,7 +43,7 @@
 	options := node.Options{Settings: s, Network: transport.TCP{}, Logger: logger}
 	options.Store = storeClient(s)
 	if len(s.Platform.Addresses) > 0 {
-		options.Platform = platform.NewClient(transport.TCP{}, s.Platform.Addresses[0], platform.Options{Timeout: s.Platform.CallTimeout})
+		options.Platform = provider.NewClient(transport.TCP{}, s.Platform.Addresses[0], provider.Options{Timeout: s.Platform.CallTimeout})
 	}
 	n, err := node.New(ctx, options)
 	if err != nil {
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -26,7 +26,7 @@
 	"github.com/guavagauge/guavagauge/fleet"
 	"github.com/guavagauge/guavagauge/logging"
 	"github.com/guavagauge/guavagauge/node"
-	"github.com/guavagauge/guavagauge/platformtest"
+	"github.com/guavagauge/guavagauge/providertest"
 	"github.com/guavagauge/guavagauge/servicetest"
 	"github.com/guavagauge/guavagauge/settings"
 	"github.com/guavagauge/guavagauge/storetest"
@@ -70,7 +70,7 @@
 		Engines  map[string]*enginetest.Engine // by upstream key
 		Services map[string]*servicetest.Desk  // by upstream key
 		Store    *storetest.Server
-		Platform *platformtest.Server
+		Platform *providertest.Server
 
 		ctx     context.Context
 		cancel  context.CancelFunc
--- a/dev/standin.go
+++ b/dev/standin.go
@@ -9,7 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/guavagauge/guavagauge/enginetest"
-	"github.com/guavagauge/guavagauge/platformtest"
+	"github.com/guavagauge/guavagauge/providertest"
 	"github.com/guavagauge/guavagauge/servicetest"
 	"github.com/guavagauge/guavagauge/storetest"
 	"github.com/guavagauge/guavagauge/transport"
@@ -63,6 +63,6 @@
 		Store: storetest.New(storetest.Options{}), options: options, logger: logger(options),
 	}
 	f.ctx, f.cancel = context.WithCancel(ctx)
-	f.Platform = platformtest.New(f.ctx, platformtest.Options{})
+	f.Platform = providertest.New(f.ctx, providertest.Options{})
 	return f
 }
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -20,7 +20,7 @@
 	"github.com/guavagauge/guavagauge/logging"
 	"github.com/guavagauge/guavagauge/nettest"
 	"github.com/guavagauge/guavagauge/node"
-	"github.com/guavagauge/guavagauge/platformtest"
+	"github.com/guavagauge/guavagauge/providertest"
 	"github.com/guavagauge/guavagauge/servicetest"
 	"github.com/guavagauge/guavagauge/settings"
 	"github.com/guavagauge/guavagauge/storetest"
@@ -43,7 +43,7 @@
 		ctx        context.Context
 		network    *nettest.Network
 		store      *storetest.Server
-		platform   *platformtest.Server
+		platform   *providertest.Server
 		client     *http.Client
 		nodes      []*node.Node
 		cancels    []context.CancelFunc
@@ -73,7 +73,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		c := &cluster{
 			t: t, ctx: ctx, network: nettest.New(), store: storetest.New(storetest.Options{}),
-			platform: platformtest.New(ctx, platformtest.Options{}),
+			platform: providertest.New(ctx, providertest.Options{}),
 		}
 		c.start()
 		test(c)
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -13,7 +13,7 @@
 	"github.com/guavagauge/guavagauge/invariant"
 	"github.com/guavagauge/guavagauge/membership"
 	"github.com/guavagauge/guavagauge/peer"
-	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/provider"
 	"github.com/guavagauge/guavagauge/usage"
 )
 
@@ -55,7 +55,7 @@
 func (n *Node) listedNodes(ctx context.Context) (addresses []netip.AddrPort, err error) {
 	vms, err := n.options.Platform.VMs(ctx)
 	for _, vm := range vms {
-		if vm.Kind == platform.Entry {
+		if vm.Kind == provider.Entry {
 			addresses = append(addresses, vm.Address)
 		}
 	}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/guavagauge/guavagauge/fleet"
-	"github.com/guavagauge/guavagauge/platformtest"
+	"github.com/guavagauge/guavagauge/providertest"
 )
 
 const (
@@ -118,7 +118,7 @@
 		billed := map[time.Time]int64{}
 		var total int64
 		for _, record := range c.platform.Records() {
-			if record.Kind == platformtest.Usage && record.Usage.Workspace == "o/alpha" {
+			if record.Kind == providertest.Usage && record.Usage.Workspace == "o/alpha" {
 				billed[record.Usage.Start] = record.Usage.CompletionTokens
 			}
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -28,7 +28,7 @@
 	"github.com/guavagauge/guavagauge/invariant"
 	"github.com/guavagauge/guavagauge/membership"
 	"github.com/guavagauge/guavagauge/peer"
-	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/provider"
 	"github.com/guavagauge/guavagauge/settings"
 	"github.com/guavagauge/guavagauge/steward"
 	"github.com/guavagauge/guavagauge/store"
@@ -46,7 +46,7 @@
 		Settings *settings.Settings // with defaults filled in
 		Network  transport.Network
 		Store    store.Client
-		Platform platform.Client // nil: no VM list and no usage reports
+		Platform provider.Client // nil: no VM list and no usage reports
 		Logger   *slog.Logger
 	}
 
--- a/node/reclaim_test.go
+++ b/node/reclaim_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/guavagauge/guavagauge/fleet"
-	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/provider"
 )
 
 // Guards against work that is lost, delayed or blamed when the reclaimable
@@ -21,9 +21,9 @@
 				spec.Capacity = fleet.Reclaimable
 			}
 			spec.Slots = 16
-			c.platform.Add(platform.VM{
-				Name: spec.Name, Kind: platform.Upstream, Address: spec.Address, FailureDomain: spec.FailureDomain,
-				Capacity: platform.Capacity(spec.Capacity), State: platform.Live,
+			c.platform.Add(provider.VM{
+				Name: spec.Name, Kind: provider.Upstream, Address: spec.Address, FailureDomain: spec.FailureDomain,
+				Capacity: provider.Capacity(spec.Capacity), State: provider.Live,
 			})
 		}
 		c.apply()
--- a/planner/holder.go
+++ b/planner/holder.go
@@ -17,7 +17,7 @@
 	"github.com/guavagauge/guavagauge/fleet"
 	"github.com/guavagauge/guavagauge/intent"
 	"github.com/guavagauge/guavagauge/invariant"
-	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/provider"
 )
 
 type (
@@ -438,7 +438,7 @@
 func (h *holder) reserve(ctx context.Context, c change) {
 	wait, err := time.Duration(0), error(nil)
 	err = h.authority.Do(ctx, func(ctx context.Context) (err error) {
-		wait, err = h.options.Weights.ReserveWeights(ctx, platform.WeightsRequest{
+		wait, err = h.options.Weights.ReserveWeights(ctx, provider.WeightsRequest{
 			Token: c.ID, FailureDomain: h.options.FailureDomain, Model: c.Model,
 		})
 		return err
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -36,7 +36,7 @@
 	"github.com/guavagauge/guavagauge/fleet"
 	"github.com/guavagauge/guavagauge/intent"
 	"github.com/guavagauge/guavagauge/invariant"
-	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/provider"
 	"github.com/guavagauge/guavagauge/store"
 )
 
@@ -101,9 +101,9 @@
 		Version intent.Version
 	}
 
-	// Weights is the part of platform.Client that limits loads of models.
+	// Weights is the part of provider.Client that limits loads of models.
 	Weights interface {
-		ReserveWeights(ctx context.Context, request platform.WeightsRequest) (wait time.Duration, err error)
+		ReserveWeights(ctx context.Context, request provider.WeightsRequest) (wait time.Duration, err error)
 	}
 
 	// Options of a Planner. Zero values mean defaults.
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -26,8 +26,8 @@
 	"github.com/guavagauge/guavagauge/lease"
 	"github.com/guavagauge/guavagauge/nettest"
 	"github.com/guavagauge/guavagauge/planner"
-	"github.com/guavagauge/guavagauge/platformtest"
 	"github.com/guavagauge/guavagauge/policy"
+	"github.com/guavagauge/guavagauge/providertest"
 	"github.com/guavagauge/guavagauge/storetest"
 	"github.com/guavagauge/guavagauge/upstream"
 )
@@ -40,7 +40,7 @@
 	ctx      context.Context
 	network  *nettest.Network
 	store    *storetest.Server
-	platform *platformtest.Server
+	platform *providertest.Server
 	lease    intenttest.Lease
 	engines  []*enginetest.Engine
 	fleet    []planner.Engine
@@ -62,7 +62,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		w := &world{
 			t: t, ctx: ctx, network: nettest.New(), store: storetest.New(storetest.Options{}),
-			platform: platformtest.New(ctx, platformtest.Options{WeightsEvery: 10 * time.Second}),
+			platform: providertest.New(ctx, providertest.Options{WeightsEvery: 10 * time.Second}),
 			set:      metrics.NewSet(), draining: make(map[string]bool), versions: make(map[string]intent.Version),
 		}
 		w.checker = invariant.New(slog.New(slog.DiscardHandler), w.set, invariant.Options{})
--- a/platform/platform.go
+++ b/provider/provider.go
@@ -1,21 +1,21 @@
-// Package platform talks to the platform that the fleet runs on: the list of
+// Package provider talks to the platform that the fleet runs on: the list of
 // VMs, orders to start and stop upstreams, the weight store's rate limit, and
 // usage reports.
 //
 // # Usage
 //
-//	client := platform.NewClient(network, address, platform.Options{})
-//	started, err := client.Start(ctx, platform.StartOrder{
-//		Token: token, FailureDomain: "limpopo-a", Capacity: platform.Reclaimable, Count: 2,
+//	client := provider.NewClient(network, address, provider.Options{})
+//	started, err := client.Start(ctx, provider.StartOrder{
+//		Token: token, FailureDomain: "limpopo-a", Capacity: provider.Reclaimable, Count: 2,
 //	})
 //	switch {
-//	case errors.Is(err, platform.ErrNoneAvailable):  // nothing was started
-//	case errors.Is(err, platform.ErrUnknownOutcome): // repeat it with the same token
+//	case errors.Is(err, provider.ErrNoneAvailable):  // nothing was started
+//	case errors.Is(err, provider.ErrUnknownOutcome): // repeat it with the same token
 //	}
 //
 // The token is written to the store before the order is sent, so that whoever
 // repeats the order uses the same one.
-package platform
+package provider
 
 import (
 	"context"
--- a/platformtest/calls.go
+++ b/providertest/calls.go
@@ -1,4 +1,4 @@
-package platformtest
+package providertest
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/provider"
 )
 
 // The kinds of Record.
@@ -25,9 +25,9 @@
 		Kind Kind
 		At   time.Time
 		// One of the three is set.
-		Start platform.StartOrder
-		Stop  platform.StopOrder
-		Usage platform.UsageReport
+		Start provider.StartOrder
+		Stop  provider.StopOrder
+		Usage provider.UsageReport
 		// Repeat means that it had taken effect before.
 		Repeat bool
 		Err    error
@@ -99,27 +99,27 @@
 	return s.lists
 }
 
-// VMs implements platform.Client.
-func (s *Server) VMs(ctx context.Context) (vms []platform.VM, err error) {
-	return call(ctx, s, false, func() (vms []platform.VM, err error) {
+// VMs implements provider.Client.
+func (s *Server) VMs(ctx context.Context) (vms []provider.VM, err error) {
+	return call(ctx, s, false, func() (vms []provider.VM, err error) {
 		s.lists++
 		return s.lagging(), nil
 	})
 }
 
-// Upstreams implements platform.Client.
-func (s *Server) Upstreams(ctx context.Context, failureDomain string) (vms []platform.VM, err error) {
+// Upstreams implements provider.Client.
+func (s *Server) Upstreams(ctx context.Context, failureDomain string) (vms []provider.VM, err error) {
 	vms, err = s.VMs(ctx)
-	return slices.DeleteFunc(vms, func(vm platform.VM) bool {
-		return vm.FailureDomain != failureDomain || vm.Kind != platform.Upstream
+	return slices.DeleteFunc(vms, func(vm provider.VM) bool {
+		return vm.FailureDomain != failureDomain || vm.Kind != provider.Upstream
 	}), err
 }
 
-// Notices implements platform.Client.
-func (s *Server) Notices(ctx context.Context, failureDomain string) (leaving []platform.VM, err error) {
-	return call(ctx, s, false, func() (leaving []platform.VM, err error) {
+// Notices implements provider.Client.
+func (s *Server) Notices(ctx context.Context, failureDomain string) (leaving []provider.VM, err error) {
+	return call(ctx, s, false, func() (leaving []provider.VM, err error) {
 		for _, vm := range views(s.current(), time.Now()) {
-			if vm.FailureDomain == failureDomain && vm.State == platform.Leaving {
+			if vm.FailureDomain == failureDomain && vm.State == provider.Leaving {
 				leaving = append(leaving, vm)
 			}
 		}
@@ -127,9 +127,9 @@
 	})
 }
 
-// Start implements platform.Client.
-func (s *Server) Start(ctx context.Context, order platform.StartOrder) (started []platform.VM, err error) {
-	return call(ctx, s, true, func() (started []platform.VM, err error) {
+// Start implements provider.Client.
+func (s *Server) Start(ctx context.Context, order provider.StartOrder) (started []provider.VM, err error) {
+	return call(ctx, s, true, func() (started []provider.VM, err error) {
 		content := order
 		content.Epoch = 0
 		done, repeat, err := s.once(order.Token, order.FailureDomain, order.Epoch, content, func() ([]string, error) {
@@ -137,17 +137,17 @@
 		})
 		s.log = append(s.log, Record{Kind: Start, At: time.Now(), Start: order, Repeat: repeat, Err: err})
 		for _, name := range done.vms {
-			started = append(started, platform.VM{
-				Name: name, Kind: platform.Upstream, FailureDomain: order.FailureDomain, Capacity: order.Capacity,
-				State: platform.Starting, Token: order.Token,
+			started = append(started, provider.VM{
+				Name: name, Kind: provider.Upstream, FailureDomain: order.FailureDomain, Capacity: order.Capacity,
+				State: provider.Starting, Token: order.Token,
 			})
 		}
 		return started, err
 	})
 }
 
-// Stop implements platform.Client.
-func (s *Server) Stop(ctx context.Context, order platform.StopOrder) (err error) {
+// Stop implements provider.Client.
+func (s *Server) Stop(ctx context.Context, order provider.StopOrder) (err error) {
 	_, err = call(ctx, s, true, func() (none struct{}, err error) {
 		content := order
 		content.Epoch = 0
@@ -167,8 +167,8 @@
 	return err
 }
 
-// ReserveWeights implements platform.Client.
-func (s *Server) ReserveWeights(ctx context.Context, request platform.WeightsRequest) (wait time.Duration, err error) {
+// ReserveWeights implements provider.Client.
+func (s *Server) ReserveWeights(ctx context.Context, request provider.WeightsRequest) (wait time.Duration, err error) {
 	return call(ctx, s, false, func() (wait time.Duration, err error) {
 		now := time.Now()
 		switch {
@@ -183,8 +183,8 @@
 	})
 }
 
-// ReportUsage implements platform.Client.
-func (s *Server) ReportUsage(ctx context.Context, report platform.UsageReport) (err error) {
+// ReportUsage implements provider.Client.
+func (s *Server) ReportUsage(ctx context.Context, report provider.UsageReport) (err error) {
 	_, err = call(ctx, s, true, func() (none struct{}, err error) {
 		report.Start = report.Start.UTC()
 		key := window{report.Workspace, report.Start}
@@ -194,7 +194,7 @@
 			s.usage[key] = report
 		case billed != report:
 			s.conflicts = append(s.conflicts, fmt.Sprintf("usage of %s at %s: %+v after %+v", report.Workspace, report.Start, report, billed))
-			err = platform.ErrConflict
+			err = provider.ErrConflict
 		}
 		s.log = append(s.log, Record{Kind: Usage, At: time.Now(), Usage: report, Repeat: repeat, Err: err})
 		return none, err
@@ -223,18 +223,18 @@
 					}
 				})
 			}
-			return result, platform.ErrUnknownOutcome
+			return result, provider.ErrUnknownOutcome
 		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.down {
-		return result, platform.ErrUnavailable
+		return result, provider.ErrUnavailable
 	}
 	outcome, err := apply()
 	if effect && s.faults.lose > 0 {
 		s.faults.lose--
-		return result, platform.ErrUnknownOutcome
+		return result, provider.ErrUnknownOutcome
 	}
 	return outcome, err
 }
@@ -244,7 +244,7 @@
 	if done, repeat = s.tokens[token]; repeat {
 		if done.content != content {
 			s.conflicts = append(s.conflicts, fmt.Sprintf("token %q: %+v after %+v", token, content, done.content))
-			return applied{}, true, platform.ErrConflict
+			return applied{}, true, provider.ErrConflict
 		}
 		return done, true, done.err
 	}
@@ -258,22 +258,22 @@
 	return done, false, done.err
 }
 
-func (s *Server) start(order platform.StartOrder) (names []string, err error) {
+func (s *Server) start(order provider.StartOrder) (names []string, err error) {
 	if order.Count <= 0 || order.Token == "" || order.FailureDomain == "" {
-		return nil, platform.ErrInvalid
+		return nil, provider.ErrInvalid
 	}
 	key := pool{order.FailureDomain, order.Capacity}
 	if left, limited := s.available[key]; limited {
 		if left < order.Count {
-			return nil, platform.ErrNoneAvailable
+			return nil, provider.ErrNoneAvailable
 		}
 		s.available[key] = left - order.Count
 	}
 	for range order.Count {
 		name := fmt.Sprintf("%s-%d", order.FailureDomain, len(s.order)+1)
-		s.insert(platform.VM{
-			Name: name, Kind: platform.Upstream, FailureDomain: order.FailureDomain, Capacity: order.Capacity,
-			State: platform.Starting, Token: order.Token,
+		s.insert(provider.VM{
+			Name: name, Kind: provider.Upstream, FailureDomain: order.FailureDomain, Capacity: order.Capacity,
+			State: provider.Starting, Token: order.Token,
 		})
 		names = append(names, name)
 		s.after(s.options.StartDelay, func() { s.live(name) })
--- a/platformtest/handler.go
+++ b/providertest/handler.go
@@ -1,4 +1,4 @@
-package platformtest
+package providertest
 
 import (
 	"encoding/json"
@@ -7,7 +7,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/juju/errors"
 
-	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/provider"
 )
 
 const maxBodyBytes = 1 << 20
@@ -15,40 +15,40 @@
 // Handler serves the platform over HTTP. A lost answer closes the connection.
 func (s *Server) Handler() http.Handler {
 	router := chi.NewRouter()
-	router.Get(platform.PathVMs, func(w http.ResponseWriter, r *http.Request) {
+	router.Get(provider.PathVMs, func(w http.ResponseWriter, r *http.Request) {
 		vms, err := s.VMs(r.Context())
 		answer(w, vms, err)
 	})
-	router.Get(platform.PathUpstreams, func(w http.ResponseWriter, r *http.Request) {
+	router.Get(provider.PathUpstreams, func(w http.ResponseWriter, r *http.Request) {
 		vms, err := s.Upstreams(r.Context(), r.URL.Query().Get("FailureDomain"))
 		answer(w, vms, err)
 	})
-	router.Get(platform.PathNotices, func(w http.ResponseWriter, r *http.Request) {
+	router.Get(provider.PathNotices, func(w http.ResponseWriter, r *http.Request) {
 		leaving, err := s.Notices(r.Context(), r.URL.Query().Get("FailureDomain"))
 		answer(w, leaving, err)
 	})
-	router.Post(platform.PathStart, func(w http.ResponseWriter, r *http.Request) {
-		var order platform.StartOrder
+	router.Post(provider.PathStart, func(w http.ResponseWriter, r *http.Request) {
+		var order provider.StartOrder
 		if read(w, r, &order) {
 			started, err := s.Start(r.Context(), order)
 			answer(w, started, err)
 		}
 	})
-	router.Post(platform.PathStop, func(w http.ResponseWriter, r *http.Request) {
-		var order platform.StopOrder
+	router.Post(provider.PathStop, func(w http.ResponseWriter, r *http.Request) {
+		var order provider.StopOrder
 		if read(w, r, &order) {
 			answer(w, struct{}{}, s.Stop(r.Context(), order))
 		}
 	})
-	router.Post(platform.PathWeights, func(w http.ResponseWriter, r *http.Request) {
-		var request platform.WeightsRequest
+	router.Post(provider.PathWeights, func(w http.ResponseWriter, r *http.Request) {
+		var request provider.WeightsRequest
 		if read(w, r, &request) {
 			wait, err := s.ReserveWeights(r.Context(), request)
-			answer(w, platform.WaitReply{Wait: wait}, err)
+			answer(w, provider.WaitReply{Wait: wait}, err)
 		}
 	})
-	router.Post(platform.PathUsage, func(w http.ResponseWriter, r *http.Request) {
-		var report platform.UsageReport
+	router.Post(provider.PathUsage, func(w http.ResponseWriter, r *http.Request) {
+		var report provider.UsageReport
 		if read(w, r, &report) {
 			answer(w, struct{}{}, s.ReportUsage(r.Context(), report))
 		}
@@ -69,15 +69,15 @@
 	case err == nil:
 		w.Header().Set("Content-Type", "application/json")
 		json.NewEncoder(w).Encode(value)
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, provider.ErrUnknownOutcome):
 		panic(http.ErrAbortHandler)
-	case errors.Is(err, platform.ErrNoneAvailable):
-		w.Header().Set(platform.HeaderRefusal, platform.RefusalNoneAvailable)
+	case errors.Is(err, provider.ErrNoneAvailable):
+		w.Header().Set(provider.HeaderRefusal, provider.RefusalNoneAvailable)
 		http.Error(w, err.Error(), http.StatusConflict)
-	case errors.Is(err, platform.ErrConflict):
-		w.Header().Set(platform.HeaderRefusal, platform.RefusalConflict)
+	case errors.Is(err, provider.ErrConflict):
+		w.Header().Set(provider.HeaderRefusal, provider.RefusalConflict)
 		http.Error(w, err.Error(), http.StatusConflict)
-	case errors.Is(err, platform.ErrInvalid):
+	case errors.Is(err, provider.ErrInvalid):
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	default:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
--- a/platformtest/platform_test.go
+++ b/providertest/provider_test.go
@@ -1,4 +1,4 @@
-package platformtest_test
+package providertest_test
 
 import (
 	"context"
@@ -11,21 +11,21 @@
 	"github.com/juju/errors"
 
 	"github.com/guavagauge/guavagauge/nettest"
-	"github.com/guavagauge/guavagauge/platform"
-	"github.com/guavagauge/guavagauge/platformtest"
+	"github.com/guavagauge/guavagauge/provider"
+	"github.com/guavagauge/guavagauge/providertest"
 )
 
 const domain = "limpopo-a"
 
 // run serves a platform over HTTP in a bubble.
-func run(t *testing.T, test func(t *testing.T, server *platformtest.Server, client platform.Client)) {
+func run(t *testing.T, test func(t *testing.T, server *providertest.Server, client provider.Client)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		network := nettest.New()
 		address := netip.MustParseAddrPort("10.0.0.2:80")
-		server := platformtest.New(ctx, platformtest.Options{})
-		client := platform.NewClient(network.Host("10.0.0.1"), address, platform.Options{})
-		if _, err := client.VMs(ctx); !errors.Is(err, platform.ErrUnavailable) {
+		server := providertest.New(ctx, providertest.Options{})
+		client := provider.NewClient(network.Host("10.0.0.1"), address, provider.Options{})
+		if _, err := client.VMs(ctx); !errors.Is(err, provider.ErrUnavailable) {
 			t.Errorf("no platform: %v, want ErrUnavailable", err)
 		}
 		listener, err := network.Host("10.0.0.2").Listen(ctx, address)
@@ -42,9 +42,9 @@
 // Guards against orders that take effect twice, failures that claim no effect
 // after one, and a list that is up to date when it must not be.
 func TestOrders(t *testing.T) {
-	run(t, func(t *testing.T, server *platformtest.Server, client platform.Client) {
+	run(t, func(t *testing.T, server *providertest.Server, client provider.Client) {
 		ctx := t.Context()
-		order := platform.StartOrder{Token: "a", FailureDomain: domain, Capacity: platform.Reclaimable, Count: 2, Epoch: 4}
+		order := provider.StartOrder{Token: "a", FailureDomain: domain, Capacity: provider.Reclaimable, Count: 2, Epoch: 4}
 		want := func(err, want error) {
 			t.Helper()
 			if !errors.Is(err, want) {
@@ -53,11 +53,11 @@
 		}
 		server.SetDown(true)
 		_, err := client.Start(ctx, order)
-		want(err, platform.ErrUnavailable)
+		want(err, provider.ErrUnavailable)
 		server.SetDown(false)
 		server.LoseAnswers(1)
 		_, err = client.Start(ctx, order)
-		want(err, platform.ErrUnknownOutcome)
+		want(err, provider.ErrUnknownOutcome)
 		order.Epoch = 5
 		started, err := client.Start(ctx, order)
 		want(err, nil)
@@ -68,15 +68,15 @@
 			t.Errorf("list %v doesn't lag", vms)
 		}
 		time.Sleep(70 * time.Second)
-		if vms, _ := client.VMs(ctx); len(vms) != 2 || vms[0].State != platform.Live || !vms[0].Address.IsValid() {
+		if vms, _ := client.VMs(ctx); len(vms) != 2 || vms[0].State != provider.Live || !vms[0].Address.IsValid() {
 			t.Errorf("list %v", vms)
 		}
-		server.SetAvailable(domain, platform.Reclaimable, 1)
+		server.SetAvailable(domain, provider.Reclaimable, 1)
 		order.Token = "b"
 		_, err = client.Start(ctx, order)
-		want(err, platform.ErrNoneAvailable)
+		want(err, provider.ErrNoneAvailable)
 		server.SetDelay(time.Minute)
-		want(client.Stop(ctx, platform.StopOrder{Token: "c", FailureDomain: domain, VM: started[0].Name, Epoch: 5}), platform.ErrUnknownOutcome)
+		want(client.Stop(ctx, provider.StopOrder{Token: "c", FailureDomain: domain, VM: started[0].Name, Epoch: 5}), provider.ErrUnknownOutcome)
 		server.SetDelay(0)
 		synctest.Wait()
 		if n := len(server.Fleet()); n != 1 {
@@ -99,10 +99,10 @@
 // Guards against conflicts that the record misses, and a rate limit that a
 // repeat uses up.
 func TestConflicts(t *testing.T) {
-	run(t, func(t *testing.T, server *platformtest.Server, client platform.Client) {
+	run(t, func(t *testing.T, server *providertest.Server, client provider.Client) {
 		ctx := t.Context()
-		report := platform.UsageReport{Workspace: "o/alpha", Start: time.Now(), Length: time.Minute, PromptTokens: 5}
-		for i, want := range []error{nil, nil, platform.ErrConflict} {
+		report := provider.UsageReport{Workspace: "o/alpha", Start: time.Now(), Length: time.Minute, PromptTokens: 5}
+		for i, want := range []error{nil, nil, provider.ErrConflict} {
 			if i == 2 {
 				report.PromptTokens++
 			}
@@ -110,20 +110,20 @@
 				t.Errorf("report %d: %v, want %v", i, err, want)
 			}
 		}
-		start := platform.StartOrder{Token: "a", FailureDomain: domain, Capacity: platform.Reserved, Count: 1, Epoch: 7}
+		start := provider.StartOrder{Token: "a", FailureDomain: domain, Capacity: provider.Reserved, Count: 1, Epoch: 7}
 		client.Start(ctx, start)
 		start.Count = 2
 		client.Start(ctx, start) // the token with other content
 		start.Token, start.Epoch = "b", 6
 		client.Start(ctx, start) // a former holder
 		for _, token := range []string{"c", "d"} {
-			client.Stop(ctx, platform.StopOrder{Token: token, FailureDomain: domain, VM: "x", Epoch: 7})
+			client.Stop(ctx, provider.StopOrder{Token: token, FailureDomain: domain, VM: "x", Epoch: 7})
 		}
 		if conflicts := server.Conflicts(); len(conflicts) != 4 {
 			t.Errorf("%d conflicts, want 4: %q", len(conflicts), conflicts)
 		}
 		for i, token := range []string{"a", "a", "b"} {
-			wait, err := client.ReserveWeights(ctx, platform.WeightsRequest{Token: token})
+			wait, err := client.ReserveWeights(ctx, provider.WeightsRequest{Token: token})
 			if err != nil || (wait > 0) != (i == 2) {
 				t.Errorf("weights %s: wait %s, %v", token, wait, err)
 			}
--- a/platformtest/platformtest.go
+++ b/providertest/providertest.go
@@ -1,17 +1,17 @@
-// Package platformtest is an in-memory stand-in for the platform, with faults
+// Package providertest is an in-memory stand-in for the platform, with faults
 // and a record of every order and usage report.
 //
 // # Usage
 //
-//	server := platformtest.New(ctx, platformtest.Options{ListLag: 10 * time.Second})
-//	client := server             // a platform.Client without a network
+//	server := providertest.New(ctx, providertest.Options{ListLag: 10 * time.Second})
+//	client := server             // a provider.Client without a network
 //	http.Handle("/", server.Handler()) // or over HTTP
 //	server.LoseAnswers(1)        // the next order takes effect, its answer is lost
 //	server.Reclaim("limpopo-a")  // the domain's reclaimable upstreams leave
 //	server.Conflicts()           // orders and reports that must never be sent
 //
 // It works inside a testing/synctest bubble when it is created there.
-package platformtest
+package providertest
 
 import (
 	"context"
@@ -21,7 +21,7 @@
 	"sync"
 	"time"
 
-	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/provider"
 )
 
 const (
@@ -41,12 +41,12 @@
 		WeightsEvery time.Duration // one load of weights each, over all domains
 		// Boot is called when an upstream becomes live and returns its address.
 		// The default is an address in 10.200.0.0/16.
-		Boot func(vm platform.VM) (address netip.AddrPort)
+		Boot func(vm provider.VM) (address netip.AddrPort)
 		// Ended is called when an upstream was stopped or reclaimed.
-		Ended func(vm platform.VM)
+		Ended func(vm provider.VM)
 	}
 
-	// Server is the stand-in. It implements platform.Client and is safe for
+	// Server is the stand-in. It implements provider.Client and is safe for
 	// concurrent use.
 	Server struct {
 		ctx     context.Context
@@ -59,7 +59,7 @@
 		available map[pool]int // absent: no limit
 		tokens    map[string]applied
 		epochs    map[string]uint64 // highest by failure domain
-		usage     map[window]platform.UsageReport
+		usage     map[window]provider.UsageReport
 		granted   map[string]bool
 		weightsAt time.Time // next grant
 		log       []Record
@@ -69,7 +69,7 @@
 	}
 
 	machine struct {
-		platform.VM
+		provider.VM
 		ends time.Time // of a leaving one
 	}
 
@@ -81,7 +81,7 @@
 
 	pool struct {
 		domain   string
-		capacity platform.Capacity
+		capacity provider.Capacity
 	}
 
 	window struct {
@@ -90,7 +90,7 @@
 	}
 )
 
-var _ platform.Client = (*Server)(nil)
+var _ provider.Client = (*Server)(nil)
 
 // New returns a platform without VMs. Its timers end with ctx.
 func New(ctx context.Context, options Options) *Server {
@@ -105,7 +105,7 @@
 	}
 	s := &Server{
 		ctx: ctx, options: options, vms: make(map[string]*machine), available: make(map[pool]int),
-		tokens: make(map[string]applied), epochs: make(map[string]uint64), usage: make(map[window]platform.UsageReport),
+		tokens: make(map[string]applied), epochs: make(map[string]uint64), usage: make(map[window]provider.UsageReport),
 		granted: make(map[string]bool),
 	}
 	if s.options.Boot == nil {
@@ -117,7 +117,7 @@
 
 // Add puts a VM on the list as it is, such as an entry VM or a reserved
 // upstream that was there before.
-func (s *Server) Add(vm platform.VM) {
+func (s *Server) Add(vm provider.VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.insert(vm)
@@ -128,14 +128,14 @@
 func (s *Server) Remove(name string) { s.end(name) }
 
 // Fleet returns all VMs as they are now.
-func (s *Server) Fleet() (vms []platform.VM) {
+func (s *Server) Fleet() (vms []provider.VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return views(s.current(), time.Now())
 }
 
 // SetAvailable limits the number of further upstreams that can be started.
-func (s *Server) SetAvailable(failureDomain string, capacity platform.Capacity, n int) {
+func (s *Server) SetAvailable(failureDomain string, capacity provider.Capacity, n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.available[pool{failureDomain, capacity}] = n
@@ -147,10 +147,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range s.vms {
-		if m.FailureDomain != failureDomain || m.Capacity != platform.Reclaimable || m.State == platform.Leaving {
+		if m.FailureDomain != failureDomain || m.Capacity != provider.Reclaimable || m.State == provider.Leaving {
 			continue
 		}
-		m.State, m.ends = platform.Leaving, time.Now().Add(s.options.Notice)
+		m.State, m.ends = provider.Leaving, time.Now().Add(s.options.Notice)
 		s.after(s.options.Notice, func() { s.end(m.Name) })
 	}
 	s.changed()
@@ -174,7 +174,7 @@
 func (s *Server) live(name string) {
 	s.mu.Lock()
 	m := s.vms[name]
-	if m == nil || m.State != platform.Starting {
+	if m == nil || m.State != provider.Starting {
 		s.mu.Unlock()
 		return
 	}
@@ -184,14 +184,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m.Address = address
-	if m.State == platform.Starting {
-		m.State = platform.Live
+	if m.State == provider.Starting {
+		m.State = provider.Live
 	}
 	s.changed()
 }
 
 // insert adds a VM. The caller holds mu.
-func (s *Server) insert(vm platform.VM) {
+func (s *Server) insert(vm provider.VM) {
 	s.vms[vm.Name] = &machine{VM: vm}
 	s.order = append(s.order, vm.Name)
 }
@@ -217,7 +217,7 @@
 }
 
 // lagging returns the list as it was before the lag. The caller holds mu.
-func (s *Server) lagging() (vms []platform.VM) {
+func (s *Server) lagging() (vms []provider.VM) {
 	now := time.Now()
 	chosen := s.history[0]
 	for _, candidate := range s.history {
@@ -241,20 +241,20 @@
 	}()
 }
 
-func (s *Server) privateAddress(vm platform.VM) (address netip.AddrPort) {
+func (s *Server) privateAddress(vm provider.VM) (address netip.AddrPort) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := slices.Index(s.order, vm.Name) + 1
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 200, byte(n >> 8), byte(n)}), firstPort)
 }
 
-func views(vms []machine, now time.Time) (list []platform.VM) {
+func views(vms []machine, now time.Time) (list []provider.VM) {
 	for _, m := range vms {
-		if m.State == platform.Leaving {
+		if m.State == provider.Leaving {
 			m.Remaining = max(m.ends.Sub(now), 0)
 		}
 		list = append(list, m.VM)
 	}
-	slices.SortStableFunc(list, func(a, b platform.VM) int { return strings.Compare(a.FailureDomain, b.FailureDomain) })
+	slices.SortStableFunc(list, func(a, b provider.VM) int { return strings.Compare(a.FailureDomain, b.FailureDomain) })
 	return list
 }
--- a/scale/fleet.go
+++ b/scale/fleet.go
@@ -27,8 +27,8 @@
 	"github.com/guavagauge/guavagauge/fleet"
 	"github.com/guavagauge/guavagauge/nettest"
 	"github.com/guavagauge/guavagauge/node"
-	"github.com/guavagauge/guavagauge/platform"
-	"github.com/guavagauge/guavagauge/platformtest"
+	"github.com/guavagauge/guavagauge/provider"
+	"github.com/guavagauge/guavagauge/providertest"
 	"github.com/guavagauge/guavagauge/settings"
 	"github.com/guavagauge/guavagauge/storetest"
 	"github.com/guavagauge/guavagauge/transport"
@@ -57,7 +57,7 @@
 	// Fleet is a running fleet with stand-ins for the outside systems.
 	Fleet struct {
 		Store    *storetest.Server
-		Platform *platformtest.Server
+		Platform *providertest.Server
 
 		ctx        context.Context
 		options    Options
@@ -81,7 +81,7 @@
 // Start starts all nodes at once. They end with ctx.
 func Start(ctx context.Context, options Options) (f *Fleet, err error) {
 	f = &Fleet{
-		Store: storetest.New(storetest.Options{}), Platform: platformtest.New(ctx, platformtest.Options{}),
+		Store: storetest.New(storetest.Options{}), Platform: providertest.New(ctx, providertest.Options{}),
 		ctx: ctx, options: options, domains: 4, regions: 2, memory: nettest.New(), counts: newCounts(),
 		nodes: make([]*member, options.Nodes),
 	}
@@ -107,8 +107,8 @@
 		return nil, err
 	}
 	for i := range options.Nodes {
-		f.Platform.Add(platform.VM{
-			Name: name(i), Kind: platform.Entry, Address: address(i, peerPort), FailureDomain: f.domain(i), State: platform.Live,
+		f.Platform.Add(provider.VM{
+			Name: name(i), Kind: provider.Entry, Address: address(i, peerPort), FailureDomain: f.domain(i), State: provider.Live,
 		})
 	}
 	for i := range options.Nodes {
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -12,7 +12,7 @@
 
 	"github.com/guavagauge/guavagauge/invariant"
 	"github.com/guavagauge/guavagauge/peer"
-	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/provider"
 	"github.com/guavagauge/guavagauge/store"
 )
 
@@ -31,7 +31,7 @@
 		Members  func() []Member // live nodes, this one among them
 		Peers    peer.Caller
 		Store    store.Client
-		Platform platform.Client
+		Platform provider.Client
 		Logger   *slog.Logger
 		Set      *metrics.Set
 		Checker  *invariant.Checker
@@ -183,7 +183,7 @@
 // send reports the frozen figures. Repeats after a lost answer send the same.
 func (r *Reporter) send(ctx context.Context, authority Authority, frozen *Frozen) (err error) {
 	for workspace, totals := range frozen.Figures {
-		report := platform.UsageReport{
+		report := provider.UsageReport{
 			Workspace: workspace, Start: time.Unix(frozen.Window, 0).UTC(), Length: r.options.Window,
 			Requests: totals.Requests, PromptTokens: totals.PromptTokens, CachedTokens: totals.CachedTokens,
 			CompletionTokens: totals.CompletionTokens, Milliseconds: totals.Milliseconds,
@@ -193,9 +193,9 @@
 			if err == nil {
 				break
 			}
-			r.options.Checker.Check(!errors.Is(err, platform.ErrConflict), invariant.UsageOnce,
+			r.options.Checker.Check(!errors.Is(err, provider.ErrConflict), invariant.UsageOnce,
 				"the platform has other figures for a window", "Workspace", workspace, "Window", frozen.Window)
-			if !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUnknownOutcome) {
+			if !errors.Is(err, provider.ErrUnavailable) && !errors.Is(err, provider.ErrUnknownOutcome) {
 				return err // the authority is lost, or a repeat can't help
 			}
 			r.count("guavagauge_usage_reports_repeated_total")
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -19,7 +19,7 @@
 
 	"github.com/guavagauge/guavagauge/nettest"
 	"github.com/guavagauge/guavagauge/peer"
-	"github.com/guavagauge/guavagauge/platformtest"
+	"github.com/guavagauge/guavagauge/providertest"
 	"github.com/guavagauge/guavagauge/store"
 	"github.com/guavagauge/guavagauge/storetest"
 	"github.com/guavagauge/guavagauge/upstream"
@@ -45,7 +45,7 @@
 		cancel   context.CancelFunc
 		network  *nettest.Network
 		store    *storetest.Server
-		platform *platformtest.Server
+		platform *providertest.Server
 		nodes    []*countingNode
 		mu       sync.Mutex // guards alive, which the ledgers' goroutines read
 		alive    map[usage.Source]usage.Member
@@ -90,7 +90,7 @@
 			alive: map[usage.Source]usage.Member{},
 		}
 		f.ctx, f.cancel = context.WithCancel(context.Background())
-		f.platform = platformtest.New(f.ctx, platformtest.Options{})
+		f.platform = providertest.New(f.ctx, providertest.Options{})
 		for i := range n {
 			f.start(i)
 		}
@@ -200,7 +200,7 @@
 	billed := map[string]int64{}
 	seen := map[string]int64{}
 	for _, record := range f.platform.Records() {
-		if record.Kind != platformtest.Usage {
+		if record.Kind != providertest.Usage {
 			continue
 		}
 		r := record.Usage
