entry: serve callers on the platform, the whole path thin

Cause: the fleet's platform has its own protocol; nothing spoke it. Package entry serves callers directly from each node: it reads a request whole, chooses an engine (package dispatch) and relays the answer (package relay). Nodes tell each other loads and placements by datagrams.

--- a/command/command.go
+++ b/command/command.go
@@ -55,7 +55,7 @@
 	parser.ShowCompletion = false
 	parser.DisableShowVersionWithVersion()
 	commands := []*subcommand{
-		newDev(), newNode(), newStandin(), newCheck(), newExplain(), newApply(), newGet(), newHistory(), newRollback(),
+		newDev(), newNode(), newEntry(), newStandin(), newCheck(), newExplain(), newApply(), newGet(), newHistory(), newRollback(),
 		newLabel(), newKey(), newExperiment(),
 	}
 	for _, c := range commands {
--- /dev/null
+++ b/dispatch/prompt.go
@@ -0,0 +1,212 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/roster"
+	"github.com/guavagauge/guavagauge/routing"
+)
+
+const (
+	// defaultWork is assumed of a plain job until one has ended.
+	defaultWork = 50 * time.Millisecond
+	// otherRegionFactor and otherDomainFactor are how much longer a transfer of
+	// memory takes than in the same failure domain, by the platform's interface.
+	otherRegionFactor = 10
+	otherDomainFactor = 2
+)
+
+type (
+	// Costs are the weights of decisions about prompts. Zero fields take defaults.
+	Costs struct {
+		// ReadRate is the speed at which an engine reads prompts, in tokens a
+		// millisecond. It is 48.2 on the engines that the fleet runs.
+		ReadRate float64
+		// DecodeReadShare is the part of that speed at which an engine of the decode
+		// stage reads, between the tokens of other requests. The platform halves it.
+		DecodeReadShare float64
+		// PairTime is the time that a million pairs of tokens add to reading.
+		PairTime time.Duration
+		// Hop is the cost of handing a prompt's memory to another engine: a call and
+		// the transfer's start.
+		Hop time.Duration
+		// OtherDomain and OtherRegion are the costs of sending a request there: the
+		// round trip, and a surcharge for traffic that is paid by volume.
+		OtherDomain, OtherRegion time.Duration
+		// Transfer is the surcharge for a second of transfer of memory, as a factor.
+		Transfer float64
+	}
+
+	// PromptRequest is a generation to be placed.
+	PromptRequest struct {
+		Service string
+		Prompt  platform.Prompt
+		Tried   []string // IDs of upstreams that are left out
+		// Direct leaves out the plans with a separate engine for reading.
+		Direct bool
+	}
+
+	// Plan says which engine reads a prompt and which one generates.
+	Plan struct {
+		// Read is nil if the engine that generates reads the prompt as well.
+		Read *Choice
+		Run  Choice
+		// Expected is the time until the first event.
+		Expected time.Duration
+	}
+)
+
+func (c Costs) withDefaults() Costs {
+	set := func(field *float64, value float64) {
+		if *field == 0 {
+			*field = value
+		}
+	}
+	setTime := func(field *time.Duration, value time.Duration) {
+		if *field == 0 {
+			*field = value
+		}
+	}
+	set(&c.ReadRate, 48.2)
+	set(&c.DecodeReadShare, 0.5)
+	set(&c.Transfer, 3)
+	setTime(&c.PairTime, 248*time.Microsecond)
+	setTime(&c.Hop, 10*time.Millisecond)
+	setTime(&c.OtherDomain, 4*time.Millisecond)
+	setTime(&c.OtherRegion, 120*time.Millisecond)
+	return c
+}
+
+// PlacePrompt chooses the engines for a generation: those with the lowest
+// expected time to the first event, with surcharges for what is paid for.
+func (d *Dispatcher) PlacePrompt(request PromptRequest, now time.Time) (plan Plan, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	service := d.config[request.Service]
+	if service == nil || service.Engine == nil {
+		return Plan{}, false
+	}
+	engines := d.usable(request.Service, request.Tried, now)
+	lowest := time.Duration(math.MaxInt64)
+	runner, runWait := d.bestRunner(engines, service.Engine, now)
+	for _, u := range engines {
+		choice, cost := d.readCost(u, request.Prompt, service.Engine, now)
+		choice.service = request.Service
+		candidate := Plan{Run: choice, Expected: choice.Expected}
+		if u.Stage == roster.Prefill {
+			if request.Direct || runner == nil {
+				continue
+			}
+			handOver := d.transfer(u, runner, request.Prompt.Tokens, service.Engine)
+			extra := d.options.Costs.Hop + handOver + runWait
+			cost += extra + d.distance(runner)
+			read := choice
+			candidate = Plan{
+				Read:     &read,
+				Run:      Choice{Upstream: runner.Upstream, Expected: extra, prompt: request.Prompt, service: request.Service},
+				Expected: choice.Expected + extra,
+			}
+		}
+		if cost < lowest {
+			lowest, plan, ok = cost, candidate, true
+		}
+	}
+	return plan, ok
+}
+
+// readCost estimates reading a prompt at an engine.
+func (d *Dispatcher) readCost(u *upstream, prompt platform.Prompt, engine *routing.Engine, now time.Time) (choice Choice, cost time.Duration) {
+	costs := d.options.Costs
+	rate := costs.ReadRate
+	if u.Stage != roster.Prefill {
+		rate *= costs.DecodeReadShare
+	}
+	kept := u.cache.kept(prompt)
+	read := readTime(prompt.Tokens, kept, rate, costs.PairTime)
+	choice = Choice{Upstream: u.Upstream, Read: read, prompt: prompt}
+	surcharge := time.Duration(0)
+	if holder, held := d.bestHolder(u, prompt, kept); holder != nil {
+		transfer := d.transfer(holder, u, held-kept, engine)
+		fetched := readTime(prompt.Tokens, held, rate, costs.PairTime)
+		if paid := time.Duration(float64(transfer) * costs.Transfer); transfer+fetched+paid < read {
+			choice.Read = transfer + fetched
+			choice.Fetch = holder.Address
+			surcharge = paid
+		}
+	}
+	choice.Expected = u.backlog(now) + choice.Read + u.stepDelay(now, engine)
+	return choice, choice.Expected + d.distance(u) + surcharge
+}
+
+// bestHolder returns the engine from which the most of a prompt's first parts
+// can be fetched at the least cost, if it keeps more than the engine itself.
+func (d *Dispatcher) bestHolder(u *upstream, prompt platform.Prompt, kept int) (holder *upstream, held int) {
+	held = kept
+	for _, other := range d.services[u.Service] {
+		if other == u {
+			continue
+		}
+		n := other.cache.kept(prompt)
+		if n > held || n == held && holder != nil && d.factor(other, u) < d.factor(holder, u) {
+			holder, held = other, n
+		}
+	}
+	return holder, held
+}
+
+// bestRunner returns the engine of the decode stage with the least work.
+func (d *Dispatcher) bestRunner(engines []*upstream, engine *routing.Engine, now time.Time) (runner *upstream, wait time.Duration) {
+	lowest := time.Duration(math.MaxInt64)
+	for _, u := range engines {
+		if u.Stage == roster.Prefill {
+			continue
+		}
+		delay := u.stepDelay(now, engine) + u.backlog(now)/4
+		if cost := delay + d.distance(u); cost < lowest {
+			runner, wait, lowest = u, delay, cost
+		}
+	}
+	return runner, wait
+}
+
+// stepDelay is the time by which the requests that an engine runs delay another.
+func (u *upstream) stepDelay(now time.Time, engine *routing.Engine) (delay time.Duration) {
+	running := u.running(now)
+	delay = time.Duration(running) * 2 * time.Millisecond
+	if over := running + 1 - engine.Slots; over > 0 {
+		delay += time.Duration(over) * 100 * time.Millisecond
+	}
+	return delay
+}
+
+// transfer is the time that tokens take from one engine to another.
+func (d *Dispatcher) transfer(from, to *upstream, tokens int, engine *routing.Engine) (took time.Duration) {
+	if engine.LinkMbps <= 0 || from == to {
+		return 0
+	}
+	bits := float64(tokens) * float64(engine.TokenBytes) * 8
+	once := time.Duration(bits / engine.LinkMbps * float64(time.Microsecond))
+	return once * time.Duration(d.factor(from, to))
+}
+
+func (d *Dispatcher) factor(from, to *upstream) (factor int) {
+	switch {
+	case from.FailureDomain == to.FailureDomain:
+		return 1
+	case from.region == to.region:
+		return otherDomainFactor
+	default:
+		return otherRegionFactor
+	}
+}
+
+// readTime is the time that reading the tokens beyond the kept ones takes. Each
+// token attends to all before it.
+func readTime(tokens, kept int, rate float64, perMillionPairs time.Duration) (took time.Duration) {
+	kept = min(kept, tokens)
+	unread := float64(tokens - kept)
+	pairs := unread * (float64(kept) + unread/2) / 1e6
+	return time.Duration(unread/rate*float64(time.Millisecond)) + time.Duration(pairs*float64(perMillionPairs))
+}
--- /dev/null
+++ b/entry/config.go
@@ -0,0 +1,121 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/routing"
+	"github.com/guavagauge/guavagauge/store"
+)
+
+const (
+	// compareEvery is the time between comparisons of the configuration with the
+	// store's. Two of them fit into the bound for a new configuration.
+	compareEvery = 1200 * time.Millisecond
+	// compareTimeout bounds one comparison. A store that is slow answers within
+	// half a second.
+	compareTimeout = 1200 * time.Millisecond
+	// compareRetry is the time until the next try after a failure.
+	compareRetry = 300 * time.Millisecond
+	// freshnessMargin is the part of the revocation bound that is left for the way
+	// of the request and for what is being decided.
+	freshnessMargin = 700 * time.Millisecond
+)
+
+// followConfig keeps the configuration in force up to date.
+func (n *Node) followConfig() {
+	go func() {
+		var version uint64 // the store's, of the entry
+		reachable := true
+		for n.ctx.Err() == nil {
+			asked := n.clock()
+			entry, changed, err := n.compare(version)
+			wait := compareEvery - compareEvery/8 + rand.N(compareEvery/4)
+			switch {
+			case err != nil:
+				if reachable {
+					n.logger.Warn("store lost", "Error", err)
+				}
+				wait = compareRetry
+			case changed:
+				if n.apply(entry) {
+					version = entry.Version
+					n.confirm(asked)
+				}
+			default:
+				n.confirm(asked)
+			}
+			if err == nil && !reachable {
+				n.logger.Info("store regained", "Revision", version)
+			}
+			reachable = err == nil
+			if !reachable {
+				n.roster.Suspect(time.Now())
+			}
+			select {
+			case <-time.After(wait):
+			case <-n.ctx.Done():
+			}
+		}
+	}()
+}
+
+// compare asks the store whether its entry still has a version.
+func (n *Node) compare(version uint64) (entry store.Entry, changed bool, err error) {
+	ctx, cancel := context.WithTimeout(n.ctx, compareTimeout)
+	defer cancel()
+	if version == 0 {
+		entry, err = n.store.Get(ctx, platform.ConfigKey)
+		return entry, err == nil, err
+	}
+	entry, err = n.store.Compare(ctx, platform.ConfigKey, version)
+	if !errors.Is(err, store.ErrConflict) {
+		return store.Entry{}, false, err
+	}
+	if entry.Version > version {
+		return entry, true, nil
+	}
+	// The answer doesn't hold the entry.
+	entry, err = n.store.Get(ctx, platform.ConfigKey)
+	return entry, err == nil, err
+}
+
+// apply puts a configuration in force unless a newer one is.
+func (n *Node) apply(entry store.Entry) (ok bool) {
+	config, err := platform.DecodeConfig(entry.Value)
+	if err != nil {
+		n.logger.Error("configuration unreadable", "Revision", entry.Version, "Error", err)
+		return false
+	}
+	if current := n.table.Load(); current != nil && current.Version >= config.Version {
+		return current.Version == config.Version
+	}
+	n.table.Store(routing.NewTable(config))
+	n.syncUpstreams()
+	n.logger.Info("configuration in force", "Version", config.Version, "Revision", entry.Version, "Routes", len(config.Routes))
+	return true
+}
+
+// confirm notes that the configuration in force was the newest at a reading of
+// the clock.
+func (n *Node) confirm(at time.Duration) {
+	for {
+		last := n.confirmed.Load()
+		if int64(at) <= last || n.confirmed.CompareAndSwap(last, int64(at)) {
+			return
+		}
+	}
+}
+
+// age is the time since the configuration was known to be the newest.
+func (n *Node) age() time.Duration { return n.clock() - time.Duration(n.confirmed.Load()) }
+
+// fresh reports whether no key can have been withdrawn for longer than the
+// bound without this node knowing.
+func (n *Node) fresh() bool {
+	return n.age() < n.settings.Bounds.Revocation-freshnessMargin
+}
--- /dev/null
+++ b/entry/duty.go
@@ -0,0 +1,299 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/lease"
+	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/store"
+)
+
+const (
+	dutyKey     = "guavagauge/duty"
+	usagePrefix = "guavagauge/usage/"
+	// vacancyEvery is the time between looks whether the duty has a holder. These
+	// are stale reads, at a tenth of the price of a watch.
+	vacancyEvery = time.Second
+	// dutyCall bounds a call to the platform or the store for a duty.
+	dutyCall = time.Second
+	// dutyWrite bounds the time from the check of the authority until a call is
+	// written.
+	dutyWrite = 300 * time.Millisecond
+	// usageDelay is the time after a window's end at which nodes write their
+	// counts, and usageCollect at which the holder reports them.
+	usageDelay   = 700 * time.Millisecond
+	usageCollect = 3 * time.Second
+	// usageRetry is the time between tries to write or report.
+	usageRetry = 500 * time.Millisecond
+	// peerSilent is how long a node is silent until others write its counts.
+	peerSilent = 600 * time.Millisecond
+	dutyTick   = 250 * time.Millisecond
+)
+
+type (
+	// Cloud is the part of the platform that takes reports and orders.
+	Cloud interface {
+		ReportUsage(ctx context.Context, authority platform.Authority, usage platform.Usage) (err error)
+		Order(ctx context.Context, authority platform.Authority, capacity platform.Capacity) (err error)
+	}
+
+	// usageEntry is what a node writes about a window: its own counts, and those
+	// of nodes that fell silent as it knows them.
+	usageEntry struct {
+		Window int64
+		Nodes  map[string]counts
+	}
+)
+
+// holdDuties takes the duty whenever nobody has it, and writes this node's
+// counts.
+func (n *Node) holdDuties() {
+	if n.cloud == nil {
+		return
+	}
+	go func() { n.writeUsage() }()
+	go func() {
+		for n.ctx.Err() == nil {
+			if !n.awaitVacancy() {
+				return
+			}
+			options := lease.Options{
+				Key: dutyKey, Holder: n.settings.Name, TTL: n.settings.Bounds.Lease, CallTimeout: dutyCall,
+				WriteDeadline: dutyWrite, LongestOperation: dutyCall, RetryFirst: usageRetry, RetryLimit: vacancyEvery,
+				Logger: n.logger, Set: n.Set,
+			}
+			held, err := lease.Acquire(n.ctx, n.store, options)
+			if err != nil {
+				n.logger.Info("duty not taken", "Error", err)
+				continue
+			}
+			n.logger.Info("duty taken", "Token", held.Epoch())
+			n.performDuties(held)
+			n.logger.Info("duty ended", "Token", held.Epoch(), "Cause", context.Cause(held.Context()))
+			release, cancel := context.WithTimeout(context.WithoutCancel(n.ctx), dutyCall)
+			if err = held.Release(release); err != nil {
+				n.logger.Warn("duty not released", "Error", err)
+			}
+			cancel()
+		}
+	}()
+}
+
+// awaitVacancy returns true when the duty seems to have no holder.
+func (n *Node) awaitVacancy() (ok bool) {
+	for n.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(n.ctx, dutyCall)
+		entries, _, err := n.store.Range(ctx, dutyKey, true)
+		cancel()
+		if err == nil && len(entries) == 0 && !n.stopping.Load() && n.Ready() {
+			return true
+		}
+		select {
+		case <-time.After(vacancyEvery):
+		case <-n.ctx.Done():
+		}
+	}
+	return false
+}
+
+// performDuties reports usage and orders capacity until the authority ends.
+func (n *Node) performDuties(held *lease.Held) {
+	ctx := held.Context()
+	done := n.usage.window(n.trueNow()) - 1 // an earlier holder reported, or will not
+	reported := map[int64]bool{}
+	orders := newOrders(n)
+	for ctx.Err() == nil && !n.stopping.Load() {
+		now := n.trueNow()
+		for window := n.usage.window(now) - windowsKept; window < n.usage.window(now); window++ {
+			end := n.usage.end(window)
+			if reported[window] || window < done-2 || now.Before(end.Add(usageCollect)) || now.After(end.Add(n.settings.Bounds.UsageLateness)) {
+				continue
+			}
+			if err := n.report(held, window); err != nil {
+				n.logger.Warn("usage not reported", "Window", window, "Error", err)
+				if errors.Is(err, platform.ErrFenced) {
+					return
+				}
+				continue
+			}
+			reported[window] = true
+		}
+		if err := orders.give(held); err != nil {
+			n.logger.Warn("capacity not ordered", "Error", err)
+			if errors.Is(err, platform.ErrFenced) {
+				return
+			}
+		}
+		select {
+		case <-time.After(dutyTick):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (n *Node) authority(held *lease.Held) platform.Authority {
+	return platform.Authority{Holder: n.settings.Name, Token: held.Epoch()}
+}
+
+// report sums up what all nodes wrote of a window and reports it. The figures
+// are fixed in the store first, so that no other holder reports others.
+func (n *Node) report(held *lease.Held, window int64) (err error) {
+	defer errors.DeferredAnnotatef(&err, "report window %d", window)
+	ctx, cancel := context.WithTimeout(held.Context(), 2*dutyCall)
+	defer cancel()
+	usage, err := n.freeze(ctx, window)
+	if err != nil {
+		return err
+	}
+	return held.Do(ctx, func(ctx context.Context) error {
+		err := n.cloud.ReportUsage(ctx, n.authority(held), usage)
+		n.logger.Info("usage reported", "Window", window, "Counts", usage.Counts, "Token", held.Epoch(), "Error", err)
+		return err
+	})
+}
+
+// freeze returns the figures of a window that the store holds, and writes them
+// first if there are none.
+func (n *Node) freeze(ctx context.Context, window int64) (usage platform.Usage, err error) {
+	key := fmt.Sprintf("%sfrozen/%d", usagePrefix, window)
+	entry, err := n.store.Get(ctx, key)
+	if errors.Is(err, store.ErrNotFound) {
+		if usage, err = n.collect(ctx, window); err != nil {
+			return usage, err
+		}
+		value, err := json.Marshal(usage)
+		if err != nil {
+			return usage, err
+		}
+		_, err = n.store.Put(ctx, store.PutRequest{Key: key, Value: value})
+		if err == nil {
+			return usage, nil
+		}
+		entry, err = n.store.Get(ctx, key) // another holder's, or ours with a lost answer
+		if err != nil {
+			return usage, err
+		}
+	}
+	if err != nil {
+		return usage, err
+	}
+	usage = platform.Usage{}
+	err = json.Unmarshal(entry.Value, &usage)
+	return usage, err
+}
+
+// collect sums up what nodes wrote of a window.
+func (n *Node) collect(ctx context.Context, window int64) (usage platform.Usage, err error) {
+	entries, err := n.store.List(ctx, usagePrefix+"node/")
+	if err != nil {
+		return usage, err
+	}
+	nodes := map[string]counts{n.settings.Name: n.usage.of(window)}
+	for _, entry := range entries {
+		var written usageEntry
+		if err := json.Unmarshal(entry.Value, &written); err != nil {
+			n.logger.Warn("usage unreadable", "Key", entry.Key, "Error", err)
+			continue
+		}
+		if written.Window != window {
+			continue
+		}
+		for node, c := range written.Nodes {
+			nodes[node] = larger(nodes[node], c)
+		}
+	}
+	usage = platform.Usage{Window: window, Counts: map[string]int64{}}
+	for _, c := range nodes {
+		for workspace, count := range c {
+			usage.Counts[workspace] += count
+		}
+	}
+	return usage, nil
+}
+
+// larger merges two accounts of one node, which only grow.
+func larger(a, b counts) (merged counts) {
+	merged = counts{}
+	for _, c := range []counts{a, b} {
+		for workspace, count := range c {
+			merged[workspace] = max(merged[workspace], count)
+		}
+	}
+	return merged
+}
+
+// writeUsage writes this node's counts after each window's end, over those of
+// windows whose reports are done.
+func (n *Node) writeUsage() {
+	for written := n.usage.window(n.trueNow()) - 1; n.ctx.Err() == nil; {
+		window := written + 1
+		wait := n.usage.end(window).Add(usageDelay).Sub(n.trueNow())
+		if wait <= 0 {
+			if n.usage.window(n.trueNow())-window > windowsKept {
+				written = n.usage.window(n.trueNow()) - 1 // the clock was wrong
+				continue
+			}
+			ctx, cancel := context.WithTimeout(n.ctx, dutyCall)
+			err := n.putUsage(ctx, window)
+			cancel()
+			if err == nil {
+				written = window
+				continue
+			}
+			n.logger.Warn("usage not written", "Window", window, "Error", err)
+			wait = usageRetry
+		}
+		select {
+		case <-time.After(min(wait, usageRetry)):
+		case <-n.ctx.Done():
+		}
+	}
+}
+
+func (n *Node) putUsage(ctx context.Context, window int64) (err error) {
+	entry := usageEntry{Window: window, Nodes: n.peers.silentCounts(window)}
+	if own := n.usage.of(window); len(own) > 0 {
+		entry.Nodes[n.settings.Name] = own
+	}
+	if len(entry.Nodes) == 0 {
+		return nil
+	}
+	value, err := json.Marshal(entry)
+	if err != nil {
+		return err
+	}
+	key := fmt.Sprintf("%snode/%s/%d", usagePrefix, n.settings.Name, window%windowsKept)
+	_, err = n.store.Put(ctx, store.PutRequest{Key: key, Value: value, IfVersion: store.AnyVersion})
+	return err
+}
+
+// flushUsage writes the counts of the open windows when the node stops.
+func (n *Node) flushUsage(ctx context.Context) {
+	if n.cloud == nil {
+		return
+	}
+	newest := n.usage.window(n.trueNow())
+	for _, window := range []int64{newest - 1, newest} {
+		if err := n.putUsage(ctx, window); err != nil {
+			n.logger.Warn("usage not written at the end", "Window", window, "Error", err)
+		}
+	}
+}
+
+// silentCounts returns what silent nodes of this failure domain told of a window.
+func (p *peers) silentCounts(window int64) (nodes map[string]counts) {
+	nodes = map[string]counts{}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, peer := range p.known {
+		if c := peer.counts[window]; len(c) > 0 && time.Since(peer.heard) > peerSilent {
+			nodes[name] = c
+		}
+	}
+	return nodes
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,234 @@
+// Package entry serves callers on a platform that holds the operator's
+// configuration, the list of upstreams and the leases of duties. Any node can
+// serve any request: it reads the request whole, chooses upstreams by what it
+// knows of their load and caches, and relays the answer. Nodes keep nothing and
+// tell each other what they sent where.
+//
+// # Usage
+//
+//	n, err := entry.New(ctx, entry.Options{Settings: settings, Logger: logger})
+//	<-signal
+//	n.Stop(stopCtx) // graceful shutdown
+//
+// # Freshness of the configuration
+//
+// A node compares its configuration with the store's about once a second. After
+// a time without confirmation, keys may have been withdrawn that it knows, and
+// it refuses requests with keys until the store or another node confirms its
+// version.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-chi/chi/v5"
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/dispatch"
+	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/relay"
+	"github.com/guavagauge/guavagauge/roster"
+	"github.com/guavagauge/guavagauge/routing"
+	"github.com/guavagauge/guavagauge/settings"
+	"github.com/guavagauge/guavagauge/store"
+)
+
+const (
+	// lapseGrace is how long upstreams whose entries lapsed with an outage of the
+	// store have to register again.
+	lapseGrace = 2 * time.Second
+	// callerIdle exceeds every idle timeout that callers are told, so that callers
+	// close idle connections first.
+	callerIdle = 2 * time.Minute
+	// headerLimit is above what any configuration allows.
+	headerLimit = 64 << 10
+	sweepEvery  = 250 * time.Millisecond
+	// withdrawTime is how long a stopping node serves new requests: the balancer
+	// asks once a second and removes it after two misses.
+	withdrawTime = 2500 * time.Millisecond
+)
+
+type (
+	// ConfigStore is the part of the platform's store that a node needs.
+	ConfigStore interface {
+		store.Client
+		Range(ctx context.Context, prefix string, stale bool) (entries []store.Entry, revision uint64, err error)
+		Compare(ctx context.Context, key string, version uint64) (current store.Entry, err error)
+	}
+
+	// Options of a Node. Settings and Logger are required.
+	Options struct {
+		Settings *settings.Entry
+		Logger   *slog.Logger
+		Store    ConfigStore
+		Cloud    Cloud // nil: no duties
+		Dial     func(ctx context.Context, network, address string) (conn net.Conn, err error)
+		// Clock tells the time since some fixed moment, with suspensions.
+		Clock func() time.Duration
+	}
+
+	// Node serves callers.
+	Node struct {
+		Set *metrics.Set
+
+		settings   *settings.Entry
+		logger     *slog.Logger
+		store      ConfigStore
+		cloud      Cloud
+		clock      func() time.Duration
+		ctx        context.Context
+		cancel     context.CancelFunc
+		table      atomic.Pointer[routing.Table]
+		confirmed  atomic.Int64 // Clock reading at which the table was known to be the newest
+		listed     atomic.Bool  // the upstreams were listed at least once
+		stopping   atomic.Bool
+		inFlight   atomic.Int64
+		roster     *roster.Roster
+		dispatcher *dispatch.Dispatcher
+		pool       *relay.Pool
+		budget     *budget
+		usage      *ledger
+		peers      *peers
+		callers    *http.Server
+		readiness  *http.Server
+		addresses  Addresses
+	}
+
+	// Addresses are those of a node's listeners, with their actual ports.
+	Addresses struct{ Caller, Ready netip.AddrPort }
+)
+
+// New starts a node. It serves until Stop is called or ctx ends.
+func New(ctx context.Context, options Options) (n *Node, err error) {
+	s := options.Settings
+	defer errors.DeferredAnnotatef(&err, "start entry node %s", s.Name)
+	if options.Store == nil {
+		options.Store = platform.NewStore(s.Store.Address)
+	}
+	if options.Cloud == nil && s.Cloud.Address.IsValid() {
+		options.Cloud = platform.NewCloud(s.Cloud.Address)
+	}
+	if options.Dial == nil {
+		options.Dial = platform.Dial
+	}
+	if options.Clock == nil {
+		options.Clock = bootClock
+	}
+	n = &Node{
+		Set: metrics.NewSet(), settings: s, logger: options.Logger.With("Node", s.Name), store: options.Store,
+		cloud: options.Cloud, clock: options.Clock, roster: roster.New(lapseGrace),
+		dispatcher: dispatch.New(dispatch.Options{FailureDomain: s.FailureDomain, Regions: s.Regions}),
+		budget:     newBudget(s.Bounds), usage: newLedger(s.Bounds.UsageWindow),
+	}
+	n.pool = relay.New(relay.Options{Dial: options.Dial, Count: func(event string) { n.count("connections", event) }})
+	n.ctx, n.cancel = context.WithCancel(ctx)
+	if err = n.listen(); err != nil {
+		n.cancel()
+		return nil, err
+	}
+	if n.peers, err = newPeers(n); err != nil {
+		n.cancel()
+		return nil, err
+	}
+	n.followConfig()
+	n.followUpstreams()
+	n.holdDuties()
+	go func() {
+		ticker := time.NewTicker(sweepEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case now := <-ticker.C:
+				n.pool.Sweep(now)
+				n.syncUpstreams()
+			case <-n.ctx.Done():
+				return
+			}
+		}
+	}()
+	return n, nil
+}
+
+// listen starts the listeners for callers, the balancer and metrics.
+func (n *Node) listen() (err error) {
+	listener, err := net.Listen("tcp", n.settings.Listen.Caller.String())
+	if err != nil {
+		return err
+	}
+	ready, err := net.Listen("tcp", n.settings.Listen.Ready.String())
+	if err != nil {
+		return err
+	}
+	n.addresses = Addresses{Caller: addressOf(listener), Ready: addressOf(ready)}
+	n.callers = &http.Server{
+		Handler: http.HandlerFunc(n.serve), IdleTimeout: callerIdle, MaxHeaderBytes: headerLimit,
+		BaseContext: func(net.Listener) context.Context { return n.ctx },
+		ErrorLog:    slog.NewLogLogger(n.logger.Handler(), slog.LevelDebug),
+	}
+	router := chi.NewRouter()
+	router.Get("/v1/readiness", func(w http.ResponseWriter, _ *http.Request) {
+		if !n.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	n.readiness = &http.Server{Handler: router}
+	go func() { n.ended("caller listener", n.callers.Serve(listener)) }()
+	go func() { n.ended("readiness listener", n.readiness.Serve(ready)) }()
+	if n.settings.Listen.Metrics.IsValid() {
+		metricsListener, err := net.Listen("tcp", n.settings.Listen.Metrics.String())
+		if err != nil {
+			return err
+		}
+		router := chi.NewRouter()
+		router.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.Set.WritePrometheus(w) })
+		go func() { n.ended("metrics listener", http.Serve(metricsListener, router)) }()
+	}
+	return nil
+}
+
+func addressOf(listener net.Listener) netip.AddrPort {
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func (n *Node) ended(what string, err error) {
+	if !errors.Is(err, http.ErrServerClosed) && n.ctx.Err() == nil {
+		n.logger.Error("listener ended", "Listener", what, "Error", err)
+	}
+}
+
+// Addresses returns those of the listeners.
+func (n *Node) Addresses() Addresses { return n.addresses }
+
+// Ready reports whether the balancer should send callers here.
+func (n *Node) Ready() bool {
+	return !n.stopping.Load() && n.table.Load() != nil && n.listed.Load() && n.fresh()
+}
+
+// Stop shuts the node down gracefully: it reports that it isn't ready, serves on
+// until the balancer has noticed, and finishes the requests that it has.
+func (n *Node) Stop(ctx context.Context) {
+	n.stopping.Store(true)
+	n.logger.Info("stopping", "InFlight", n.inFlight.Load())
+	select {
+	case <-time.After(withdrawTime):
+	case <-ctx.Done():
+	}
+	if err := n.callers.Shutdown(ctx); err != nil {
+		n.logger.Warn("requests cut at shutdown", "InFlight", n.inFlight.Load(), "Error", err)
+	}
+	n.flushUsage(ctx)
+	n.cancel()
+	n.readiness.Close()
+	n.logger.Info("stopped")
+}
+
+func (n *Node) count(name, label string) {
+	n.Set.GetOrCreateCounter("guavagauge_entry_" + name + `_total{reason="` + label + `"}`).Inc()
+}
--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,265 @@
+package entry
+
+import (
+	"encoding/json"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/guavagauge/guavagauge/dispatch"
+	"github.com/guavagauge/guavagauge/store"
+)
+
+const (
+	nodePrefix = "guavagauge/node/"
+	// nodeLease outlives the longest outage of the store that is expected. Entries
+	// of nodes that are gone only cost datagrams.
+	nodeLease = time.Minute
+	// nodeRenew is the time between renewals of the node's entry and listings of
+	// the others.
+	nodeRenew = 6 * time.Second
+	// nodeRetry is the time between tries to register and the first listings,
+	// while nodes start together.
+	nodeRetry = time.Second
+	// firstListings are made at intervals of nodeRetry.
+	firstListings = 4
+	// tellEvery is the time between messages to nodes of the same failure domain,
+	// and tellFarEvery to others, whose traffic is paid by volume.
+	tellEvery    = 100 * time.Millisecond
+	tellFarEvery = time.Second
+	// peerLife is how long a node that is silent counts as alive.
+	peerLife = 3 * time.Second
+	// maxDatagramBytes is below the size at which datagrams are split many times.
+	maxDatagramBytes = 60 << 10
+)
+
+type (
+	// message is what nodes tell each other.
+	message struct {
+		Node          string
+		FailureDomain string
+		Wall          time.Time
+		Version       uint64               // of the configuration in force
+		Loads         []dispatch.Load      `json:",omitempty"`
+		Placed        []dispatch.Placement `json:",omitempty"`
+		Counts        map[int64]counts     `json:",omitempty"`
+	}
+
+	// peers are the other nodes.
+	peers struct {
+		node *Node
+		conn net.PacketConn
+
+		mu    sync.Mutex
+		known map[string]*peerNode // by name
+	}
+
+	peerNode struct {
+		address netip.AddrPort
+		domain  string
+		heard   time.Time
+		offset  time.Duration // of its wall clock to this node's
+		counts  map[int64]counts
+	}
+
+	// nodeEntry is a node's entry in the store.
+	nodeEntry struct {
+		Address       netip.AddrPort
+		FailureDomain string
+	}
+)
+
+// newPeers starts to talk to other nodes.
+func newPeers(n *Node) (p *peers, err error) {
+	p = &peers{node: n, known: map[string]*peerNode{}}
+	if p.conn, err = net.ListenPacket("udp4", n.settings.Listen.Peer.String()); err != nil {
+		return nil, err
+	}
+	go func() {
+		<-n.ctx.Done()
+		p.conn.Close()
+	}()
+	go func() {
+		buffer := make([]byte, maxDatagramBytes)
+		for {
+			size, from, err := p.conn.ReadFrom(buffer)
+			if n.ctx.Err() != nil {
+				return
+			}
+			if err != nil {
+				n.logger.Warn("datagram not read", "Error", err)
+				continue
+			}
+			p.take(buffer[:size], from, time.Now())
+		}
+	}()
+	go func() {
+		ticker := time.NewTicker(tellEvery)
+		defer ticker.Stop()
+		var far time.Time
+		for {
+			select {
+			case now := <-ticker.C:
+				all := now.Sub(far) >= tellFarEvery
+				if all {
+					far = now
+				}
+				p.tell(now, all)
+			case <-n.ctx.Done():
+				return
+			}
+		}
+	}()
+	go func() { p.register() }()
+	return p, nil
+}
+
+// register keeps the node's entry in the store, and lists the others.
+func (p *peers) register() {
+	n := p.node
+	value, err := json.Marshal(nodeEntry{Address: n.settings.Listen.Peer, FailureDomain: n.settings.FailureDomain})
+	if err != nil {
+		n.logger.Error("node not registered", "Error", err)
+		return
+	}
+	var lease store.LeaseID
+	for round := 0; n.ctx.Err() == nil; round++ {
+		if lease != 0 {
+			if _, err = n.store.KeepAlive(n.ctx, lease); store.Classify(err) == store.NotApplied {
+				lease = 0
+			}
+		}
+		if lease == 0 {
+			if lease, err = n.store.Grant(n.ctx, nodeLease); err == nil {
+				_, err = n.store.Put(n.ctx, store.PutRequest{
+					Key: nodePrefix + n.settings.Name, Value: value, IfVersion: store.AnyVersion, Lease: lease,
+				})
+			}
+			if err != nil {
+				n.logger.Warn("node not registered", "Error", err)
+				lease = 0
+			}
+		}
+		if entries, _, err := n.store.Range(n.ctx, nodePrefix, true); err != nil {
+			n.logger.Warn("nodes not listed", "Error", err)
+		} else {
+			p.replace(entries)
+		}
+		wait := nodeRenew
+		if lease == 0 || round < firstListings {
+			wait = nodeRetry
+		}
+		select {
+		case <-time.After(wait):
+		case <-n.ctx.Done():
+		}
+	}
+}
+
+// replace takes the listing of all nodes.
+func (p *peers) replace(entries []store.Entry) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listed := map[string]bool{}
+	for _, entry := range entries {
+		var node nodeEntry
+		if err := json.Unmarshal(entry.Value, &node); err != nil {
+			p.node.logger.Warn("node entry unreadable", "Key", entry.Key, "Error", err)
+			continue
+		}
+		name := strings.TrimPrefix(entry.Key, nodePrefix)
+		if name == p.node.settings.Name {
+			continue
+		}
+		listed[name] = true
+		known := p.known[name]
+		if known == nil {
+			known = &peerNode{}
+			p.known[name] = known
+		}
+		known.address, known.domain = node.Address, node.FailureDomain
+	}
+	for name, known := range p.known {
+		if !listed[name] && time.Since(known.heard) > peerLife {
+			delete(p.known, name)
+		}
+	}
+	p.node.budget.share(len(p.known) + 1)
+}
+
+// tell sends a message to the nodes of the same failure domain, or to all.
+func (p *peers) tell(now time.Time, all bool) {
+	n := p.node
+	m := message{
+		Node: n.settings.Name, FailureDomain: n.settings.FailureDomain, Wall: now.Round(0),
+		Loads: n.dispatcher.Backlogs(now), Placed: n.dispatcher.Placements(now), Counts: n.usage.open(n.trueNow()),
+	}
+	if table := n.table.Load(); table != nil {
+		m.Version = table.Version
+	}
+	text, err := json.Marshal(m)
+	if err != nil {
+		n.logger.Error("message not encoded", "Error", err)
+		return
+	}
+	p.mu.Lock()
+	var to []netip.AddrPort
+	for _, peer := range p.known {
+		if all || peer.domain == n.settings.FailureDomain {
+			to = append(to, peer.address)
+		}
+	}
+	p.mu.Unlock()
+	for _, address := range to {
+		if _, err := p.conn.WriteTo(text, net.UDPAddrFromAddrPort(address)); err != nil && n.ctx.Err() == nil {
+			n.logger.Debug("message not sent", "To", address, "Error", err)
+		}
+	}
+}
+
+// take reads a message of another node.
+func (p *peers) take(text []byte, from net.Addr, now time.Time) {
+	var m message
+	if err := json.Unmarshal(text, &m); err != nil || m.Node == p.node.settings.Name {
+		p.node.logger.Warn("message unreadable", "From", from, "Error", err)
+		return
+	}
+	p.mu.Lock()
+	peer := p.known[m.Node]
+	if peer == nil {
+		peer = &peerNode{}
+		p.known[m.Node] = peer
+	}
+	if address, ok := from.(*net.UDPAddr); ok {
+		peer.address = address.AddrPort()
+	}
+	peer.domain, peer.heard, peer.counts = m.FailureDomain, now, m.Counts
+	peer.offset = m.Wall.Sub(now.Round(0))
+	p.mu.Unlock()
+	p.node.dispatcher.TakeLoads(m.Node, m.Loads, now)
+	p.node.dispatcher.TakePlacements(m.Placed, now)
+}
+
+// offset is the median by which the nodes' wall clocks differ from this one's. A
+// clock that jumped is outvoted.
+func (p *peers) offset(now time.Time) (median time.Duration) {
+	offsets := []time.Duration{0}
+	p.mu.Lock()
+	for _, peer := range p.known {
+		if now.Sub(peer.heard) < peerLife {
+			offsets = append(offsets, peer.offset)
+		}
+	}
+	p.mu.Unlock()
+	slices.Sort(offsets)
+	return offsets[(len(offsets)-1)/2]
+}
+
+// trueNow is the time of day that most nodes agree on.
+func (n *Node) trueNow() time.Time {
+	now := time.Now()
+	return now.Add(n.peers.offset(now))
+}
--- /dev/null
+++ b/entry/upstreams.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/roster"
+	"github.com/guavagauge/guavagauge/store"
+)
+
+const (
+	listTimeout = 1500 * time.Millisecond
+	listRetry   = 300 * time.Millisecond
+)
+
+// followUpstreams keeps the roster up to date with the entries in the store.
+func (n *Node) followUpstreams() {
+	go func() {
+		for n.ctx.Err() == nil {
+			revision, err := n.listUpstreams()
+			for err == nil {
+				revision, err = n.watchUpstreams(revision)
+			}
+			if n.ctx.Err() != nil {
+				return
+			}
+			if errors.Is(err, store.ErrCompacted) {
+				n.logger.Info("upstreams are listed again", "Error", err)
+				continue
+			}
+			n.logger.Warn("upstreams not followed", "Error", err)
+			n.roster.Suspect(time.Now())
+			select {
+			case <-time.After(listRetry):
+			case <-n.ctx.Done():
+			}
+		}
+	}()
+}
+
+func (n *Node) listUpstreams() (revision uint64, err error) {
+	ctx, cancel := context.WithTimeout(n.ctx, listTimeout)
+	defer cancel()
+	entries, revision, err := n.store.Range(ctx, platform.UpstreamPrefix, false)
+	if err != nil {
+		return 0, err
+	}
+	var upstreams []roster.Upstream
+	for _, entry := range entries {
+		if upstream, ok := n.decodeUpstream(entry); ok {
+			upstreams = append(upstreams, upstream)
+		}
+	}
+	n.roster.Replace(upstreams, time.Now())
+	n.listed.Store(true)
+	n.syncUpstreams()
+	return revision, nil
+}
+
+func (n *Node) watchUpstreams(after uint64) (revision uint64, err error) {
+	events, revision, err := n.store.Watch(n.ctx, store.WatchRequest{Prefix: platform.UpstreamPrefix, After: after})
+	if err != nil {
+		return 0, err
+	}
+	for _, event := range events {
+		upstream, ok := roster.Upstream{}, false
+		if !event.Deleted {
+			upstream, ok = n.decodeUpstream(event.Entry)
+		}
+		if ok {
+			n.roster.Put(upstream)
+			n.logger.Info("upstream changed", "Upstream", upstream.ID, "Service", upstream.Service, "Address", upstream.Address,
+				"Domain", upstream.FailureDomain, "Stage", upstream.Stage, "Draining", upstream.Draining, "Spot", upstream.Spot)
+		} else {
+			n.roster.Remove(platform.UpstreamID(event.Entry.Key), time.Now())
+			n.logger.Info("upstream gone", "Key", event.Entry.Key, "Deleted", event.Deleted)
+		}
+	}
+	if len(events) > 0 {
+		n.syncUpstreams()
+	}
+	return revision, nil
+}
+
+// decodeUpstream passes over what another writer left.
+func (n *Node) decodeUpstream(entry store.Entry) (upstream roster.Upstream, ok bool) {
+	upstream, err := platform.DecodeUpstream(entry.Key, entry.Value)
+	if err != nil {
+		n.logger.Warn("entry names no upstream", "Key", entry.Key, "Revision", entry.Version, "Error", err)
+		return roster.Upstream{}, false
+	}
+	return upstream, true
+}
+
+// syncUpstreams tells the dispatcher what the roster and the configuration hold.
+func (n *Node) syncUpstreams() {
+	table := n.table.Load()
+	if table == nil {
+		return
+	}
+	for _, id := range n.dispatcher.Sync(n.roster.View(time.Now()), table.Services) {
+		n.pool.Forget(id)
+	}
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,161 @@
+// Package roster knows the upstreams that registered themselves: who serves
+// which service, where, and who is about to leave.
+//
+// An entry that vanished may have lapsed because its upstream couldn't reach the
+// registry during an outage. Entries that vanish in or right after an outage
+// stay usable for a grace period, in which live upstreams register again.
+//
+// # Usage
+//
+//	r := roster.New(grace)
+//	r.Replace(upstreams, now)   // a full listing
+//	r.Put(upstream)             // one change
+//	r.Remove(id, now)
+//	r.Suspect(now)              // the registry can't be reached
+//	view := r.View(now)
+package roster
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Stages of an upstream that runs a language model.
+const (
+	Plain   Stage = ""
+	Prefill Stage = "prefill"
+	Decode  Stage = "decode"
+)
+
+type (
+	// Stage is the part of a generation that an upstream serves.
+	Stage string
+
+	// Upstream is one registered upstream.
+	Upstream struct {
+		ID            string
+		Service       string
+		Address       netip.AddrPort
+		FailureDomain string
+		Slots         int
+		Draining      bool
+		Spot          bool // may be reclaimed on short notice
+		Stage         Stage
+		Version       uint64    // of the model's weights
+		Born          time.Time // its start; another start under the same ID has another
+	}
+
+	// Roster is the set of known upstreams. It is safe for concurrent use.
+	Roster struct {
+		grace time.Duration
+
+		mu       sync.Mutex
+		known    map[string]*entry
+		suspect  time.Time // when the registry was last known to be unreachable
+		view     []Upstream
+		changed  bool
+		expireAt time.Time // zero: nothing expires
+	}
+
+	entry struct {
+		upstream Upstream
+		missing  time.Time // zero: registered
+	}
+)
+
+// New returns an empty roster. Entries that lapse with an outage of the registry
+// are kept for grace after it.
+func New(grace time.Duration) *Roster {
+	return &Roster{grace: grace, known: map[string]*entry{}}
+}
+
+// Suspect notes that the registry can't be reached at a moment.
+func (r *Roster) Suspect(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.suspect = now
+}
+
+// Put adds or changes an upstream.
+func (r *Roster) Put(upstream Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.known[upstream.ID] = &entry{upstream: upstream}
+	r.changed = true
+}
+
+// Remove notes that an upstream isn't registered any more.
+func (r *Roster) Remove(id string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.remove(id, now)
+}
+
+// Replace takes a full listing of the registry.
+func (r *Roster) Replace(upstreams []Upstream, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	listed := map[string]bool{}
+	for _, upstream := range upstreams {
+		listed[upstream.ID] = true
+		r.known[upstream.ID] = &entry{upstream: upstream}
+	}
+	for id := range r.known {
+		if !listed[id] {
+			r.remove(id, now)
+		}
+	}
+	r.changed = true
+}
+
+// remove is called with mu held.
+func (r *Roster) remove(id string, now time.Time) {
+	known, ok := r.known[id]
+	if !ok {
+		return
+	}
+	r.changed = true
+	if known.upstream.Draining || r.suspect.IsZero() || now.Sub(r.suspect) > r.grace {
+		delete(r.known, id)
+		return
+	}
+	if known.missing.IsZero() {
+		known.missing = now
+	}
+}
+
+// View returns the usable and the draining upstreams, sorted by ID. The caller
+// doesn't change it.
+func (r *Roster) View(now time.Time) (upstreams []Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.changed && (r.expireAt.IsZero() || now.Before(r.expireAt)) {
+		return r.view
+	}
+	r.changed, r.expireAt = false, time.Time{}
+	r.view = make([]Upstream, 0, len(r.known))
+	for id, known := range r.known {
+		if !known.missing.IsZero() {
+			// The grace runs from the end of the outage, which may go on after the
+			// entry lapsed.
+			end := known.missing
+			if r.suspect.After(end) {
+				end = r.suspect
+			}
+			end = end.Add(r.grace)
+			if !now.Before(end) {
+				delete(r.known, id)
+				continue
+			}
+			if r.expireAt.IsZero() || end.Before(r.expireAt) {
+				r.expireAt = end
+			}
+		}
+		r.view = append(r.view, known.upstream)
+	}
+	slices.SortFunc(r.view, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
+	return r.view
+}
