--- a/entry/orders.go
+++ b/entry/orders.go
@@ -2,19 +2,95 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/juju/errors"
 
 	"github.com/guavagauge/guavagauge/lease"
+	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/scaling"
 )
 
-// orders gives the capacity orders of one holder.
-type orders struct {
-	node *Node
-}
+const (
+	// orderRetry is the time until an order is repeated that the platform couldn't
+	// fill, or that had no answer.
+	orderRetry = 2 * time.Second
+)
+
+type (
+	// orders gives the capacity orders of one holder.
+	orders struct {
+		node  *Node
+		given map[orderKey]given
+	}
+
+	// orderKey is what an order is about: one kind of upstream of a service in a
+	// failure domain.
+	orderKey struct {
+		service, domain string
+		spot            bool
+	}
 
-func newOrders(n *Node) (o *orders) { return &orders{node: n} }
+	given struct {
+		count int
+		ok    bool
+		at    time.Time
+	}
+)
+
+func newOrders(n *Node) (o *orders) { return &orders{node: n, given: map[orderKey]given{}} }
 
-// give orders capacity where the desired number has changed.
+// give orders capacity where the wanted number has changed.
 func (o *orders) give(held *lease.Held) (err error) {
-	_ = context.Cause(held.Context())
+	table := o.node.table.Load()
+	if table == nil {
+		return nil
+	}
+	now := time.Now()
+	present := map[orderKey]int{}
+	for _, u := range o.node.roster.View(now) {
+		if !u.Draining {
+			present[orderKey{u.Service, u.FailureDomain, u.Spot}]++
+		}
+	}
+	for _, service := range table.Services {
+		if service.Scaling == nil {
+			continue
+		}
+		for domain := range service.Scaling.DomainPrice {
+			reserved, spot := orderKey{service.Name, domain, false}, orderKey{service.Name, domain, true}
+			want := scaling.Decide(service.Scaling, scaling.Want{Reserved: present[reserved], Spot: present[spot]})
+			for key, count := range map[orderKey]int{reserved: want.Reserved, spot: want.Spot} {
+				if err = o.order(held, key, count, now); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// order gives one order unless it stands.
+func (o *orders) order(held *lease.Held, key orderKey, count int, now time.Time) (err error) {
+	last, known := o.given[key]
+	if known && last.count == count && (last.ok || now.Sub(last.at) < orderRetry) {
+		return nil
+	}
+	err = held.Do(held.Context(), func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, dutyCall)
+		defer cancel()
+		return o.node.cloud.Order(ctx, o.node.authority(held), platform.Capacity{
+			Service: key.service, FailureDomain: key.domain, Count: count, Spot: key.spot,
+		})
+	})
+	o.given[key] = given{count: count, ok: err == nil, at: now}
+	o.node.logger.Info("capacity ordered", "Service", key.service, "Domain", key.domain, "Spot", key.spot,
+		"Count", count, "Token", held.Epoch(), "Error", err)
+	if errors.Is(err, platform.ErrFenced) && held.Check() == nil {
+		return nil // none are to be had; while the lease holds, no other token is higher
+	}
+	if errors.Is(err, lease.ErrSuspended) || errors.Is(err, lease.ErrLost) || errors.Is(err, lease.ErrReleased) {
+		return nil
+	}
 	return nil
 }
--- /dev/null
+++ b/scaling/scaling.go
@@ -0,0 +1,37 @@
+// Package scaling decides how many upstreams of a service run in a failure
+// domain, and how many of them are spot: cheaper ones that the platform may take
+// away on short notice, all of a domain at once.
+//
+// # Usage
+//
+//	want := scaling.Decide(service.Scaling, view)
+package scaling
+
+import (
+	"github.com/guavagauge/guavagauge/routing"
+)
+
+const (
+	// reservedShare is the part of a domain's upstreams that can't be taken away.
+	// While the spot ones are gone, it serves what other domains can't take.
+	reservedShare = 0.17
+)
+
+// Want is a number of upstreams of each kind.
+type Want struct {
+	Reserved, Spot int
+}
+
+// Decide returns the upstreams that a service should have in a failure domain,
+// where present ones of each kind run now.
+func Decide(bounds *routing.Scaling, present Want) (want Want) {
+	reserved := max(bounds.Min, int(float64(bounds.Max)*reservedShare+0.5), 1)
+	want = Want{Reserved: reserved, Spot: max(0, bounds.Max-reserved)}
+	if present.Spot < want.Spot {
+		// Reserved upstreams leave only as spot ones arrive: both count towards the
+		// bound.
+		want.Reserved = max(reserved, min(present.Reserved, bounds.Max-present.Spot))
+		want.Spot = bounds.Max - want.Reserved
+	}
+	return want
+}
