--- a/entry/duty.go
+++ b/entry/duty.go
@@ -10,6 +10,7 @@
 
 	"github.com/guavagauge/guavagauge/lease"
 	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/roster"
 	"github.com/guavagauge/guavagauge/store"
 )
 
@@ -40,6 +41,7 @@
 	Cloud interface {
 		ReportUsage(ctx context.Context, authority platform.Authority, usage platform.Usage) (err error)
 		Order(ctx context.Context, authority platform.Authority, capacity platform.Capacity) (err error)
+		OrderStage(ctx context.Context, authority platform.Authority, upstream roster.Upstream, stage roster.Stage) (err error)
 	}
 
 	// usageEntry is what a node writes about a window: its own counts, and those
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -8,6 +8,8 @@
 
 	"github.com/guavagauge/guavagauge/lease"
 	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/roster"
+	"github.com/guavagauge/guavagauge/routing"
 	"github.com/guavagauge/guavagauge/scaling"
 )
 
@@ -20,8 +22,9 @@
 type (
 	// orders gives the capacity orders of one holder.
 	orders struct {
-		node  *Node
-		given map[orderKey]given
+		node   *Node
+		given  map[orderKey]given
+		staged map[string]time.Time // when an upstream was last ordered to change its stage
 	}
 
 	// orderKey is what an order is about: one kind of upstream of a service in a
@@ -38,7 +41,9 @@
 	}
 )
 
-func newOrders(n *Node) (o *orders) { return &orders{node: n, given: map[orderKey]given{}} }
+func newOrders(n *Node) (o *orders) {
+	return &orders{node: n, given: map[orderKey]given{}, staged: map[string]time.Time{}}
+}
 
 // give orders capacity where the wanted number has changed.
 func (o *orders) give(held *lease.Held) (err error) {
@@ -48,9 +53,12 @@
 	}
 	now := time.Now()
 	present := map[orderKey]int{}
+	engines := map[orderKey][]roster.Upstream{}
 	for _, u := range o.node.roster.View(now) {
 		if !u.Draining {
 			present[orderKey{u.Service, u.FailureDomain, u.Spot}]++
+			place := orderKey{service: u.Service, domain: u.FailureDomain}
+			engines[place] = append(engines[place], u)
 		}
 	}
 	for _, service := range table.Services {
@@ -60,6 +68,7 @@
 		for domain := range service.Scaling.DomainPrice {
 			reserved, spot := orderKey{service.Name, domain, false}, orderKey{service.Name, domain, true}
 			want := scaling.Decide(service.Scaling, scaling.Want{Reserved: present[reserved], Spot: present[spot]})
+			o.stage(held, service, engines[orderKey{service: service.Name, domain: domain}], now)
 			for key, count := range map[orderKey]int{reserved: want.Reserved, spot: want.Spot} {
 				if err = o.order(held, key, count, now); err != nil {
 					return err
@@ -94,3 +103,28 @@
 	}
 	return nil
 }
+
+// stage gives at most one order to change a stage in a failure domain, unless
+// one is under way there.
+func (o *orders) stage(held *lease.Held, service routing.Service, engines []roster.Upstream, now time.Time) {
+	if service.Engine == nil {
+		return
+	}
+	for _, engine := range engines {
+		if now.Sub(o.staged[engine.ID]) < service.Engine.StageSwitch+orderRetry {
+			return
+		}
+	}
+	engine, stage, ok := scaling.Stage(engines)
+	if !ok {
+		return
+	}
+	o.staged[engine.ID] = now
+	err := held.Do(held.Context(), func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, dutyCall)
+		defer cancel()
+		return o.node.cloud.OrderStage(ctx, o.node.authority(held), engine, stage)
+	})
+	o.node.logger.Info("stage ordered", "Upstream", engine.ID, "Domain", engine.FailureDomain, "From", engine.Stage, "To", stage,
+		"Token", held.Epoch(), "Error", err)
+}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -25,8 +25,10 @@
 // stream is an answer of events on its way to the caller.
 type stream struct {
 	*exchange
-	lastEvent string // the last one that was passed on
-	started   bool   // the caller has the head
+	lastEvent string        // the last one that was passed on
+	started   bool          // the caller has the head
+	firstAt   time.Duration // after the request's arrival
+	plan      dispatch.Plan
 }
 
 // generate serves a request that is answered by a stream of events.
@@ -44,6 +46,7 @@
 			s.give(retrySoon)
 			return
 		}
+		s.plan = plan
 		if e.calls == 0 {
 			if after, late := e.tooLate(plan); late {
 				e.last = reasonOverload
@@ -161,9 +164,20 @@
 		return false
 	}
 	job.End(time.Now(), dispatch.Served)
+	s.logServed()
 	return true
 }
 
+// logServed tells what was expected of the engines, and what came.
+func (s *stream) logServed() {
+	read, fetched := "", s.plan.Run.Fetch.IsValid()
+	if s.plan.Read != nil {
+		read, fetched = s.plan.Read.Upstream.ID, s.plan.Read.Fetch.IsValid()
+	}
+	s.log("generation served", "Read", read, "Run", s.plan.Run.Upstream.ID, "Fetched", fetched, "Tokens", s.request.Prompt.Tokens,
+		"Expected", s.plan.Expected, "First", s.firstAt)
+}
+
 // relay passes on whole events as they come.
 func (s *stream) relay(answer *relay.Answer, job *dispatch.Job) (err error) {
 	reader := bufio.NewReaderSize(answer, eventBuffer)
@@ -194,6 +208,7 @@
 		if first {
 			first = false
 			job.FirstByte(time.Now())
+			s.firstAt = time.Since(s.arrived)
 			s.node.usage.began(s.workspace, s.node.trueNow())
 		}
 		if !s.started {
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -8,6 +8,7 @@
 package scaling
 
 import (
+	"github.com/guavagauge/guavagauge/roster"
 	"github.com/guavagauge/guavagauge/routing"
 )
 
@@ -15,6 +16,9 @@
 	// reservedShare is the part of a domain's upstreams that can't be taken away.
 	// While the spot ones are gone, it serves what other domains can't take.
 	reservedShare = 0.17
+	// prefillShare is the part of a domain's engines that read prompts. An engine
+	// reads twice as fast apart from generating, and generating needs few engines.
+	prefillShare = 0.6
 )
 
 // Want is a number of upstreams of each kind.
@@ -22,6 +26,32 @@
 	Reserved, Spot int
 }
 
+// Stage returns an engine whose stage should change, and to which: as many
+// engines of a failure domain read prompts as prefillShare says, and one at least
+// generates. The engines are sorted; those that may change are idle choices.
+func Stage(engines []roster.Upstream) (change roster.Upstream, stage roster.Stage, ok bool) {
+	prefill := 0
+	for _, engine := range engines {
+		if engine.Stage == roster.Prefill {
+			prefill++
+		}
+	}
+	want := min(int(float64(len(engines))*prefillShare+0.5), len(engines)-1)
+	from, to := roster.Decode, roster.Prefill
+	if prefill == want {
+		return roster.Upstream{}, "", false
+	}
+	if prefill > want {
+		from, to = to, from
+	}
+	for _, engine := range engines {
+		if engine.Stage == from {
+			return engine, to, true
+		}
+	}
+	return roster.Upstream{}, "", false
+}
+
 // Decide returns the upstreams that a service should have in a failure domain,
 // where present ones of each kind run now.
 func Decide(bounds *routing.Scaling, present Want) (want Want) {
