--- a/dispatch/cache.go
+++ b/dispatch/cache.go
@@ -72,6 +72,7 @@
 
 // Placement says that a part of a prompt was sent to an engine, which keeps it.
 type Placement struct {
+	_        struct{} `cbor:",toarray"`
 	Upstream string
 	Part     string
 	Tokens   int
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -249,8 +249,7 @@
 
 // backlog is the time until all prompts that were sent to an engine are read.
 func (u *upstream) backlog(now time.Time) (wait time.Duration) {
-	// The engine reads on while no answer comes.
-	wait = max(0, u.unread-min(now.Sub(u.lastRead), u.unread/2))
+	wait = u.ownBacklog(now)
 	for _, peer := range u.peers {
 		if age := now.Sub(peer.at); age < peerLoadLife {
 			wait += max(0, peer.unread-age)
@@ -259,6 +258,12 @@
 	return wait
 }
 
+// ownBacklog is the part of the backlog that this node has sent.
+func (u *upstream) ownBacklog(now time.Time) (wait time.Duration) {
+	// The engine reads on while no answer comes.
+	return max(0, u.unread-min(now.Sub(u.lastRead), u.unread/2))
+}
+
 // running is the number of jobs that an upstream probably works on.
 func (u *upstream) running(now time.Time) (jobs int) {
 	jobs = len(u.jobs)
@@ -343,7 +348,7 @@
 	defer d.mu.Unlock()
 	for _, u := range d.upstreams {
 		if len(u.jobs) > 0 {
-			loads = append(loads, Load{Upstream: u.ID, Unread: max(0, u.unread-min(now.Sub(u.lastRead), u.unread/2)), Running: len(u.jobs)})
+			loads = append(loads, Load{Upstream: u.ID, UnreadMs: u.ownBacklog(now).Milliseconds(), Running: len(u.jobs)})
 		}
 	}
 	return loads
@@ -351,8 +356,9 @@
 
 // Load is what one node has sent to an upstream.
 type Load struct {
+	_        struct{} `cbor:",toarray"`
 	Upstream string
-	Unread   time.Duration
+	UnreadMs int64
 	Running  int
 }
 
@@ -366,7 +372,7 @@
 	}
 	for _, l := range loads {
 		if u := d.upstreams[l.Upstream]; u != nil {
-			u.peers[node] = peerLoad{unread: l.Unread, running: l.Running, at: now}
+			u.peers[node] = peerLoad{unread: time.Duration(l.UnreadMs) * time.Millisecond, running: l.Running, at: now}
 		}
 	}
 }
--- a/dispatch/prompt.go
+++ b/dispatch/prompt.go
@@ -16,6 +16,10 @@
 	// memory takes than in the same failure domain, by the platform's interface.
 	otherRegionFactor = 10
 	otherDomainFactor = 2
+	// slowedShare is how many generations weigh as much as the request itself when
+	// reading its prompt slows them, and maxSlowed bounds their number.
+	slowedShare = 20
+	maxSlowed   = 40
 )
 
 type (
@@ -27,6 +31,10 @@
 		// DecodeReadShare is the part of that speed at which an engine of the decode
 		// stage reads, between the tokens of other requests. The platform halves it.
 		DecodeReadShare float64
+		// DecodeChunk is the number of tokens that such an engine reads between two
+		// steps of generation, which take StepTime and StepTimePerRun.
+		DecodeChunk              float64
+		StepTime, StepTimePerRun time.Duration
 		// PairTime is the time that a million pairs of tokens add to reading.
 		PairTime time.Duration
 		// Hop is the cost of handing a prompt's memory to another engine: a call and
@@ -71,7 +79,10 @@
 	}
 	set(&c.ReadRate, 48.2)
 	set(&c.DecodeReadShare, 0.5)
+	set(&c.DecodeChunk, 256)
 	set(&c.Transfer, 3)
+	setTime(&c.StepTime, 2600*time.Microsecond)
+	setTime(&c.StepTimePerRun, 120*time.Microsecond)
 	setTime(&c.PairTime, 248*time.Microsecond)
 	setTime(&c.Hop, 10*time.Millisecond)
 	setTime(&c.OtherDomain, 4*time.Millisecond)
@@ -79,6 +90,14 @@
 	return c
 }
 
+// ReadTime is the time that reading the prompt itself takes.
+func (p Plan) ReadTime() (read time.Duration) {
+	if p.Read != nil {
+		return p.Read.Read
+	}
+	return p.Run.Read
+}
+
 // PlacePrompt chooses the engines for a generation: those with the lowest
 // expected time to the first event, with surcharges for what is paid for.
 func (d *Dispatcher) PlacePrompt(request PromptRequest, now time.Time) (plan Plan, ok bool) {
@@ -120,8 +139,10 @@
 func (d *Dispatcher) readCost(u *upstream, prompt platform.Prompt, engine *routing.Engine, now time.Time) (choice Choice, cost time.Duration) {
 	costs := d.options.Costs
 	rate := costs.ReadRate
+	running := 0
 	if u.Stage != roster.Prefill {
-		rate *= costs.DecodeReadShare
+		running = u.running(now)
+		rate = costs.decodeRate(running)
 	}
 	kept := u.cache.kept(prompt)
 	read := readTime(prompt.Tokens, kept, rate, costs.PairTime)
@@ -137,9 +158,24 @@
 		}
 	}
 	choice.Expected = u.backlog(now) + choice.Read + u.stepDelay(now, engine)
+	// Reading slows the generations that the engine runs.
+	surcharge += choice.Read * time.Duration(min(running, maxSlowed)) / slowedShare
 	return choice, choice.Expected + d.distance(u) + surcharge
 }
 
+// decodeRate is the speed, in tokens a millisecond, at which an engine reads
+// between the tokens of the requests that it runs.
+func (c Costs) decodeRate(running int) (rate float64) {
+	chunk := c.DecodeChunk / (c.ReadRate * c.DecodeReadShare)
+	step := 0.0
+	if running > 0 {
+		step = milliseconds(c.StepTime) + milliseconds(c.StepTimePerRun)*float64(running)
+	}
+	return c.DecodeChunk / (chunk + step)
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // bestHolder returns the engine from which the most of a prompt's first parts
 // can be fetched at the least cost, if it keeps more than the engine itself.
 func (d *Dispatcher) bestHolder(u *upstream, prompt platform.Prompt, kept int) (holder *upstream, held int) {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/guavagauge/guavagauge/dispatch"
 	"github.com/guavagauge/guavagauge/store"
 )
@@ -26,10 +28,16 @@
 	nodeRetry = time.Second
 	// firstListings are made at intervals of nodeRetry.
 	firstListings = 4
-	// tellEvery is the time between messages to nodes of the same failure domain,
-	// and tellFarEvery to others, whose traffic is paid by volume.
-	tellEvery    = 100 * time.Millisecond
-	tellFarEvery = time.Second
+	// tellEvery is the time between messages to nodes of the same failure domain
+	// while there are few of them, and tellFarEvery to others, whose traffic is
+	// paid by volume.
+	tellEvery    = 25 * time.Millisecond
+	tellFarEvery = 250 * time.Millisecond
+	// fewPeers is the number of peers up to which each is told every tellEvery. A
+	// node of a larger domain tells the others less often in proportion.
+	fewPeers = 4
+	// countsEvery is the time between messages with usage counts.
+	countsEvery = time.Second
 	// peerLife is how long a node that is silent counts as alive.
 	peerLife = 3 * time.Second
 	// maxDatagramBytes is below the size at which datagrams are split many times.
@@ -39,13 +47,14 @@
 type (
 	// message is what nodes tell each other.
 	message struct {
+		_             struct{} `cbor:",toarray"`
 		Node          string
 		FailureDomain string
-		Wall          time.Time
-		Version       uint64               // of the configuration in force
-		Loads         []dispatch.Load      `json:",omitempty"`
-		Placed        []dispatch.Placement `json:",omitempty"`
-		Counts        map[int64]counts     `json:",omitempty"`
+		Wall          int64  // nanoseconds since 1970
+		Version       uint64 // of the configuration in force
+		Loads         []dispatch.Load
+		Placed        []dispatch.Placement
+		Counts        map[int64]counts
 	}
 
 	// peers are the other nodes.
@@ -99,15 +108,23 @@
 	go func() {
 		ticker := time.NewTicker(tellEvery)
 		defer ticker.Stop()
-		var far time.Time
+		var near, far, counted time.Time
 		for {
 			select {
 			case now := <-ticker.C:
+				if now.Sub(near) < p.tellInterval() {
+					continue
+				}
+				near = now
 				all := now.Sub(far) >= tellFarEvery
 				if all {
 					far = now
 				}
-				p.tell(now, all)
+				withCounts := all && now.Sub(counted) >= countsEvery
+				if withCounts {
+					counted = now
+				}
+				p.tell(now, all, withCounts)
 			case <-n.ctx.Done():
 				return
 			}
@@ -190,17 +207,33 @@
 	p.node.budget.share(len(p.known) + 1)
 }
 
+// tellInterval is the time between messages to the nodes of the same domain.
+func (p *peers) tellInterval() (interval time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	near := 0
+	for _, peer := range p.known {
+		if peer.domain == p.node.settings.FailureDomain {
+			near++
+		}
+	}
+	return tellEvery*time.Duration(max(near, fewPeers))/fewPeers - tellEvery/2
+}
+
 // tell sends a message to the nodes of the same failure domain, or to all.
-func (p *peers) tell(now time.Time, all bool) {
+func (p *peers) tell(now time.Time, all, withCounts bool) {
 	n := p.node
 	m := message{
-		Node: n.settings.Name, FailureDomain: n.settings.FailureDomain, Wall: now.Round(0),
-		Loads: n.dispatcher.Backlogs(now), Placed: n.dispatcher.Placements(now), Counts: n.usage.open(n.trueNow()),
+		Node: n.settings.Name, FailureDomain: n.settings.FailureDomain, Wall: now.UnixNano(),
+		Loads: n.dispatcher.Backlogs(now), Placed: n.dispatcher.Placements(now),
+	}
+	if withCounts {
+		m.Counts = n.usage.open(n.trueNow())
 	}
 	if table := n.table.Load(); table != nil {
 		m.Version = table.Version
 	}
-	text, err := json.Marshal(m)
+	text, err := cbor.Marshal(m)
 	if err != nil {
 		n.logger.Error("message not encoded", "Error", err)
 		return
@@ -223,7 +256,7 @@
 // take reads a message of another node.
 func (p *peers) take(text []byte, from net.Addr, now time.Time) {
 	var m message
-	if err := json.Unmarshal(text, &m); err != nil || m.Node == p.node.settings.Name {
+	if err := cbor.Unmarshal(text, &m); err != nil || m.Node == p.node.settings.Name {
 		p.node.logger.Warn("message unreadable", "From", from, "Error", err)
 		return
 	}
@@ -236,8 +269,11 @@
 	if address, ok := from.(*net.UDPAddr); ok {
 		peer.address = address.AddrPort()
 	}
-	peer.domain, peer.heard, peer.counts = m.FailureDomain, now, m.Counts
-	peer.offset = m.Wall.Sub(now.Round(0))
+	peer.domain, peer.heard = m.FailureDomain, now
+	if len(m.Counts) > 0 {
+		peer.counts = m.Counts
+	}
+	peer.offset = time.Duration(m.Wall - now.UnixNano())
 	p.mu.Unlock()
 	p.node.dispatcher.TakeLoads(m.Node, m.Loads, now)
 	p.node.dispatcher.TakePlacements(m.Placed, now)
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -73,13 +73,15 @@
 }
 
 // tooLate reports whether a plan would begin to answer too late to be worth its
-// place, and after which time there may be one.
+// place, and after which time there may be one. The time that the prompt itself
+// takes is no reason, unless the answer can't come before the deadline.
 func (e *exchange) tooLate(plan dispatch.Plan) (after time.Duration, late bool) {
+	wait := plan.Expected - plan.ReadTime()
 	limit := e.route.Objective
-	if plan.Expected <= limit {
+	if wait <= limit && plan.Expected < time.Until(e.deadline) {
 		return 0, false
 	}
-	return plan.Expected - limit/2, true
+	return max(wait-limit/2, retrySoon), true
 }
 
 // read has an engine read the prompt, and returns where its memory lies.
