--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -178,8 +178,9 @@
 	}
 	u.jobs[job] = struct{}{}
 	u.unread += job.read
-	u.cache.use(choice.prompt, now)
-	d.note(u, choice.prompt, now)
+	ready := now.Add(choice.Expected)
+	u.cache.use(choice.prompt, ready)
+	d.note(u, choice.prompt, now, ready)
 	return job
 }
 
@@ -243,6 +244,7 @@
 		return
 	}
 	j.upstream.unread -= j.read
+	j.upstream.cache.read(j.choice.prompt, now)
 	j.upstream.lastRead = now
 	j.read = 0
 }
