entry: one node of each failure domain reads the store for the others

Change: the first node by name whose configuration is recent reads the store; the others ask it over net/rpc every 300 ms, and read the store themselves if its answers are old. Counts of usage are handed to it. SIGHUP reads the settings again.

--- a/command/entry.go
+++ b/command/entry.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
 
 	"github.com/juju/errors"
 
@@ -47,6 +50,19 @@
 	if err != nil {
 		return err
 	}
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	go func() {
+		for {
+			select {
+			case <-hangup:
+				logReload(logger, file, s)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
 	logger.Info("started", "Node", s.Name, "Caller", n.Addresses().Caller)
 	<-env.ctx.Done()
 	stop, cancelStop := context.WithTimeout(ctx, s.Bounds.Grace*9/10)
@@ -54,3 +70,19 @@
 	n.Stop(stop)
 	return nil
 }
+
+// logReload reads the settings again and says what a restart would change.
+// Addresses and bounds are those of the process's start, so that no connection
+// ends.
+func logReload(logger *slog.Logger, file string, inForce *settings.Entry) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		logger.Error("settings not read again", "Error", err)
+		return
+	}
+	changed, problems := settings.ParseEntry(file, text)
+	for _, problem := range problems {
+		logger.Error("settings faulty", "Problem", problem)
+	}
+	logger.Info("settings read again", "Changed", !reflect.DeepEqual(changed, inForce))
+}
--- a/entry/config.go
+++ b/entry/config.go
@@ -26,14 +26,18 @@
 	freshnessMargin = 700 * time.Millisecond
 )
 
-// followConfig keeps the configuration in force up to date.
+// followConfig compares the configuration in force with the store's, at the
+// reader of the failure domain and where the reader can't tell.
 func (n *Node) followConfig() {
 	go func() {
-		var version uint64 // the store's, of the entry
 		reachable := true
 		for n.ctx.Err() == nil {
+			if !n.isReader() && n.age() < followLimit {
+				n.pause(compareRetry)
+				continue
+			}
 			asked := n.clock()
-			entry, changed, err := n.compare(version)
+			entry, changed, err := n.compare()
 			wait := compareEvery - compareEvery/8 + rand.N(compareEvery/4)
 			switch {
 			case err != nil:
@@ -41,31 +45,32 @@
 					n.logger.Warn("store lost", "Error", err)
 				}
 				wait = compareRetry
-			case changed:
-				if n.apply(entry) {
-					version = entry.Version
-					n.confirm(asked)
-				}
-			default:
+				n.roster.Suspect(time.Now())
+			case !changed || n.apply(entry):
 				n.confirm(asked)
 			}
 			if err == nil && !reachable {
-				n.logger.Info("store regained", "Revision", version)
+				n.logger.Info("store regained")
 			}
 			reachable = err == nil
-			if !reachable {
-				n.roster.Suspect(time.Now())
-			}
-			select {
-			case <-time.After(wait):
-			case <-n.ctx.Done():
-			}
+			n.pause(wait)
 		}
 	}()
 }
 
-// compare asks the store whether its entry still has a version.
-func (n *Node) compare(version uint64) (entry store.Entry, changed bool, err error) {
+// pause waits for a time, or until the node ends.
+func (n *Node) pause(wait time.Duration) {
+	select {
+	case <-time.After(wait):
+	case <-n.ctx.Done():
+	}
+}
+
+// compare asks the store whether its entry is still the one in force.
+func (n *Node) compare() (entry store.Entry, changed bool, err error) {
+	n.knownMu.Lock()
+	version := n.configEntry.Version
+	n.knownMu.Unlock()
 	ctx, cancel := context.WithTimeout(n.ctx, compareTimeout)
 	defer cancel()
 	if version == 0 {
@@ -84,17 +89,23 @@
 	return entry, err == nil, err
 }
 
-// apply puts a configuration in force unless a newer one is.
+// apply puts a configuration in force unless a newer one is. It reports whether
+// the entry is the one in force then.
 func (n *Node) apply(entry store.Entry) (ok bool) {
 	config, err := platform.DecodeConfig(entry.Value)
 	if err != nil {
 		n.logger.Error("configuration unreadable", "Revision", entry.Version, "Error", err)
 		return false
 	}
-	if current := n.table.Load(); current != nil && current.Version >= config.Version {
-		return current.Version == config.Version
+	n.knownMu.Lock()
+	if entry.Version <= n.configEntry.Version {
+		ok = entry.Version == n.configEntry.Version
+		n.knownMu.Unlock()
+		return ok
 	}
+	n.configEntry = entry
 	n.table.Store(routing.NewTable(config))
+	n.knownMu.Unlock()
 	n.syncUpstreams()
 	n.logger.Info("configuration in force", "Version", config.Version, "Revision", entry.Version, "Routes", len(config.Routes))
 	return true
--- a/entry/duty.go
+++ b/entry/duty.go
@@ -25,14 +25,14 @@
 	// dutyWrite bounds the time from the check of the authority until a call is
 	// written.
 	dutyWrite = 300 * time.Millisecond
-	// usageDelay is the time after a window's end at which nodes write their
-	// counts, and usageCollect at which the holder reports them.
-	usageDelay   = 700 * time.Millisecond
-	usageCollect = 3 * time.Second
+	// usageHand is the time after a window's end at which nodes hand their counts
+	// to the reader of their failure domain, usageDelay that at which readers write
+	// them, and usageCollect that at which the holder reports them.
+	usageHand    = 300 * time.Millisecond
+	usageDelay   = 1200 * time.Millisecond
+	usageCollect = 4 * time.Second
 	// usageRetry is the time between tries to write or report.
 	usageRetry = 500 * time.Millisecond
-	// peerSilent is how long a node is silent until others write its counts.
-	peerSilent = 600 * time.Millisecond
 	dutyTick   = 250 * time.Millisecond
 )
 
@@ -89,16 +89,17 @@
 // awaitVacancy returns true when the duty seems to have no holder.
 func (n *Node) awaitVacancy() (ok bool) {
 	for n.ctx.Err() == nil {
+		if n.stopping.Load() || !n.Ready() || !n.isReader() {
+			n.pause(vacancyEvery)
+			continue
+		}
 		ctx, cancel := context.WithTimeout(n.ctx, dutyCall)
 		entries, _, err := n.store.Range(ctx, dutyKey, true)
 		cancel()
-		if err == nil && len(entries) == 0 && !n.stopping.Load() && n.Ready() {
+		if err == nil && len(entries) == 0 {
 			return true
 		}
-		select {
-		case <-time.After(vacancyEvery):
-		case <-n.ctx.Done():
-		}
+		n.pause(vacancyEvery)
 	}
 	return false
 }
@@ -229,36 +230,56 @@
 	return merged
 }
 
-// writeUsage writes this node's counts after each window's end, over those of
-// windows whose reports are done.
+// writeUsage hands this node's counts of each ended window to the reader of the
+// failure domain, which writes those of all its nodes to the store. A node whose
+// reader doesn't take them writes them itself.
 func (n *Node) writeUsage() {
-	for written := n.usage.window(n.trueNow()) - 1; n.ctx.Err() == nil; {
+	written := n.usage.window(n.trueNow()) - 1
+	handed := written
+	for n.ctx.Err() == nil {
+		n.pause(dutyTick)
+		now := n.trueNow()
 		window := written + 1
-		wait := n.usage.end(window).Add(usageDelay).Sub(n.trueNow())
-		if wait <= 0 {
-			if n.usage.window(n.trueNow())-window > windowsKept {
-				written = n.usage.window(n.trueNow()) - 1 // the clock was wrong
-				continue
-			}
+		switch since := now.Sub(n.usage.end(window)); {
+		case n.usage.window(now)-window > windowsKept:
+			written = n.usage.window(now) - 1 // the clock was wrong
+			handed = written
+		case since >= usageHand && handed < window && n.handUsage(window):
+			handed = window
+		case since >= usageDelay && (handed < window || n.isReader()):
 			ctx, cancel := context.WithTimeout(n.ctx, dutyCall)
 			err := n.putUsage(ctx, window)
 			cancel()
-			if err == nil {
-				written = window
+			if err != nil {
+				n.logger.Warn("usage not written", "Window", window, "Error", err)
+				n.pause(usageRetry)
 				continue
 			}
-			n.logger.Warn("usage not written", "Window", window, "Error", err)
-			wait = usageRetry
-		}
-		select {
-		case <-time.After(min(wait, usageRetry)):
-		case <-n.ctx.Done():
+			written = window
+		case since >= usageCollect:
+			written = window
 		}
 	}
 }
 
+// handUsage gives this node's counts to the reader, if that is another node.
+func (n *Node) handUsage(window int64) (ok bool) {
+	address, other := n.peers.reader(time.Now())
+	if !other {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, followTimeout)
+	defer cancel()
+	request := AccountRequest{Node: n.settings.Name, Window: window, Counts: n.usage.of(window)}
+	err := n.peerCalls.Call(ctx, address, "Entry.Account", request, &struct{}{})
+	if err != nil {
+		n.logger.Info("usage not handed over", "Window", window, "Error", err)
+	}
+	return err == nil
+}
+
 func (n *Node) putUsage(ctx context.Context, window int64) (err error) {
-	entry := usageEntry{Window: window, Nodes: n.peers.silentCounts(window)}
+	entry := usageEntry{Window: window, Nodes: n.peers.countsOf(window)}
 	if own := n.usage.of(window); len(own) > 0 {
 		entry.Nodes[n.settings.Name] = own
 	}
@@ -287,14 +308,14 @@
 	}
 }
 
-// silentCounts returns what silent nodes of this failure domain told of a window.
-func (p *peers) silentCounts(window int64) (nodes map[string]counts) {
+// countsOf returns what other nodes of this failure domain told of a window.
+func (p *peers) countsOf(window int64) (nodes map[string]counts) {
 	nodes = map[string]counts{}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, peer := range p.known {
-		if c := peer.counts[window]; len(c) > 0 && time.Since(peer.heard) > peerSilent {
-			nodes[name] = c
+		if c := peer.counts[window]; len(c) > 0 && peer.domain == p.node.settings.FailureDomain {
+			nodes[name] = larger(c, nil)
 		}
 	}
 	return nodes
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,7 @@
 	"github.com/juju/errors"
 
 	"github.com/guavagauge/guavagauge/dispatch"
+	"github.com/guavagauge/guavagauge/peer"
 	"github.com/guavagauge/guavagauge/platform"
 	"github.com/guavagauge/guavagauge/relay"
 	"github.com/guavagauge/guavagauge/roster"
@@ -99,6 +101,13 @@
 		callers    *http.Server
 		readiness  *http.Server
 		addresses  Addresses
+		dial       func(ctx context.Context, network, address string) (conn net.Conn, err error)
+		peerCalls  *peer.Pool
+
+		knownMu           sync.Mutex
+		configEntry       store.Entry   // the one in force
+		upstreamsRevision uint64        // of the store, that the roster holds
+		upstreamsAt       time.Duration // Clock reading at which it was the newest
 	}
 
 	// Addresses are those of a node's listeners, with their actual ports.
@@ -125,7 +134,7 @@
 		Set: metrics.NewSet(), settings: s, logger: options.Logger.With("Node", s.Name), store: options.Store,
 		cloud: options.Cloud, clock: options.Clock, roster: roster.New(lapseGrace),
 		dispatcher: dispatch.New(dispatch.Options{FailureDomain: s.FailureDomain, Regions: s.Regions}),
-		budget:     newBudget(s.Bounds), usage: newLedger(s.Bounds.UsageWindow),
+		dial:       options.Dial, budget: newBudget(s.Bounds), usage: newLedger(s.Bounds.UsageWindow),
 	}
 	n.pool = relay.New(relay.Options{Dial: options.Dial, Count: func(event string) { n.count("connections", event) }})
 	n.ctx, n.cancel = context.WithCancel(ctx)
@@ -137,7 +146,12 @@
 		n.cancel()
 		return nil, err
 	}
+	if err = n.listenPeers(); err != nil {
+		n.cancel()
+		return nil, err
+	}
 	n.followConfig()
+	n.followReader()
 	n.followUpstreams()
 	n.holdDuties()
 	go func() {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -50,8 +50,8 @@
 		_             struct{} `cbor:",toarray"`
 		Node          string
 		FailureDomain string
-		Wall          int64  // nanoseconds since 1970
-		Version       uint64 // of the configuration in force
+		Wall          int64 // nanoseconds since 1970
+		AgeMs         int64 // since the store confirmed the configuration in force
 		Loads         []dispatch.Load
 		Placed        []dispatch.Placement
 		Counts        map[int64]counts
@@ -70,6 +70,7 @@
 		address netip.AddrPort
 		domain  string
 		heard   time.Time
+		age     time.Duration // of its configuration
 		offset  time.Duration // of its wall clock to this node's
 		counts  map[int64]counts
 	}
@@ -224,15 +225,12 @@
 func (p *peers) tell(now time.Time, all, withCounts bool) {
 	n := p.node
 	m := message{
-		Node: n.settings.Name, FailureDomain: n.settings.FailureDomain, Wall: now.UnixNano(),
+		Node: n.settings.Name, FailureDomain: n.settings.FailureDomain, Wall: now.UnixNano(), AgeMs: n.age().Milliseconds(),
 		Loads: n.dispatcher.Backlogs(now), Placed: n.dispatcher.Placements(now),
 	}
 	if withCounts {
 		m.Counts = n.usage.open(n.trueNow())
 	}
-	if table := n.table.Load(); table != nil {
-		m.Version = table.Version
-	}
 	text, err := cbor.Marshal(m)
 	if err != nil {
 		n.logger.Error("message not encoded", "Error", err)
@@ -269,9 +267,13 @@
 	if address, ok := from.(*net.UDPAddr); ok {
 		peer.address = address.AddrPort()
 	}
-	peer.domain, peer.heard = m.FailureDomain, now
-	if len(m.Counts) > 0 {
-		peer.counts = m.Counts
+	peer.domain, peer.heard, peer.age = m.FailureDomain, now, time.Duration(m.AgeMs)*time.Millisecond
+	for window, c := range m.Counts {
+		if peer.counts == nil {
+			peer.counts = map[int64]counts{}
+		}
+		peer.counts[window] = larger(peer.counts[window], c)
+		peer.trim(window)
 	}
 	peer.offset = time.Duration(m.Wall - now.UnixNano())
 	p.mu.Unlock()
@@ -299,3 +301,12 @@
 	now := time.Now()
 	return now.Add(n.peers.offset(now))
 }
+
+// trim forgets the counts of windows whose reports are done.
+func (p *peerNode) trim(newest int64) {
+	for window := range p.counts {
+		if window < newest-windowsKept {
+			delete(p.counts, window)
+		}
+	}
+}
--- a/entry/upstreams.go
+++ b/entry/upstreams.go
@@ -14,36 +14,65 @@
 const (
 	listTimeout = 1500 * time.Millisecond
 	listRetry   = 300 * time.Millisecond
+	// watchPause lets changes that come together share a call.
+	watchPause = 250 * time.Millisecond
+	// relistAge is the age of the roster from which a new reader lists the
+	// entries instead of watching on, and another node stops to rely on the reader.
+	// A watch without events takes three seconds.
+	relistAge = 5 * time.Second
 )
 
-// followUpstreams keeps the roster up to date with the entries in the store.
+// followUpstreams keeps the roster up to date with the entries in the store, at
+// the reader of the failure domain and where the reader can't tell.
 func (n *Node) followUpstreams() {
 	go func() {
 		for n.ctx.Err() == nil {
-			revision, err := n.listUpstreams()
-			for err == nil {
+			n.knownMu.Lock()
+			revision, age := n.upstreamsRevision, n.clock()-n.upstreamsAt
+			n.knownMu.Unlock()
+			reader := n.isReader()
+			if !reader && age < relistAge {
+				n.pause(listRetry)
+				continue
+			}
+			var err error
+			if !reader || revision == 0 || age > relistAge {
+				revision, err = n.listUpstreams()
+			}
+			for err == nil && n.isReader() {
 				revision, err = n.watchUpstreams(revision)
+				n.pause(watchPause)
 			}
-			if n.ctx.Err() != nil {
+			switch {
+			case n.ctx.Err() != nil:
 				return
-			}
-			if errors.Is(err, store.ErrCompacted) {
+			case errors.Is(err, store.ErrCompacted):
 				n.logger.Info("upstreams are listed again", "Error", err)
+				if _, err = n.listUpstreams(); err == nil {
+					continue
+				}
+			case err == nil:
 				continue
 			}
 			n.logger.Warn("upstreams not followed", "Error", err)
 			n.roster.Suspect(time.Now())
-			select {
-			case <-time.After(listRetry):
-			case <-n.ctx.Done():
-			}
+			n.pause(listRetry)
 		}
 	}()
 }
 
+// noteUpstreams notes that the roster held the entries at a revision, as the
+// store said at a reading of the clock.
+func (n *Node) noteUpstreams(revision uint64, at time.Duration) {
+	n.knownMu.Lock()
+	defer n.knownMu.Unlock()
+	n.upstreamsRevision, n.upstreamsAt = max(n.upstreamsRevision, revision), max(n.upstreamsAt, at)
+}
+
 func (n *Node) listUpstreams() (revision uint64, err error) {
 	ctx, cancel := context.WithTimeout(n.ctx, listTimeout)
 	defer cancel()
+	asked := n.clock()
 	entries, revision, err := n.store.Range(ctx, platform.UpstreamPrefix, false)
 	if err != nil {
 		return 0, err
@@ -55,6 +84,7 @@
 		}
 	}
 	n.roster.Replace(upstreams, time.Now())
+	n.noteUpstreams(revision, asked)
 	n.listed.Store(true)
 	n.syncUpstreams()
 	return revision, nil
@@ -79,6 +109,8 @@
 			n.logger.Info("upstream gone", "Key", event.Entry.Key, "Deleted", event.Deleted)
 		}
 	}
+	// A watch that ends without events says that there were none until now.
+	n.noteUpstreams(revision, n.clock())
 	if len(events) > 0 {
 		n.syncUpstreams()
 	}
