entry: readers tell other domains the loads of their whole domain

Cause: each node told each node of other regions, which grows with the square of the fleet and is paid by volume. Change: readers exchange sums per upstream, which their domain hands on. Counts that can't be written go to a node that can.

--- a/entry/duty.go
+++ b/entry/duty.go
@@ -30,7 +30,7 @@
 	// them, and usageCollect that at which the holder reports them.
 	usageHand    = 300 * time.Millisecond
 	usageDelay   = 1200 * time.Millisecond
-	usageCollect = 4 * time.Second
+	usageCollect = 6 * time.Second
 	// usageRetry is the time between tries to write or report.
 	usageRetry = 500 * time.Millisecond
 	dutyTick   = 250 * time.Millisecond
@@ -196,7 +196,8 @@
 	if err != nil {
 		return usage, err
 	}
-	nodes := map[string]counts{n.settings.Name: n.usage.of(window)}
+	nodes := n.peers.countsOf(window)
+	nodes[n.settings.Name] = n.usage.of(window)
 	for _, entry := range entries {
 		var written usageEntry
 		if err := json.Unmarshal(entry.Value, &written); err != nil {
@@ -240,6 +241,9 @@
 		n.pause(dutyTick)
 		now := n.trueNow()
 		window := written + 1
+		for _, late := range n.peers.takeLate() {
+			n.rewriteUsage(late)
+		}
 		switch since := now.Sub(n.usage.end(window)); {
 		case n.usage.window(now)-window > windowsKept:
 			written = n.usage.window(now) - 1 // the clock was wrong
@@ -250,18 +254,49 @@
 			ctx, cancel := context.WithTimeout(n.ctx, dutyCall)
 			err := n.putUsage(ctx, window)
 			cancel()
-			if err != nil {
-				n.logger.Warn("usage not written", "Window", window, "Error", err)
-				n.pause(usageRetry)
+			if err == nil || n.saveUsage(window) {
+				written = window
 				continue
 			}
-			written = window
+			n.logger.Warn("usage not written", "Window", window, "Error", err)
+			n.pause(usageRetry)
 		case since >= usageCollect:
 			written = window
 		}
 	}
 }
 
+// saveUsage gives the counts of a window to a node that can reach the store.
+func (n *Node) saveUsage(window int64) (ok bool) {
+	address, ok := n.peers.any(time.Now())
+	if !ok {
+		return false
+	}
+	nodes := n.peers.countsOf(window)
+	nodes[n.settings.Name] = n.usage.of(window)
+	for name, c := range nodes {
+		ctx, cancel := context.WithTimeout(n.ctx, followTimeout)
+		err := n.peerCalls.Call(ctx, address, "Entry.Account", AccountRequest{Node: name, Window: window, Counts: c}, &struct{}{})
+		cancel()
+		if err != nil {
+			n.logger.Warn("usage not saved", "Window", window, "Peer", address, "Error", err)
+			return false
+		}
+	}
+	n.logger.Info("usage saved at another node", "Window", window, "Peer", address)
+	return true
+}
+
+// rewriteUsage writes a window again of which counts came late.
+func (n *Node) rewriteUsage(window int64) {
+	ctx, cancel := context.WithTimeout(n.ctx, dutyCall)
+	defer cancel()
+	if err := n.putUsage(ctx, window); err != nil {
+		n.logger.Warn("late usage not written", "Window", window, "Error", err)
+		n.peers.keepLate(window)
+	}
+}
+
 // handUsage gives this node's counts to the reader, if that is another node.
 func (n *Node) handUsage(window int64) (ok bool) {
 	address, other := n.peers.reader(time.Now())
@@ -291,7 +326,9 @@
 		return err
 	}
 	key := fmt.Sprintf("%snode/%s/%d", usagePrefix, n.settings.Name, window%windowsKept)
-	_, err = n.store.Put(ctx, store.PutRequest{Key: key, Value: value, IfVersion: store.AnyVersion})
+	if _, err = n.store.Put(ctx, store.PutRequest{Key: key, Value: value, IfVersion: store.AnyVersion}); err == nil {
+		n.peers.notedWritten(window)
+	}
 	return err
 }
 
@@ -308,13 +345,13 @@
 	}
 }
 
-// countsOf returns what other nodes of this failure domain told of a window.
+// countsOf returns what other nodes told of a window.
 func (p *peers) countsOf(window int64) (nodes map[string]counts) {
 	nodes = map[string]counts{}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, peer := range p.known {
-		if c := peer.counts[window]; len(c) > 0 && peer.domain == p.node.settings.FailureDomain {
+		if c := peer.counts[window]; len(c) > 0 {
 			nodes[name] = larger(c, nil)
 		}
 	}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -26,6 +26,9 @@
 	// age of its configuration above which it doesn't.
 	readerLife = time.Second
 	readerAge  = 2 * time.Second
+	// lateUsage is how long after writing a window its counts are written again if
+	// more come.
+	lateUsage = 10 * time.Second
 )
 
 type (
@@ -223,4 +226,36 @@
 	}
 	known.counts[window] = larger(known.counts[window], c)
 	known.trim(window)
+	if time.Since(p.wrote[window]) < lateUsage {
+		p.late[window] = true
+	}
+}
+
+// takeLate returns the windows whose counts grew after they were written.
+func (p *peers) takeLate() (windows []int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for window := range p.late {
+		windows = append(windows, window)
+	}
+	clear(p.late)
+	return windows
+}
+
+func (p *peers) keepLate(window int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.late[window] = true
+}
+
+// notedWritten notes that a window's counts were written to the store.
+func (p *peers) notedWritten(window int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wrote[window] = time.Now()
+	for old := range p.wrote {
+		if old < window-windowsKept {
+			delete(p.wrote, old)
+		}
+	}
 }
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -68,7 +68,8 @@
 		for domain := range service.Scaling.DomainPrice {
 			reserved, spot := orderKey{service.Name, domain, false}, orderKey{service.Name, domain, true}
 			want := scaling.Decide(service.Scaling, scaling.Want{Reserved: present[reserved], Spot: present[spot]})
-			o.stage(held, service, engines[orderKey{service: service.Name, domain: domain}], now)
+			local := engines[orderKey{service: service.Name, domain: domain}]
+			o.stage(held, service, local, want.Reserved+want.Spot-len(local), now)
 			for key, count := range map[orderKey]int{reserved: want.Reserved, spot: want.Spot} {
 				if err = o.order(held, key, count, now); err != nil {
 					return err
@@ -106,7 +107,7 @@
 
 // stage gives at most one order to change a stage in a failure domain, unless
 // one is under way there.
-func (o *orders) stage(held *lease.Held, service routing.Service, engines []roster.Upstream, now time.Time) {
+func (o *orders) stage(held *lease.Held, service routing.Service, engines []roster.Upstream, missing int, now time.Time) {
 	if service.Engine == nil {
 		return
 	}
@@ -115,7 +116,7 @@
 			return
 		}
 	}
-	engine, stage, ok := scaling.Stage(engines)
+	engine, stage, ok := scaling.Stage(engines, missing)
 	if !ok {
 		return
 	}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -37,7 +37,7 @@
 	// node of a larger domain tells the others less often in proportion.
 	fewPeers = 4
 	// countsEvery is the time between messages with usage counts.
-	countsEvery = time.Second
+	countsEvery = 500 * time.Millisecond
 	// peerLife is how long a node that is silent counts as alive.
 	peerLife = 3 * time.Second
 	// maxDatagramBytes is below the size at which datagrams are split many times.
@@ -45,7 +45,7 @@
 )
 
 type (
-	// message is what nodes tell each other.
+	// message is what nodes of a failure domain tell each other.
 	message struct {
 		_             struct{} `cbor:",toarray"`
 		Node          string
@@ -55,6 +55,19 @@
 		Loads         []dispatch.Load
 		Placed        []dispatch.Placement
 		Counts        map[int64]counts
+		// Whole says that Loads and Placed are those of the whole failure domain. Its
+		// reader sends such messages to other domains.
+		Whole   bool
+		Relayed []relayed
+	}
+
+	// relayed is a message of another failure domain, handed on in this one.
+	relayed struct {
+		_             struct{} `cbor:",toarray"`
+		FailureDomain string
+		Offset        time.Duration // of its sender's wall clock to that of who hands it on
+		Loads         []dispatch.Load
+		Placed        []dispatch.Placement
 	}
 
 	// peers are the other nodes.
@@ -64,6 +77,17 @@
 
 		mu    sync.Mutex
 		known map[string]*peerNode // by name
+		wrote map[int64]time.Time  // windows whose counts this node wrote
+		late  map[int64]bool       // windows of which counts came after that
+		// far holds the messages of other domains that are to be handed on.
+		far []relayed
+		// farClocks holds the offsets of clocks in other domains.
+		farClocks map[string]clockOffset
+	}
+
+	clockOffset struct {
+		offset time.Duration
+		at     time.Time
 	}
 
 	peerNode struct {
@@ -72,6 +96,9 @@
 		heard   time.Time
 		age     time.Duration // of its configuration
 		offset  time.Duration // of its wall clock to this node's
+		whole   time.Time     // when it last spoke for another failure domain
+		loads   []dispatch.Load
+		placed  []dispatch.Placement
 		counts  map[int64]counts
 	}
 
@@ -84,7 +111,10 @@
 
 // newPeers starts to talk to other nodes.
 func newPeers(n *Node) (p *peers, err error) {
-	p = &peers{node: n, known: map[string]*peerNode{}}
+	p = &peers{
+		node: n, known: map[string]*peerNode{}, wrote: map[int64]time.Time{}, late: map[int64]bool{},
+		farClocks: map[string]clockOffset{},
+	}
 	if p.conn, err = net.ListenPacket("udp4", n.settings.Listen.Peer.String()); err != nil {
 		return nil, err
 	}
@@ -117,15 +147,15 @@
 					continue
 				}
 				near = now
-				all := now.Sub(far) >= tellFarEvery
-				if all {
-					far = now
-				}
-				withCounts := all && now.Sub(counted) >= countsEvery
+				withCounts := now.Sub(counted) >= countsEvery
 				if withCounts {
 					counted = now
 				}
-				p.tell(now, all, withCounts)
+				p.tellNear(now, withCounts)
+				if now.Sub(far) >= tellFarEvery && n.isReader() {
+					far = now
+					p.tellFar(now)
+				}
 			case <-n.ctx.Done():
 				return
 			}
@@ -221,32 +251,84 @@
 	return tellEvery*time.Duration(max(near, fewPeers))/fewPeers - tellEvery/2
 }
 
-// tell sends a message to the nodes of the same failure domain, or to all.
-func (p *peers) tell(now time.Time, all, withCounts bool) {
+// tellNear sends a message to the nodes of the same failure domain.
+func (p *peers) tellNear(now time.Time, withCounts bool) {
 	n := p.node
-	m := message{
-		Node: n.settings.Name, FailureDomain: n.settings.FailureDomain, Wall: now.UnixNano(), AgeMs: n.age().Milliseconds(),
-		Loads: n.dispatcher.Backlogs(now), Placed: n.dispatcher.Placements(now),
-	}
+	m := p.message(now)
+	m.Loads, m.Placed = n.dispatcher.Backlogs(now), n.dispatcher.Placements(now)
 	if withCounts {
 		m.Counts = n.usage.open(n.trueNow())
 	}
-	text, err := cbor.Marshal(m)
-	if err != nil {
-		n.logger.Error("message not encoded", "Error", err)
-		return
-	}
 	p.mu.Lock()
+	m.Relayed, p.far = p.far, nil
 	var to []netip.AddrPort
 	for _, peer := range p.known {
-		if all || peer.domain == n.settings.FailureDomain {
+		if peer.domain == n.settings.FailureDomain {
 			to = append(to, peer.address)
 		}
 	}
 	p.mu.Unlock()
+	p.send(m, to)
+}
+
+// tellFar sends the loads and placements of the failure domain to one node of
+// each other, which hands them on there.
+func (p *peers) tellFar(now time.Time) {
+	n := p.node
+	m := p.message(now)
+	m.Whole = true
+	m.Placed = n.dispatcher.Placements(now)
+	loads := map[string]dispatch.Load{}
+	add := func(list []dispatch.Load) {
+		for _, l := range list {
+			sum := loads[l.Upstream]
+			loads[l.Upstream] = dispatch.Load{Upstream: l.Upstream, UnreadMs: sum.UnreadMs + l.UnreadMs, Running: sum.Running + l.Running}
+		}
+	}
+	add(n.dispatcher.Backlogs(now))
+	p.mu.Lock()
+	best := map[string]*peerNode{}
+	for _, peer := range p.known {
+		switch {
+		case peer.domain == "":
+		case peer.domain != n.settings.FailureDomain:
+			// Who spoke for its domain last goes first. Else the map's order picks one
+			// at random.
+			if b := best[peer.domain]; b == nil || peer.whole.After(b.whole) && now.Sub(peer.whole) < peerLife {
+				best[peer.domain] = peer
+			}
+		case now.Sub(peer.heard) < readerLife:
+			add(peer.loads)
+			m.Placed = append(m.Placed, peer.placed...)
+		}
+	}
+	var to []netip.AddrPort
+	for _, peer := range best {
+		to = append(to, peer.address)
+	}
+	p.mu.Unlock()
+	for _, l := range loads {
+		m.Loads = append(m.Loads, l)
+	}
+	p.send(m, to)
+}
+
+func (p *peers) message(now time.Time) (m message) {
+	return message{
+		Node: p.node.settings.Name, FailureDomain: p.node.settings.FailureDomain, Wall: now.UnixNano(),
+		AgeMs: p.node.age().Milliseconds(),
+	}
+}
+
+func (p *peers) send(m message, to []netip.AddrPort) {
+	text, err := cbor.Marshal(m)
+	if err != nil {
+		p.node.logger.Error("message not encoded", "Error", err)
+		return
+	}
 	for _, address := range to {
-		if _, err := p.conn.WriteTo(text, net.UDPAddrFromAddrPort(address)); err != nil && n.ctx.Err() == nil {
-			n.logger.Debug("message not sent", "To", address, "Error", err)
+		if _, err := p.conn.WriteTo(text, net.UDPAddrFromAddrPort(address)); err != nil && p.node.ctx.Err() == nil {
+			p.node.logger.Debug("message not sent", "To", address, "Error", err)
 		}
 	}
 }
@@ -258,6 +340,7 @@
 		p.node.logger.Warn("message unreadable", "From", from, "Error", err)
 		return
 	}
+	offset := time.Duration(m.Wall - now.UnixNano())
 	p.mu.Lock()
 	peer := p.known[m.Node]
 	if peer == nil {
@@ -267,7 +350,7 @@
 	if address, ok := from.(*net.UDPAddr); ok {
 		peer.address = address.AddrPort()
 	}
-	peer.domain, peer.heard, peer.age = m.FailureDomain, now, time.Duration(m.AgeMs)*time.Millisecond
+	peer.domain, peer.heard, peer.age, peer.offset = m.FailureDomain, now, time.Duration(m.AgeMs)*time.Millisecond, offset
 	for window, c := range m.Counts {
 		if peer.counts == nil {
 			peer.counts = map[int64]counts{}
@@ -275,10 +358,26 @@
 		peer.counts[window] = larger(peer.counts[window], c)
 		peer.trim(window)
 	}
-	peer.offset = time.Duration(m.Wall - now.UnixNano())
+	if m.Whole {
+		peer.whole = now
+		p.far = append(p.far, relayed{FailureDomain: m.FailureDomain, Offset: offset, Loads: m.Loads, Placed: m.Placed})
+		m.Relayed = append(m.Relayed, p.far[len(p.far)-1])
+		offset = 0
+	} else {
+		peer.loads, peer.placed = m.Loads, m.Placed
+	}
+	for _, r := range m.Relayed {
+		p.farClocks[r.FailureDomain] = clockOffset{offset: offset + r.Offset, at: now}
+	}
 	p.mu.Unlock()
-	p.node.dispatcher.TakeLoads(m.Node, m.Loads, now)
-	p.node.dispatcher.TakePlacements(m.Placed, now)
+	if !m.Whole {
+		p.node.dispatcher.TakeLoads(m.Node, m.Loads, now)
+		p.node.dispatcher.TakePlacements(m.Placed, now)
+	}
+	for _, r := range m.Relayed {
+		p.node.dispatcher.TakeLoads(r.FailureDomain, r.Loads, now)
+		p.node.dispatcher.TakePlacements(r.Placed, now)
+	}
 }
 
 // offset is the median by which the nodes' wall clocks differ from this one's. A
@@ -291,6 +390,11 @@
 			offsets = append(offsets, peer.offset)
 		}
 	}
+	for _, far := range p.farClocks {
+		if now.Sub(far.at) < peerLife {
+			offsets = append(offsets, far.offset)
+		}
+	}
 	p.mu.Unlock()
 	slices.Sort(offsets)
 	return offsets[(len(offsets)-1)/2]
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -28,8 +28,8 @@
 
 // Stage returns an engine whose stage should change, and to which: as many
 // engines of a failure domain read prompts as prefillShare says, and one at least
-// generates. The engines are sorted; those that may change are idle choices.
-func Stage(engines []roster.Upstream) (change roster.Upstream, stage roster.Stage, ok bool) {
+// generates. While engines are missing, none stops reading prompts.
+func Stage(engines []roster.Upstream, missing int) (change roster.Upstream, stage roster.Stage, ok bool) {
 	prefill := 0
 	for _, engine := range engines {
 		if engine.Stage == roster.Prefill {
@@ -38,7 +38,7 @@
 	}
 	want := min(int(float64(len(engines))*prefillShare+0.5), len(engines)-1)
 	from, to := roster.Decode, roster.Prefill
-	if prefill == want {
+	if prefill == want || prefill > want && missing > 0 {
 		return roster.Upstream{}, "", false
 	}
 	if prefill > want {
