entry: repeat capacity orders that were undone; readers whose store fails step down

Change: orders are repeated while upstreams are missing; nodes tell whether their own store calls fail; counts that can't be written go to another node with the request to write them; lease.Options.NoWait for candidates that look for themselves.

--- a/entry/config.go
+++ b/entry/config.go
@@ -20,7 +20,7 @@
 	// half a second.
 	compareTimeout = 1200 * time.Millisecond
 	// compareRetry is the time until the next try after a failure.
-	compareRetry = 300 * time.Millisecond
+	compareRetry = 500 * time.Millisecond
 	// freshnessMargin is the part of the revocation bound that is left for the way
 	// of the request and for what is being decided.
 	freshnessMargin = 700 * time.Millisecond
@@ -32,7 +32,7 @@
 	go func() {
 		reachable := true
 		for n.ctx.Err() == nil {
-			if !n.isReader() && n.age() < followLimit {
+			if !n.isReader() && !n.storeFailing.Load() && n.age() < followLimit {
 				n.pause(compareRetry)
 				continue
 			}
@@ -53,6 +53,7 @@
 				n.logger.Info("store regained")
 			}
 			reachable = err == nil
+			n.storeFailing.Store(!reachable && !errors.Is(err, store.ErrNotFound))
 			n.pause(wait)
 		}
 	}()
--- a/entry/duty.go
+++ b/entry/duty.go
@@ -67,11 +67,13 @@
 			options := lease.Options{
 				Key: dutyKey, Holder: n.settings.Name, TTL: n.settings.Bounds.Lease, CallTimeout: dutyCall,
 				WriteDeadline: dutyWrite, LongestOperation: dutyCall, RetryFirst: usageRetry, RetryLimit: vacancyEvery,
+				NoWait: true,
 				Logger: n.logger, Set: n.Set,
 			}
 			held, err := lease.Acquire(n.ctx, n.store, options)
 			if err != nil {
 				n.logger.Info("duty not taken", "Error", err)
+				n.pause(vacancyEvery)
 				continue
 			}
 			n.logger.Info("duty taken", "Token", held.Epoch())
@@ -276,7 +278,7 @@
 	nodes[n.settings.Name] = n.usage.of(window)
 	for name, c := range nodes {
 		ctx, cancel := context.WithTimeout(n.ctx, followTimeout)
-		err := n.peerCalls.Call(ctx, address, "Entry.Account", AccountRequest{Node: name, Window: window, Counts: c}, &struct{}{})
+		err := n.peerCalls.Call(ctx, address, "Entry.Account", AccountRequest{Node: name, Window: window, Counts: c, Write: true}, &struct{}{})
 		cancel()
 		if err != nil {
 			n.logger.Warn("usage not saved", "Window", window, "Peer", address, "Error", err)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,10 +20,12 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,7 +53,9 @@
 	callerIdle = 2 * time.Minute
 	// headerLimit is above what any configuration allows.
 	headerLimit = 64 << 10
-	sweepEvery  = 250 * time.Millisecond
+	// summaryEvery is the time between log lines with the counters.
+	summaryEvery = 10 * time.Second
+	sweepEvery   = 250 * time.Millisecond
 	// withdrawTime is how long a stopping node serves new requests: the balancer
 	// asks once a second and removes it after two misses.
 	withdrawTime = 2500 * time.Millisecond
@@ -80,29 +84,31 @@
 	Node struct {
 		Set *metrics.Set
 
-		settings   *settings.Entry
-		logger     *slog.Logger
-		store      ConfigStore
-		cloud      Cloud
-		clock      func() time.Duration
-		ctx        context.Context
-		cancel     context.CancelFunc
-		table      atomic.Pointer[routing.Table]
-		confirmed  atomic.Int64 // Clock reading at which the table was known to be the newest
-		listed     atomic.Bool  // the upstreams were listed at least once
-		stopping   atomic.Bool
-		inFlight   atomic.Int64
-		roster     *roster.Roster
-		dispatcher *dispatch.Dispatcher
-		pool       *relay.Pool
-		budget     *budget
-		usage      *ledger
-		peers      *peers
-		callers    *http.Server
-		readiness  *http.Server
-		addresses  Addresses
-		dial       func(ctx context.Context, network, address string) (conn net.Conn, err error)
-		peerCalls  *peer.Pool
+		settings  *settings.Entry
+		logger    *slog.Logger
+		store     ConfigStore
+		cloud     Cloud
+		clock     func() time.Duration
+		ctx       context.Context
+		cancel    context.CancelFunc
+		table     atomic.Pointer[routing.Table]
+		confirmed atomic.Int64 // Clock reading at which the table was known to be the newest
+		listed    atomic.Bool  // the upstreams were listed at least once
+		// storeFailing is set while this node's own calls to the store fail.
+		storeFailing atomic.Bool
+		stopping     atomic.Bool
+		inFlight     atomic.Int64
+		roster       *roster.Roster
+		dispatcher   *dispatch.Dispatcher
+		pool         *relay.Pool
+		budget       *budget
+		usage        *ledger
+		peers        *peers
+		callers      *http.Server
+		readiness    *http.Server
+		addresses    Addresses
+		dial         func(ctx context.Context, network, address string) (conn net.Conn, err error)
+		peerCalls    *peer.Pool
 
 		knownMu           sync.Mutex
 		configEntry       store.Entry   // the one in force
@@ -118,8 +124,11 @@
 func New(ctx context.Context, options Options) (n *Node, err error) {
 	s := options.Settings
 	defer errors.DeferredAnnotatef(&err, "start entry node %s", s.Name)
+	set := metrics.NewSet()
 	if options.Store == nil {
-		options.Store = platform.NewStore(s.Store.Address)
+		options.Store = platform.NewStore(s.Store.Address, func(call string) {
+			set.GetOrCreateCounter(fmt.Sprintf("guavagauge_entry_store_calls_total{call=%q}", call)).Inc()
+		})
 	}
 	if options.Cloud == nil && s.Cloud.Address.IsValid() {
 		options.Cloud = platform.NewCloud(s.Cloud.Address)
@@ -131,7 +140,7 @@
 		options.Clock = bootClock
 	}
 	n = &Node{
-		Set: metrics.NewSet(), settings: s, logger: options.Logger.With("Node", s.Name), store: options.Store,
+		Set: set, settings: s, logger: options.Logger.With("Node", s.Name), store: options.Store,
 		cloud: options.Cloud, clock: options.Clock, roster: roster.New(lapseGrace),
 		dispatcher: dispatch.New(dispatch.Options{FailureDomain: s.FailureDomain, Regions: s.Regions}),
 		dial:       options.Dial, budget: newBudget(s.Bounds), usage: newLedger(s.Bounds.UsageWindow),
@@ -157,11 +166,16 @@
 	go func() {
 		ticker := time.NewTicker(sweepEvery)
 		defer ticker.Stop()
+		summary := time.Now()
 		for {
 			select {
 			case now := <-ticker.C:
 				n.pool.Sweep(now)
 				n.syncUpstreams()
+				if now.Sub(summary) >= summaryEvery {
+					summary = now
+					n.logSummary()
+				}
 			case <-n.ctx.Done():
 				return
 			}
@@ -243,6 +257,15 @@
 	n.logger.Info("stopped")
 }
 
+// logSummary logs the counters, for whom the metrics address is out of reach.
+func (n *Node) logSummary() {
+	var text strings.Builder
+	n.Set.WritePrometheus(&text)
+	line := strings.ReplaceAll(strings.TrimSpace(text.String()), "guavagauge_entry_", "")
+	n.logger.Info("counters", "InFlight", n.inFlight.Load(), "Reader", n.isReader(), "ConfigAge", n.age(),
+		"Counters", strings.ReplaceAll(line, "\n", "; "))
+}
+
 func (n *Node) count(name, label string) {
 	n.Set.GetOrCreateCounter("guavagauge_entry_" + name + `_total{reason="` + label + `"}`).Inc()
 }
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -54,6 +54,8 @@
 		Node   string
 		Window int64
 		Counts map[string]int64
+		// Write asks for the counts to be written to the store at once.
+		Write bool
 	}
 
 	// receiver answers other nodes.
@@ -93,7 +95,7 @@
 
 // Account takes the counts of another node.
 func (r *receiver) Account(request AccountRequest, _ *struct{}) (err error) {
-	r.node.peers.account(request.Node, request.Window, request.Counts)
+	r.node.peers.account(request)
 	return nil
 }
 
@@ -176,17 +178,17 @@
 
 // reader returns the address of the node that reads the store for this failure
 // domain, and false if this node does. It is the first by name of those whose
-// configuration is recent.
+// configuration is recent and whose calls to the store don't fail.
 func (p *peers) reader(now time.Time) (address netip.AddrPort, other bool) {
 	own := p.node.settings.Name
-	if p.node.age() > readerAge || p.node.stopping.Load() {
+	if p.node.storeFailing.Load() || p.node.age() > readerAge || p.node.stopping.Load() {
 		own = "" // any other that is recent goes first
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	first := ""
 	for name, peer := range p.known {
-		if peer.domain != p.node.settings.FailureDomain || now.Sub(peer.heard) > readerLife || peer.age > readerAge {
+		if peer.domain != p.node.settings.FailureDomain || now.Sub(peer.heard) > readerLife || peer.failing || peer.age > readerAge {
 			continue
 		}
 		if (own == "" || name < own) && (first == "" || name < first) {
@@ -202,7 +204,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, peer := range p.known {
-		if now.Sub(peer.heard) < peerLife && peer.age < readerAge {
+		if now.Sub(peer.heard) < peerLife && !peer.failing && peer.age < readerAge {
 			address, ok = peer.address, true
 			if peer.domain == p.node.settings.FailureDomain {
 				break
@@ -213,20 +215,21 @@
 }
 
 // account takes the counts that another node handed over.
-func (p *peers) account(name string, window int64, c counts) {
+func (p *peers) account(request AccountRequest) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known := p.known[name]
+	known := p.known[request.Node]
 	if known == nil {
 		known = &peerNode{}
-		p.known[name] = known
+		p.known[request.Node] = known
 	}
 	if known.counts == nil {
 		known.counts = map[int64]counts{}
 	}
-	known.counts[window] = larger(known.counts[window], c)
+	window := request.Window
+	known.counts[window] = larger(known.counts[window], request.Counts)
 	known.trim(window)
-	if time.Since(p.wrote[window]) < lateUsage {
+	if request.Write || time.Since(p.wrote[window]) < lateUsage {
 		p.late[window] = true
 	}
 }
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -17,6 +17,9 @@
 	// orderRetry is the time until an order is repeated that the platform couldn't
 	// fill, or that had no answer.
 	orderRetry = 2 * time.Second
+	// orderStands is the time until an order is repeated that seems to be carried
+	// out, in case a late one undid it.
+	orderStands = 20 * time.Second
 )
 
 type (
@@ -71,7 +74,7 @@
 			local := engines[orderKey{service: service.Name, domain: domain}]
 			o.stage(held, service, local, want.Reserved+want.Spot-len(local), now)
 			for key, count := range map[orderKey]int{reserved: want.Reserved, spot: want.Spot} {
-				if err = o.order(held, key, count, now); err != nil {
+				if err = o.order(held, key, count, present[key], service.Scaling.Boot, now); err != nil {
 					return err
 				}
 			}
@@ -80,10 +83,17 @@
 	return nil
 }
 
-// order gives one order unless it stands.
-func (o *orders) order(held *lease.Held, key orderKey, count int, now time.Time) (err error) {
+// order gives one order unless it stands. Upstreams that the platform took away
+// don't come again by themselves.
+func (o *orders) order(held *lease.Held, key orderKey, count, present int, boot time.Duration, now time.Time) (err error) {
 	last, known := o.given[key]
-	if known && last.count == count && (last.ok || now.Sub(last.at) < orderRetry) {
+	wait := orderRetry
+	if last.ok && present >= count {
+		wait = orderStands
+	} else if last.ok {
+		wait += boot
+	}
+	if known && last.count == count && now.Sub(last.at) < wait {
 		return nil
 	}
 	err = held.Do(held.Context(), func(ctx context.Context) error {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -52,6 +52,7 @@
 		FailureDomain string
 		Wall          int64 // nanoseconds since 1970
 		AgeMs         int64 // since the store confirmed the configuration in force
+		Failing       bool  // its own calls to the store fail
 		Loads         []dispatch.Load
 		Placed        []dispatch.Placement
 		Counts        map[int64]counts
@@ -95,6 +96,7 @@
 		domain  string
 		heard   time.Time
 		age     time.Duration // of its configuration
+		failing bool
 		offset  time.Duration // of its wall clock to this node's
 		whole   time.Time     // when it last spoke for another failure domain
 		loads   []dispatch.Load
@@ -316,7 +318,7 @@
 func (p *peers) message(now time.Time) (m message) {
 	return message{
 		Node: p.node.settings.Name, FailureDomain: p.node.settings.FailureDomain, Wall: now.UnixNano(),
-		AgeMs: p.node.age().Milliseconds(),
+		AgeMs: p.node.age().Milliseconds(), Failing: p.node.storeFailing.Load(),
 	}
 }
 
@@ -350,7 +352,8 @@
 	if address, ok := from.(*net.UDPAddr); ok {
 		peer.address = address.AddrPort()
 	}
-	peer.domain, peer.heard, peer.age, peer.offset = m.FailureDomain, now, time.Duration(m.AgeMs)*time.Millisecond, offset
+	peer.domain, peer.heard, peer.failing, peer.offset = m.FailureDomain, now, m.Failing, offset
+	peer.age = time.Duration(m.AgeMs) * time.Millisecond
 	for window, c := range m.Counts {
 		if peer.counts == nil {
 			peer.counts = map[int64]counts{}
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -49,6 +49,9 @@
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
+		if c.options.NoWait && (errors.Is(err, ErrHeld) || store.Classify(err) == store.Conflict) {
+			return nil, errors.WithType(err, ErrHeld)
+		}
 		c.options.Logger.Debug("lease not taken", "Key", c.options.Key, "Err", err)
 		if err = sleep(ctx, c.retry/2+c.options.Jitter(c.retry)); err != nil {
 			return nil, err
@@ -74,6 +77,9 @@
 		case entry.Version < c.freed:
 			return nil
 		}
+		if c.options.NoWait {
+			return ErrHeld
+		}
 		c.highest = max(c.highest, entry.Version)
 		c.retry = c.options.RetryFirst
 		events, revision, err := c.watch(ctx, entry.Version)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -52,6 +52,8 @@
 	ErrLost = errors.ConstError("lease lost")
 	// ErrReleased means that the holder gave the lease up.
 	ErrReleased = errors.ConstError("lease released")
+	// ErrHeld means that another process has the lease, and Options.NoWait is set.
+	ErrHeld = errors.ConstError("lease held by another")
 	// ErrSuspended means that the process was paused or its clock jumped, and no
 	// renewal has confirmed the lease since. The operation must be dropped; later
 	// ones may pass.
--- a/lease/options.go
+++ b/lease/options.go
@@ -53,6 +53,9 @@
 		// RetryFirst and RetryLimit bound the time between attempts to take the lease
 		// while the service fails. 0.5 s and 10 s by default.
 		RetryFirst, RetryLimit time.Duration
+		// NoWait makes Acquire return ErrHeld while another process has the key,
+		// instead of watching it. Candidates that look for themselves set it.
+		NoWait bool
 		// Clock is SystemClock by default.
 		Clock Clock
 		// Jitter returns a random duration below its argument.
