--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -219,9 +219,7 @@
 	case Served:
 		u.failures, u.avoid = 0, time.Time{}
 		u.work += (now.Sub(j.began) - u.work) / 8
-	case Rejected:
-		u.avoid = now.Add(avoidFirst)
-	case Broken:
+	case Rejected, Broken:
 		u.failures++
 		u.avoid = now.Add(min(avoidFirst<<min(u.failures-1, 8), avoidLimit))
 	case Abandoned:
--- a/dispatch/prompt.go
+++ b/dispatch/prompt.go
@@ -16,6 +16,9 @@
 	// memory takes than in the same failure domain, by the platform's interface.
 	otherRegionFactor = 10
 	otherDomainFactor = 2
+	// fullDelay keeps requests away from engines whose slots are taken, which may
+	// reject them.
+	fullDelay = 100 * time.Millisecond
 	// slowedShare is how many generations weigh as much as the request itself when
 	// reading its prompt slows them, and maxSlowed bounds their number.
 	slowedShare = 20
@@ -211,8 +214,12 @@
 func (u *upstream) stepDelay(now time.Time, engine *routing.Engine) (delay time.Duration) {
 	running := u.running(now)
 	delay = time.Duration(running) * 2 * time.Millisecond
-	if over := running + 1 - engine.Slots; over > 0 {
-		delay += time.Duration(over) * 100 * time.Millisecond
+	if over := running + 1 - engine.Slots; over > 0 && engine.Slots > 0 {
+		work := max(u.work, defaultWork)
+		delay += work * time.Duration(over) / time.Duration(engine.Slots)
+		if u.Stage != roster.Prefill {
+			delay += fullDelay
+		}
 	}
 	return delay
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -129,7 +129,9 @@
 	}
 	e.calls++
 	e.runs++
-	e.node.usage.began(e.workspace, e.node.trueNow())
+	if e.route.Repeat != routing.Stream { // a generation begins with its first event
+		e.node.usage.began(e.workspace, e.node.trueNow())
+	}
 	e.broken(job, err)
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -212,7 +212,9 @@
 	if n.settings.Listen.Metrics.IsValid() {
 		metricsListener, err := net.Listen("tcp", n.settings.Listen.Metrics.String())
 		if err != nil {
-			return err
+			// Callers are served without metrics.
+			n.logger.Error("no metrics listener", "Address", n.settings.Listen.Metrics, "Error", err)
+			return nil
 		}
 		router := chi.NewRouter()
 		router.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.Set.WritePrometheus(w) })
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -137,7 +137,7 @@
 	n.knownMu.Lock()
 	same := n.configEntry.Version == reply.ConfigRevision && reply.ConfigRevision > 0
 	if reply.UpstreamsListed && reply.Revision > n.upstreamsRevision {
-		n.roster.Replace(reply.Upstreams, time.Now())
+		n.roster.Adopt(reply.Upstreams)
 		n.upstreamsRevision = reply.Revision
 		n.listed.Store(true)
 	}
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -70,7 +70,7 @@
 		}
 		for domain := range service.Scaling.DomainPrice {
 			reserved, spot := orderKey{service.Name, domain, false}, orderKey{service.Name, domain, true}
-			want := scaling.Decide(service.Scaling, scaling.Want{Reserved: present[reserved], Spot: present[spot]})
+			want := scaling.Decide(service.Scaling, scaling.Want{Reserved: present[reserved], Spot: present[spot]}, o.dry(spot, now))
 			local := engines[orderKey{service: service.Name, domain: domain}]
 			o.stage(held, service, local, want.Reserved+want.Spot-len(local), now)
 			for key, count := range map[orderKey]int{reserved: want.Reserved, spot: want.Spot} {
@@ -83,6 +83,12 @@
 	return nil
 }
 
+// dry reports whether the platform lately had no upstreams of a kind.
+func (o *orders) dry(key orderKey, now time.Time) (ok bool) {
+	last, known := o.given[key]
+	return known && !last.ok && now.Sub(last.at) < 2*orderRetry
+}
+
 // order gives one order unless it stands. Upstreams that the platform took away
 // don't come again by themselves.
 func (o *orders) order(held *lease.Held, key orderKey, count, present int, boot time.Duration, now time.Time) (err error) {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -148,7 +148,6 @@
 	s.runs++
 	if answer.Status/100 != 2 {
 		content, err := io.ReadAll(io.LimitReader(answer, readAheadBytes))
-		s.node.usage.began(s.workspace, s.node.trueNow())
 		if err != nil || s.started {
 			s.broken(job, errors.Errorf("status %d", answer.Status))
 			return false
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -11,6 +11,7 @@
 //	r.Replace(upstreams, now)   // a full listing
 //	r.Put(upstream)             // one change
 //	r.Remove(id, now)
+//	r.Adopt(upstreams)          // the listing of another node
 //	r.Suspect(now)              // the registry can't be reached
 //	view := r.View(now)
 package roster
@@ -111,6 +112,19 @@
 	r.changed = true
 }
 
+// Adopt takes the listing of another node, which can reach the registry and has
+// itself kept the entries that may have lapsed. What this node suspects doesn't
+// count.
+func (r *Roster) Adopt(upstreams []Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.known = make(map[string]*entry, len(upstreams))
+	for _, upstream := range upstreams {
+		r.known[upstream.ID] = &entry{upstream: upstream}
+	}
+	r.changed = true
+}
+
 // remove is called with mu held.
 func (r *Roster) remove(id string, now time.Time) {
 	known, ok := r.known[id]
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -16,6 +16,12 @@
 	// reservedShare is the part of a domain's upstreams that can't be taken away.
 	// While the spot ones are gone, it serves what other domains can't take.
 	reservedShare = 0.17
+	// dryShare is the part of a domain's bound that is reserved while no spot
+	// upstreams are to be had. They cost about five times as much.
+	dryShare = 0.6
+	// exchangeStep is the number of reserved upstreams that leave at a time, once
+	// all are present, to make room for spot ones.
+	exchangeStep = 2
 	// prefillShare is the part of a domain's engines that read prompts. An engine
 	// reads twice as fast apart from generating, and generating needs few engines.
 	prefillShare = 0.6
@@ -53,15 +59,22 @@
 }
 
 // Decide returns the upstreams that a service should have in a failure domain,
-// where present ones of each kind run now.
-func Decide(bounds *routing.Scaling, present Want) (want Want) {
-	reserved := max(bounds.Min, int(float64(bounds.Max)*reservedShare+0.5), 1)
-	want = Want{Reserved: reserved, Spot: max(0, bounds.Max-reserved)}
-	if present.Spot < want.Spot {
+// where present ones of each kind run now. While no spot upstreams are to be
+// had, reserved ones take their place, with room for some to come back.
+func Decide(bounds *routing.Scaling, present Want, spotDry bool) (want Want) {
+	least := max(bounds.Min, int(float64(bounds.Max)*reservedShare+0.5), 1)
+	want = Want{Reserved: least, Spot: max(0, bounds.Max-least)}
+	switch {
+	case spotDry && present.Spot < want.Spot:
+		want.Reserved = max(least, min(int(float64(bounds.Max)*dryShare+0.5), bounds.Max-present.Spot))
+	case present.Spot < want.Spot:
 		// Reserved upstreams leave only as spot ones arrive: both count towards the
 		// bound.
-		want.Reserved = max(reserved, min(present.Reserved, bounds.Max-present.Spot))
-		want.Spot = bounds.Max - want.Reserved
+		want.Reserved = max(least, min(present.Reserved, bounds.Max-present.Spot))
+		if present.Reserved+present.Spot >= bounds.Max {
+			want.Reserved = max(least, want.Reserved-exchangeStep)
+		}
 	}
+	want.Spot = bounds.Max - want.Reserved
 	return want
 }
