--- a/entry/entry.go
+++ b/entry/entry.go
@@ -100,6 +100,7 @@
 		// storeFailing is set while this node's own calls to the store fail.
 		storeFailing atomic.Bool
 		stopping     atomic.Bool
+		followedAt   atomic.Int64 // Clock reading of the last answered question to another node
 		inFlight     atomic.Int64
 		roster       *roster.Roster
 		dispatcher   *dispatch.Dispatcher
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -114,6 +114,7 @@
 		n.logger.Debug("reader not asked", "Reader", address, "Error", err)
 		return false
 	}
+	n.followedAt.Store(int64(asked))
 	if len(reply.Config) > 0 {
 		n.apply(store.Entry{Key: platform.ConfigKey, Value: reply.Config, Version: reply.ConfigRevision})
 	}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -52,7 +52,7 @@
 		FailureDomain string
 		Wall          int64 // nanoseconds since 1970
 		AgeMs         int64 // since the store confirmed the configuration in force
-		Failing       bool  // its own calls to the store fail
+		Failing       bool  // it can't read the store for others: its calls fail, or it stops
 		Loads         []dispatch.Load
 		Placed        []dispatch.Placement
 		Counts        map[int64]counts
@@ -318,7 +318,7 @@
 func (p *peers) message(now time.Time) (m message) {
 	return message{
 		Node: p.node.settings.Name, FailureDomain: p.node.settings.FailureDomain, Wall: now.UnixNano(),
-		AgeMs: p.node.age().Milliseconds(), Failing: p.node.storeFailing.Load(),
+		AgeMs: p.node.age().Milliseconds(), Failing: p.node.storeFailing.Load() || p.node.stopping.Load(),
 	}
 }
 
--- a/entry/upstreams.go
+++ b/entry/upstreams.go
@@ -14,6 +14,9 @@
 const (
 	listTimeout = 1500 * time.Millisecond
 	listRetry   = 300 * time.Millisecond
+	// ownListEvery is the time between listings by a node whose reader doesn't
+	// answer.
+	ownListEvery = time.Second
 	// watchPause lets changes that come together share a call.
 	watchPause = 250 * time.Millisecond
 	// relistAge is the age of the roster from which a new reader lists the
@@ -31,7 +34,8 @@
 			revision, age := n.upstreamsRevision, n.clock()-n.upstreamsAt
 			n.knownMu.Unlock()
 			reader := n.isReader()
-			if !reader && age < relistAge {
+			followed := n.clock()-time.Duration(n.followedAt.Load()) < followLimit
+			if !reader && age < relistAge && followed {
 				n.pause(listRetry)
 				continue
 			}
@@ -39,6 +43,9 @@
 			if !reader || revision == 0 || age > relistAge {
 				revision, err = n.listUpstreams()
 			}
+			if err == nil && !reader {
+				n.pause(ownListEvery)
+			}
 			for err == nil && n.isReader() {
 				revision, err = n.watchUpstreams(revision)
 				n.pause(watchPause)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -3,7 +3,8 @@
 //
 // An entry that vanished may have lapsed because its upstream couldn't reach the
 // registry during an outage. Entries that vanish in or right after an outage
-// stay usable for a grace period, in which live upstreams register again.
+// stay usable for a grace period, in which live upstreams register again. It
+// runs from when the registry said that the entry is gone, and so was reachable.
 //
 // # Usage
 //
@@ -153,13 +154,7 @@
 	r.view = make([]Upstream, 0, len(r.known))
 	for id, known := range r.known {
 		if !known.missing.IsZero() {
-			// The grace runs from the end of the outage, which may go on after the
-			// entry lapsed.
-			end := known.missing
-			if r.suspect.After(end) {
-				end = r.suspect
-			}
-			end = end.Add(r.grace)
+			end := known.missing.Add(r.grace)
 			if !now.Before(end) {
 				delete(r.known, id)
 				continue
