--- a/entry/follow.go
+++ b/entry/follow.go
@@ -44,7 +44,7 @@
 		Config          []byte // empty: the same as asked with
 		UpstreamsAge    time.Duration
 		Revision        uint64
-		Upstreams       []roster.Upstream
+		Upstreams       []roster.Entry
 		UpstreamsListed bool // Upstreams hold the roster at Revision
 	}
 
@@ -72,7 +72,7 @@
 	}
 	reply.UpstreamsAge, reply.Revision = n.clock()-n.upstreamsAt, n.upstreamsRevision
 	if n.upstreamsRevision > request.Upstreams {
-		reply.Upstreams, reply.UpstreamsListed = n.roster.View(time.Now()), true
+		reply.Upstreams, reply.UpstreamsListed = n.roster.Entries(time.Now()), true
 	}
 	return nil
 }
@@ -121,7 +121,7 @@
 	n.knownMu.Lock()
 	same := n.configEntry.Version == reply.ConfigRevision && reply.ConfigRevision > 0
 	if reply.UpstreamsListed && reply.Revision > n.upstreamsRevision {
-		n.roster.Adopt(reply.Upstreams)
+		n.roster.Adopt(reply.Upstreams, time.Now())
 		n.upstreamsRevision = reply.Revision
 		n.listed.Store(true)
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -12,7 +12,7 @@
 //	r.Replace(upstreams, now)   // a full listing
 //	r.Put(upstream)             // one change
 //	r.Remove(id, now)
-//	r.Adopt(upstreams)          // the listing of another node
+//	r.Adopt(entries, now)       // the roster of another node
 //	r.Suspect(now)              // the registry can't be reached
 //	view := r.View(now)
 package roster
@@ -50,6 +50,13 @@
 		Born          time.Time // its start; another start under the same ID has another
 	}
 
+	// Entry is an upstream as another node knows it. One whose entry vanished stays
+	// usable for what is Left of its grace.
+	Entry struct {
+		Upstream Upstream
+		Left     time.Duration
+	}
+
 	// Roster is the set of known upstreams. It is safe for concurrent use.
 	Roster struct {
 		grace time.Duration
@@ -113,15 +120,36 @@
 	r.changed = true
 }
 
-// Adopt takes the listing of another node, which can reach the registry and has
-// itself kept the entries that may have lapsed. What this node suspects doesn't
-// count.
-func (r *Roster) Adopt(upstreams []Upstream) {
+// Entries returns the roster for another node to adopt.
+func (r *Roster) Entries(now time.Time) (entries []Entry) {
+	for _, upstream := range r.View(now) {
+		entries = append(entries, Entry{Upstream: upstream, Left: r.left(upstream.ID, now)})
+	}
+	return entries
+}
+
+// left is how long a vanished entry stays usable, or 0 if it is registered.
+func (r *Roster) left(id string, now time.Time) (left time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.known = make(map[string]*entry, len(upstreams))
-	for _, upstream := range upstreams {
-		r.known[upstream.ID] = &entry{upstream: upstream}
+	if known := r.known[id]; known != nil && !known.missing.IsZero() {
+		return max(known.missing.Add(r.grace).Sub(now), 1)
+	}
+	return 0
+}
+
+// Adopt takes the roster of another node, which can reach the registry. What
+// this node suspects doesn't count.
+func (r *Roster) Adopt(entries []Entry, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.known = make(map[string]*entry, len(entries))
+	for _, e := range entries {
+		adopted := &entry{upstream: e.Upstream}
+		if e.Left > 0 {
+			adopted.missing = now.Add(e.Left - r.grace)
+		}
+		r.known[e.Upstream.ID] = adopted
 	}
 	r.changed = true
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -41,12 +41,12 @@
 		}
 	}
 	adopt := func(ids ...string) func(*roster.Roster, time.Time) {
-		return func(r *roster.Roster, _ time.Time) {
-			var all []roster.Upstream
+		return func(r *roster.Roster, now time.Time) {
+			other := roster.New(grace)
 			for _, id := range ids {
-				all = append(all, roster.Upstream{ID: id})
+				other.Put(roster.Upstream{ID: id})
 			}
-			r.Adopt(all)
+			r.Adopt(other.Entries(now), now)
 		}
 	}
 	nothing := func(*roster.Roster, time.Time) {}
@@ -74,3 +74,23 @@
 		})
 	}
 }
+
+// A node that adopted an entry which had vanished kept it for good, since its
+// removal had been announced before.
+func TestRosterAdoptsGrace(t *testing.T) {
+	start := time.Unix(1000, 0)
+	reader, follower := roster.New(grace), roster.New(grace)
+	reader.Put(roster.Upstream{ID: "a"})
+	reader.Put(roster.Upstream{ID: "b"})
+	reader.Suspect(start)
+	reader.Remove("a", start.Add(time.Second))
+	follower.Adopt(reader.Entries(start.Add(1500*time.Millisecond)), start.Add(1500*time.Millisecond))
+	for _, c := range []struct {
+		at   time.Duration
+		want string
+	}{{1500 * time.Millisecond, "ab"}, {2900 * time.Millisecond, "ab"}, {3 * time.Second, "b"}} {
+		if got := ids(follower.View(start.Add(c.at))); got != c.want {
+			t.Errorf("after %s: %q, want %q", c.at, got, c.want)
+		}
+	}
+}
