--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,282 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/guavagauge/guavagauge/dispatch"
+	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/roster"
+	"github.com/guavagauge/guavagauge/routing"
+)
+
+var (
+	start   = time.Unix(1000, 0)
+	regions = map[string]string{"a": "r1", "b": "r1", "c": "r2"}
+	models  = routing.Service{Name: "models", Engine: &routing.Engine{
+		Slots: 16, Capacity: 400_000, TokenBytes: 18_432, LinkMbps: 370_000,
+	}}
+	desk = routing.Service{Name: "desk"}
+)
+
+func engine(id, domain string, stage roster.Stage) roster.Upstream {
+	return upstreamOf("models", id, domain, stage)
+}
+
+func upstreamOf(service, id, domain string, stage roster.Stage) roster.Upstream {
+	return roster.Upstream{
+		ID: id, Service: service, FailureDomain: domain, Stage: stage, Slots: 4,
+		Address: netip.MustParseAddrPort("10.0.0.1:80"),
+	}
+}
+
+func newDispatcher(upstreams ...roster.Upstream) (d *dispatch.Dispatcher) {
+	d = dispatch.New(dispatch.Options{FailureDomain: "a", Regions: regions})
+	d.Sync(upstreams, []routing.Service{models, desk})
+	return d
+}
+
+func promptOf(shared string, tokens, own int) (prompt platform.Prompt) {
+	return platform.Prompt{Tokens: tokens + own, MaxOutput: 100, Parts: []platform.Part{
+		{ID: shared, Tokens: tokens}, {ID: fmt.Sprintf("%s-own-%d", shared, own), Tokens: own},
+	}}
+}
+
+// at is a moment after the start.
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func TestPlacePlain(t *testing.T) {
+	near, far := upstreamOf("desk", "near", "a", ""), upstreamOf("desk", "far", "c", "")
+	leaving := upstreamOf("desk", "leaving", "a", "")
+	leaving.Draining = true
+	for name, c := range map[string]struct {
+		prepare func(d *dispatch.Dispatcher)
+		tried   []string
+		want    string
+	}{
+		"own domain first":  {func(*dispatch.Dispatcher) {}, nil, "near"},
+		"without the tried": {func(*dispatch.Dispatcher) {}, []string{"near"}, "far"},
+		"none is left":      {func(*dispatch.Dispatcher) {}, []string{"near", "far"}, ""},
+		"full": {func(d *dispatch.Dispatcher) {
+			for range 40 {
+				d.Begin(dispatch.Choice{Upstream: near}, start)
+			}
+		}, nil, "far"},
+		"full by others' work": {func(d *dispatch.Dispatcher) {
+			d.TakeLoads("n2", []dispatch.Load{{Upstream: "near", Running: 40}}, start)
+		}, nil, "far"},
+		"others' work is old": {func(d *dispatch.Dispatcher) {
+			d.TakeLoads("n2", []dispatch.Load{{Upstream: "near", Running: 40}}, at(-10*time.Second))
+		}, nil, "near"},
+		"broken": {func(d *dispatch.Dispatcher) {
+			d.Begin(dispatch.Choice{Upstream: near}, start).End(start, dispatch.Broken)
+		}, nil, "far"},
+		"broken, but the last": {func(d *dispatch.Dispatcher) {
+			d.Begin(dispatch.Choice{Upstream: near}, start).End(start, dispatch.Broken)
+		}, []string{"far"}, "near"},
+		"well again": {func(d *dispatch.Dispatcher) {
+			d.Begin(dispatch.Choice{Upstream: near}, start).End(start, dispatch.Broken)
+			d.Begin(dispatch.Choice{Upstream: near}, start).End(start, dispatch.Served)
+		}, nil, "near"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDispatcher(near, far, leaving)
+			c.prepare(d)
+			choice, ok := d.PlacePlain("desk", c.tried, at(time.Millisecond))
+			if choice.Upstream.ID != c.want || ok != (c.want != "") {
+				t.Errorf("chose %q, want %q", choice.Upstream.ID, c.want)
+			}
+		})
+	}
+}
+
+func TestPlacePrompt(t *testing.T) {
+	p1, p2 := engine("p1", "a", roster.Prefill), engine("p2", "a", roster.Prefill)
+	g1, g2, away := engine("g1", "a", roster.Decode), engine("g2", "a", roster.Decode), engine("away", "c", roster.Prefill)
+	long, short := promptOf("book", 13_000, 4_000), promptOf("note", 50, 250)
+	kept := func(d *dispatch.Dispatcher, u roster.Upstream) {
+		other := promptOf("book", 13_000, 3_999) // shares its first part with long
+		plan, _ := d.PlacePrompt(dispatch.PromptRequest{Service: "models", Prompt: other}, start)
+		choice := plan.Run
+		if plan.Read != nil {
+			choice = *plan.Read
+		}
+		choice.Upstream = u
+		job := d.Begin(choice, start)
+		job.FirstByte(at(time.Second))
+		job.End(at(time.Second), dispatch.Served)
+	}
+	for name, c := range map[string]struct {
+		prepare   func(d *dispatch.Dispatcher)
+		prompt    platform.Prompt
+		upstreams []roster.Upstream
+		read, run string
+		fetch     bool
+	}{
+		"short ones are read where they run": {func(*dispatch.Dispatcher) {}, short, []roster.Upstream{p1, g1}, "", "g1", false},
+		"long ones are read apart":           {func(*dispatch.Dispatcher) {}, long, []roster.Upstream{p1, g1}, "p1", "g1", false},
+		"only engines that generate":         {func(*dispatch.Dispatcher) {}, long, []roster.Upstream{g1}, "", "g1", false},
+		"only engines that read":             {func(*dispatch.Dispatcher) {}, long, []roster.Upstream{p1}, "", "", false},
+		"where the part is kept":             {func(d *dispatch.Dispatcher) { kept(d, p2) }, long, []roster.Upstream{p1, p2, g1}, "p2", "g1", false},
+		"fetched when its holder is busy": {func(d *dispatch.Dispatcher) {
+			kept(d, p2)
+			d.TakeLoads("n2", []dispatch.Load{{Upstream: "p2", UnreadMs: 900, Running: 3}}, at(time.Second))
+		}, long, []roster.Upstream{p1, p2, g1}, "p1", "g1", true},
+		"not fetched before it was read": {func(d *dispatch.Dispatcher) {
+			d.TakePlacements([]dispatch.Placement{{Upstream: "p2", Part: "book", Tokens: 13_000, WaitMs: 5_000}}, start)
+			d.TakeLoads("n2", []dispatch.Load{{Upstream: "p2", UnreadMs: 5_000, Running: 3}}, at(time.Second))
+		}, long, []roster.Upstream{p1, p2, g1}, "p1", "g1", false},
+		"another region when its own is full": {func(d *dispatch.Dispatcher) {
+			d.TakeLoads("n2", []dispatch.Load{{Upstream: "p1", UnreadMs: 3_000}, {Upstream: "g1", UnreadMs: 3_000}}, at(time.Second))
+		}, long, []roster.Upstream{p1, g1, away}, "away", "g1", false},
+		"the engine with free slots generates": {func(d *dispatch.Dispatcher) {
+			d.TakeLoads("n2", []dispatch.Load{{Upstream: "g1", Running: 16}}, at(time.Second))
+		}, long, []roster.Upstream{p1, g1, g2}, "p1", "g2", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDispatcher(c.upstreams...)
+			c.prepare(d)
+			plan, ok := d.PlacePrompt(dispatch.PromptRequest{Service: "models", Prompt: c.prompt}, at(1001*time.Millisecond))
+			read, fetch := "", plan.Run.Fetch.IsValid()
+			if plan.Read != nil {
+				read, fetch = plan.Read.Upstream.ID, plan.Read.Fetch.IsValid()
+			}
+			if ok != (c.run != "") || read != c.read || plan.Run.Upstream.ID != c.run || fetch != c.fetch {
+				t.Errorf("read at %q, run at %q, fetch %t, want %q, %q, %t", read, plan.Run.Upstream.ID, fetch, c.read, c.run, c.fetch)
+			}
+		})
+	}
+}
+
+// An upstream that starts again under its ID knows nothing of before.
+func TestRestart(t *testing.T) {
+	before := engine("g1", "a", roster.Decode)
+	d := newDispatcher(before)
+	job := d.Begin(dispatch.Choice{Upstream: before}, start)
+	after := before
+	after.Born = at(time.Second)
+	if gone := d.Sync([]roster.Upstream{after}, []routing.Service{models}); !slices.Equal(gone, []string{"g1"}) {
+		t.Errorf("gone %v, want g1", gone)
+	}
+	job.End(at(2*time.Second), dispatch.Served)
+	if loads := d.Backlogs(at(2 * time.Second)); len(loads) != 0 {
+		t.Errorf("loads %v, want none", loads)
+	}
+}
+
+// load is what the played load of TestHeavyShift came to.
+type load struct {
+	onTime, late, refused int
+	worst                 time.Duration
+}
+
+// playShift plays the heaviest seconds of the long-prompt shift on 18 engines of
+// one region: 49 prompts a second of 13,300 shared tokens of 63 subjects and 3,720
+// of their own on average. Three nodes place them and hear of each other every
+// hear. Engines read first come, first served, at the published speed. Prompts
+// that would begin later than the objective after waiting are refused.
+func playShift(hear time.Duration, random *rand.Rand) (result load) {
+	const (
+		objective = 800 * time.Millisecond
+		seconds   = 10
+		rate      = 49
+		readRate  = 48.2 // tokens a millisecond
+	)
+	var upstreams []roster.Upstream
+	for i := range 18 {
+		stage := roster.Prefill
+		if i%5 < 2 {
+			stage = roster.Decode
+		}
+		upstreams = append(upstreams, engine(fmt.Sprintf("e%02d", i), "a", stage))
+	}
+	nodes := []*dispatch.Dispatcher{newDispatcher(upstreams...), newDispatcher(upstreams...), newDispatcher(upstreams...)}
+	free := map[string]time.Time{}
+	type reading struct {
+		job *dispatch.Job
+		end time.Time
+	}
+	var running []reading
+	heard := start
+	for i := range seconds * rate {
+		now := at(time.Duration(i) * time.Second / rate)
+		left := running[:0]
+		for _, r := range running {
+			if r.end.After(now) {
+				left = append(left, r)
+				continue
+			}
+			r.job.FirstByte(r.end)
+			r.job.End(r.end, dispatch.Served)
+		}
+		running = left
+		if now.Sub(heard) >= hear {
+			heard = now
+			for a, told := range nodes {
+				for b, node := range nodes {
+					if a != b {
+						node.TakeLoads(fmt.Sprint(a), told.Backlogs(now), now)
+						node.TakePlacements(told.Placements(now), now)
+					}
+				}
+			}
+		}
+		prompt := promptOf(fmt.Sprintf("subject-%d", random.IntN(63)), 13_300, 500+int(random.ExpFloat64()*3_220))
+		node := nodes[random.IntN(len(nodes))]
+		plan, ok := node.PlacePrompt(dispatch.PromptRequest{Service: "models", Prompt: prompt}, now)
+		if !ok || plan.Expected-plan.ReadTime() > objective {
+			result.refused++
+			continue
+		}
+		choice, speed := plan.Run, readRate/2
+		if plan.Read != nil {
+			choice, speed = *plan.Read, readRate
+		}
+		begin := now
+		if free[choice.Upstream.ID].After(now) {
+			begin = free[choice.Upstream.ID]
+		}
+		end := begin.Add(max(choice.Read, time.Duration(float64(prompt.Parts[1].Tokens)/speed)*time.Millisecond))
+		free[choice.Upstream.ID] = end
+		running = append(running, reading{job: node.Begin(choice, now), end: end})
+		switch wait := end.Sub(now); {
+		case wait <= objective:
+			result.onTime++
+			result.worst = max(result.worst, wait)
+		default:
+			result.late++
+			result.worst = max(result.worst, wait)
+		}
+	}
+	return result
+}
+
+// The engines can read all prompts of the shift in time: an ideal schedule needs
+// about half of them. With loads told as often as nodes tell them, nine in ten
+// begin in time and none is refused while others idle.
+func TestHeavyShift(t *testing.T) {
+	for seed := range uint64(5) {
+		result := playShift(25*time.Millisecond, rand.New(rand.NewPCG(seed, 1)))
+		total := result.onTime + result.late + result.refused
+		if result.onTime*10 < total*9 || result.refused*100 > total {
+			t.Errorf("seed %d: %+v of %d, want nine in ten on time and at most one in a hundred refused", seed, result, total)
+		}
+	}
+}
+
+// Hearing of each other seldom costs prompts their time: nodes choose the same
+// engine.
+func TestHeavyShiftHeardSeldom(t *testing.T) {
+	often, seldom := load{}, load{}
+	for seed := range uint64(5) {
+		o, s := playShift(25*time.Millisecond, rand.New(rand.NewPCG(seed, 1))), playShift(2*time.Second, rand.New(rand.NewPCG(seed, 1)))
+		often.onTime, seldom.onTime = often.onTime+o.onTime, seldom.onTime+s.onTime
+	}
+	if often.onTime < seldom.onTime {
+		t.Errorf("%d on time when told every 25 ms, %d when every 2 s", often.onTime, seldom.onTime)
+	}
+}
--- /dev/null
+++ b/scaling/scaling_test.go
@@ -0,0 +1,96 @@
+package scaling_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/guavagauge/guavagauge/roster"
+	"github.com/guavagauge/guavagauge/routing"
+	"github.com/guavagauge/guavagauge/scaling"
+)
+
+func TestDecide(t *testing.T) {
+	type want = scaling.Want
+	for name, c := range map[string]struct {
+		min, max int
+		present  want
+		dry      bool
+		want     want
+	}{
+		"at the start":             {1, 6, want{3, 0}, false, want{3, 3}},
+		"spot has arrived":         {1, 6, want{3, 3}, false, want{1, 5}},
+		"spot takes over":          {1, 12, want{7, 5}, false, want{5, 7}},
+		"steady":                   {1, 12, want{2, 10}, false, want{2, 10}},
+		"taken away, none to have": {1, 12, want{2, 0}, true, want{7, 5}},
+		"still none to have":       {1, 12, want{7, 0}, true, want{7, 5}},
+		"taken away, some to have": {1, 12, want{2, 0}, false, want{2, 10}},
+		"one upstream":             {1, 1, want{1, 0}, false, want{1, 0}},
+		"one upstream, dry":        {1, 1, want{1, 0}, true, want{1, 0}},
+		"a high minimum":           {5, 6, want{6, 0}, false, want{5, 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bounds := &routing.Scaling{Min: c.min, Max: c.max}
+			if got := scaling.Decide(bounds, c.present, c.dry); got != c.want {
+				t.Errorf("wants %+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
+
+// Whatever is present, orders stay within the bounds, and repeated ones lead to
+// the same numbers.
+func TestDecideWithinBounds(t *testing.T) {
+	for limit := 1; limit <= 60; limit++ {
+		bounds := &routing.Scaling{Min: 1, Max: limit}
+		present := scaling.Want{Reserved: limit / 2}
+		for step := range 3 * limit {
+			got := scaling.Decide(bounds, present, step < limit/2)
+			if got.Reserved < 1 || got.Spot < 0 || got.Reserved+got.Spot > limit {
+				t.Fatalf("limit %d: %+v", limit, got)
+			}
+			present = got
+			if step < limit/2 {
+				present.Spot = 0
+			}
+		}
+		steady := scaling.Decide(bounds, present, false)
+		if steady != present {
+			t.Errorf("limit %d: %+v leads to %+v", limit, present, steady)
+		}
+	}
+}
+
+func TestStage(t *testing.T) {
+	engines := func(stages string) (list []roster.Upstream) {
+		for i, letter := range stages {
+			stage := roster.Decode
+			if letter == 'p' {
+				stage = roster.Prefill
+			}
+			list = append(list, roster.Upstream{ID: fmt.Sprint(i), Stage: stage})
+		}
+		return list
+	}
+	for _, c := range []struct {
+		stages  string
+		missing int
+		want    string
+	}{
+		{"ddd", 0, "0 prefill"},
+		{"pdd", 0, "1 prefill"},
+		{"ppd", 0, ""},
+		{"ppp", 0, "0 decode"},
+		{"ppp", 2, ""},
+		{"d", 0, ""},
+		{"p", 0, "0 decode"},
+		{"", 0, ""},
+	} {
+		got := ""
+		if change, stage, ok := scaling.Stage(engines(c.stages), c.missing); ok {
+			got = change.ID + " " + string(stage)
+		}
+		if got != c.want {
+			t.Errorf("%q with %d missing: %q, want %q", c.stages, c.missing, got, c.want)
+		}
+	}
+}
