--- /dev/null
+++ b/settings/entry_test.go
@@ -0,0 +1,60 @@
+package settings_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/guavagauge/guavagauge/settings"
+)
+
+const entryText = `
+Name = "edge-1"
+FailureDomain = "a"
+[Listen]
+Caller = "10.0.0.1:80"
+Ready = "10.0.0.1:81"
+Peer = "10.0.0.1:82"
+[Regions]
+"a" = "r1"
+"b" = "r2"
+[Store]
+Address = "10.0.0.9:80"
+[Limits]
+MemoryMB = 284
+ProcessorShare = 0.4
+[Bounds]
+Revocation = "5000ms"
+RetrySlack = 58
+`
+
+func TestParseEntry(t *testing.T) {
+	s, problems := settings.ParseEntry("entry.toml", []byte(entryText))
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	if s.Regions["b"] != "r2" || s.Bounds.Revocation != 5*time.Second || s.Bounds.Grace != 8*time.Second || s.Listen.Metrics.IsValid() {
+		t.Errorf("settings %+v", s)
+	}
+	for name, c := range map[string]struct{ old, new, want string }{
+		"misspelt":         {"RetrySlack", "RetrySlak", `RetrySlack`},
+		"no domain":        {`FailureDomain = "a"`, `FailureDomain = "x"`, `region of failure domain`},
+		"no store":         {"[Store]\nAddress = \"10.0.0.9:80\"", "", `store's address`},
+		"no listener":      {`Peer = "10.0.0.1:82"`, "", `address to listen on`},
+		"too much":         {`"5000ms"`, `"1h"`, `1s to 1m0s`},
+		"not a duration":   {`"5000ms"`, `"soon"`, `Revocation`},
+		"no memory at all": {"MemoryMB = 284", "MemoryMB = 0", `32 to`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := strings.Replace(entryText, c.old, c.new, 1)
+			if text == entryText {
+				t.Fatalf("%q isn't there", c.old)
+			}
+			_, problems := settings.ParseEntry("entry.toml", []byte(text))
+			if len(problems) == 0 || !strings.Contains(fmt.Sprint(problems[0]), c.want) {
+				t.Errorf("problems %v, want one with %q", problems, c.want)
+			}
+		})
+	}
+}
