entry: hold requests out fleet-wide that crash their upstreams

Cause: nothing bounded a request that crashes each upstream that runs it and is sent again. Change: after a broken answer the node looks for the upstream; if it takes no connections the crash counts for the request's fingerprint, and nodes tell each other. After three it is refused for a minute. Tests: a poison request at three nodes, and broken answers of upstreams that live.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -184,6 +184,9 @@
 	return job
 }
 
+// Upstream returns the upstream that the job was sent to.
+func (j *Job) Upstream() (upstream roster.Upstream) { return j.choice.Upstream }
+
 // FirstByte notes that the prompt was read: the answer began.
 func (j *Job) FirstByte(now time.Time) {
 	j.dispatcher.mu.Lock()
@@ -226,16 +229,6 @@
 	}
 }
 
-// Alive notes that the upstream answers: what it did to a job is no reason to
-// avoid it.
-func (j *Job) Alive() {
-	j.dispatcher.mu.Lock()
-	defer j.dispatcher.mu.Unlock()
-	if u := j.upstream; u != nil {
-		u.failures, u.avoid = 0, time.Time{}
-	}
-}
-
 // finishRead is called with mu held.
 func (j *Job) finishRead(now time.Time) {
 	if j.upstream == nil || j.read == 0 {
--- a/entry/call.go
+++ b/entry/call.go
@@ -144,5 +144,8 @@
 	default:
 		job.End(time.Now(), dispatch.Broken)
 		e.log("answer broken", "Error", err)
+		if e.ctx.Err() == nil {
+			e.node.examine(e.fingerprint(), job.Upstream())
+		}
 	}
 }
--- /dev/null
+++ b/entry/crash.go
@@ -0,0 +1,130 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/guavagauge/guavagauge/policy"
+	"github.com/guavagauge/guavagauge/roster"
+)
+
+const (
+	// crashLimit is the number of crashes of upstreams after which a request is held
+	// out everywhere.
+	crashLimit = 3
+	// crashKeep is how long a crash counts, and a request is held out.
+	crashKeep = time.Minute
+	// crashProbe is how long after a broken answer the upstream is looked for: one
+	// that crashed takes seconds to come back.
+	crashProbe = 100 * time.Millisecond
+	// crashRetry is told to the callers of requests that are held out.
+	crashRetry = 10 * time.Second
+	// crashLife is how long a crash is repeated to other nodes.
+	crashLife = time.Second
+)
+
+type (
+	// crashes are the requests under which upstreams died.
+	crashes struct {
+		number atomic.Int64
+		mu     sync.Mutex
+		counts *policy.Crashes
+		recent []crash
+	}
+
+	// crash says that an upstream died while it ran a request.
+	crash struct {
+		_           struct{} `cbor:",toarray"`
+		Fingerprint string
+		Event       string // unique to the crash
+		at          time.Time
+	}
+)
+
+func newCrashes() (c *crashes) {
+	return &crashes{counts: policy.NewCrashes(policy.CrashOptions{Limit: crashLimit, Keep: crashKeep})}
+}
+
+// fingerprint is the same for requests of one workspace with the same path and
+// body.
+func (e *exchange) fingerprint() (text string) {
+	digest := xxhash.New()
+	for _, part := range []string{e.workspace, e.r.Method, requestURI(e.r)} {
+		digest.WriteString(part)
+		digest.Write([]byte{0})
+	}
+	digest.Write(e.body)
+	return strconv.FormatUint(digest.Sum64(), 16)
+}
+
+// heldOut reports whether the request has crashed too many upstreams.
+func (e *exchange) heldOut() (ok bool) {
+	c := e.node.crashes
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.counts.Len() == 0 {
+		return false
+	}
+	_, ok = c.counts.Quarantined(e.fingerprint(), time.Now())
+	return ok
+}
+
+// examine finds out whether an upstream whose answer broke is gone. If it still
+// takes connections the request isn't to blame.
+func (n *Node) examine(fingerprint string, upstream roster.Upstream) {
+	go func() {
+		n.pause(crashProbe)
+		ctx, cancel := context.WithTimeout(n.ctx, crashProbe)
+		defer cancel()
+		conn, err := n.network.Dial(ctx, upstream.Address)
+		if err == nil {
+			conn.Close()
+			return
+		}
+		if n.ctx.Err() != nil {
+			return
+		}
+		n.logger.Info("upstream crashed under a request", "Upstream", upstream.ID, "Error", err)
+		// Each crash counts, also of an upstream that came back.
+		event := fmt.Sprintf("%s/%s/%d", upstream.ID, n.settings.Name, n.crashes.number.Add(1))
+		n.takeCrashes([]crash{{Fingerprint: fingerprint, Event: event}}, true)
+	}()
+}
+
+// takeCrashes counts crashes, and repeats those that this node saw to others.
+func (n *Node) takeCrashes(list []crash, own bool) {
+	now := time.Now()
+	c := n.crashes
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, seen := range list {
+		before := c.counts.Count(seen.Fingerprint, now)
+		if after := c.counts.Report(seen.Fingerprint, seen.Event, now); before < crashLimit && after >= crashLimit {
+			n.logger.Warn("request held out", "Crashes", after)
+			n.count("held_out", "Crashes")
+		}
+		if own {
+			seen.at = now
+			c.recent = append(c.recent, seen)
+		}
+	}
+}
+
+// told returns the crashes of which other nodes are told.
+func (c *crashes) told(now time.Time) (list []crash) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, seen := range c.recent {
+		if now.Sub(seen.at) < crashLife {
+			list = append(list, seen)
+		}
+	}
+	c.recent = append([]crash(nil), list...)
+	return list
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -107,6 +107,7 @@
 		pool         *relay.Pool
 		budget       *budget
 		usage        *ledger
+		crashes      *crashes
 		peers        *peers
 		callers      *http.Server
 		readiness    *http.Server
@@ -152,7 +153,7 @@
 		Set: set, settings: s, logger: options.Logger.With("Node", s.Name), store: options.Store,
 		cloud: options.Cloud, clock: options.Clock, roster: roster.New(lapseGrace),
 		dispatcher: dispatch.New(dispatch.Options{FailureDomain: s.FailureDomain, Regions: s.Regions}),
-		network:    options.Network, budget: newBudget(s.Bounds), usage: newLedger(s.Bounds.UsageWindow),
+		network:    options.Network, budget: newBudget(s.Bounds), usage: newLedger(s.Bounds.UsageWindow), crashes: newCrashes(),
 	}
 	n.pool = relay.New(relay.Options{Network: options.Network, Count: func(event string) { n.count("connections", event) }})
 	n.ctx, n.cancel = context.WithCancel(ctx)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -107,6 +107,10 @@
 // serve starts an upstream and registers it.
 func (w *world) serve(id, service, stage, address string, upstream *platformtest.Upstream) {
 	upstream.ID, upstream.Stage = id, stage
+	upstream.Crash = func() {
+		w.network.Reset(netip.MustParseAddrPort(address).Addr().String())
+		time.AfterFunc(3*time.Second, func() { w.listen(address, upstream) })
+	}
 	w.upstreams[id] = upstream
 	w.listen(address, upstream)
 	w.register(id, service, stage, address, "ready")
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -56,6 +56,7 @@
 		Loads         []dispatch.Load
 		Placed        []dispatch.Placement
 		Counts        map[int64]counts
+		Crashes       []crash
 		// Whole says that Loads and Placed are those of the whole failure domain. Its
 		// reader sends such messages to other domains.
 		Whole   bool
@@ -66,6 +67,7 @@
 	relayed struct {
 		_             struct{} `cbor:",toarray"`
 		FailureDomain string
+		Crashes       []crash
 		Offset        time.Duration // of its sender's wall clock to that of who hands it on
 		Loads         []dispatch.Load
 		Placed        []dispatch.Placement
@@ -101,6 +103,7 @@
 		whole   time.Time     // when it last spoke for another failure domain
 		loads   []dispatch.Load
 		placed  []dispatch.Placement
+		crashes []crash
 		counts  map[int64]counts
 	}
 
@@ -257,7 +260,7 @@
 func (p *peers) tellNear(now time.Time, withCounts bool) {
 	n := p.node
 	m := p.message(now)
-	m.Loads, m.Placed = n.dispatcher.Backlogs(now), n.dispatcher.Placements(now)
+	m.Loads, m.Placed, m.Crashes = n.dispatcher.Backlogs(now), n.dispatcher.Placements(now), n.crashes.told(now)
 	if withCounts {
 		m.Counts = n.usage.open(n.trueNow())
 	}
@@ -279,7 +282,7 @@
 	n := p.node
 	m := p.message(now)
 	m.Whole = true
-	m.Placed = n.dispatcher.Placements(now)
+	m.Placed, m.Crashes = n.dispatcher.Placements(now), n.crashes.told(now)
 	loads := map[string]dispatch.Load{}
 	add := func(list []dispatch.Load) {
 		for _, l := range list {
@@ -301,7 +304,7 @@
 			}
 		case now.Sub(peer.heard) < readerLife:
 			add(peer.loads)
-			m.Placed = append(m.Placed, peer.placed...)
+			m.Placed, m.Crashes = append(m.Placed, peer.placed...), append(m.Crashes, peer.crashes...)
 		}
 	}
 	var to []netip.AddrPort
@@ -363,21 +366,23 @@
 	}
 	if m.Whole {
 		peer.whole = now
-		p.far = append(p.far, relayed{FailureDomain: m.FailureDomain, Offset: offset, Loads: m.Loads, Placed: m.Placed})
+		p.far = append(p.far, relayed{FailureDomain: m.FailureDomain, Crashes: m.Crashes, Offset: offset, Loads: m.Loads, Placed: m.Placed})
 		m.Relayed = append(m.Relayed, p.far[len(p.far)-1])
 		offset = 0
 	} else {
-		peer.loads, peer.placed = m.Loads, m.Placed
+		peer.loads, peer.placed, peer.crashes = m.Loads, m.Placed, m.Crashes
 	}
 	for _, r := range m.Relayed {
 		p.farClocks[r.FailureDomain] = clockOffset{offset: offset + r.Offset, at: now}
 	}
 	p.mu.Unlock()
+	p.node.takeCrashes(m.Crashes, false)
 	if !m.Whole {
 		p.node.dispatcher.TakeLoads(m.Node, m.Loads, now)
 		p.node.dispatcher.TakePlacements(m.Placed, now)
 	}
 	for _, r := range m.Relayed {
+		p.node.takeCrashes(r.Crashes, false)
 		p.node.dispatcher.TakeLoads(r.FailureDomain, r.Loads, now)
 		p.node.dispatcher.TakePlacements(r.Placed, now)
 	}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -33,6 +33,7 @@
 	reasonBudget      reason = "RetryBudget" // no extra calls left
 	reasonBroken      reason = "Broken"      // an upstream broke off
 	reasonTimeout     reason = "Timeout"     // its time is over
+	reasonHeldOut     reason = "HeldOut"     // it crashed upstreams
 	reasonUnreachable reason = "Unreachable" // no connection to an upstream
 )
 
@@ -142,6 +143,10 @@
 		}
 		return false
 	}
+	if e.heldOut() {
+		e.refuse(reasonHeldOut, crashRetry)
+		return false
+	}
 	e.deadline = e.arrived.Add(e.route.Timeout - replyMargin)
 	if d := e.request.Deadline; d > 0 && d < e.route.Timeout {
 		e.deadline = e.arrived.Add(d - replyMargin)
--- a/platformtest/upstream.go
+++ b/platformtest/upstream.go
@@ -19,6 +19,10 @@
 		// Gap is the pause between the events of a generation.
 		Gap time.Duration
 
+		// Poison, if not empty, is the body of requests that crash the upstream.
+		Poison string
+		// Crash ends the upstream's connections and listener.
+		Crash func()
 		// Script holds what becomes of the next requests, and may be shared by several
 		// upstreams. It may be nil.
 		Script *Script
@@ -124,6 +128,10 @@
 		return
 	}
 	index := u.record(r, body.String())
+	if u.Poison != "" && body.String() == u.Poison {
+		u.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	if fault == Reset {
 		panic(http.ErrAbortHandler)
 	}
