--- a/entry/duty.go
+++ b/entry/duty.go
@@ -30,7 +30,7 @@
 	// them, and usageCollect that at which the holder reports them.
 	usageHand    = 300 * time.Millisecond
 	usageDelay   = 1200 * time.Millisecond
-	usageCollect = 6 * time.Second
+	usageCollect = 3500 * time.Millisecond
 	// usageRetry is the time between tries to write or report.
 	usageRetry = 500 * time.Millisecond
 	dutyTick   = 250 * time.Millisecond
