dispatch, scaling, entry: weigh slowed generations more, wait longer, reserve more

Cause: engines of the decode stage were given prompts that slowed what they ran; requests were refused that would have been answered late.

--- a/dispatch/prompt.go
+++ b/dispatch/prompt.go
@@ -21,7 +21,7 @@
 	fullDelay = 100 * time.Millisecond
 	// slowedShare is how many generations weigh as much as the request itself when
 	// reading its prompt slows them, and maxSlowed bounds their number.
-	slowedShare = 20
+	slowedShare = 8
 	maxSlowed   = 40
 )
 
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -18,6 +18,10 @@
 	// maxHandleBytes bounds the answer to a request of which the prompt is read.
 	maxHandleBytes = 4 << 10
 	eventBuffer    = 4 << 10
+	// waitLimitPercent of its objective is how long a request may wait for an engine
+	// until it is refused. A late answer is worth less than one on time, and more
+	// than none.
+	waitLimitPercent = 150
 )
 
 var eventID = []byte("id:")
@@ -77,7 +81,7 @@
 // takes is no reason, unless the answer can't come before the deadline.
 func (e *exchange) tooLate(plan dispatch.Plan) (after time.Duration, late bool) {
 	wait := plan.Expected - plan.ReadTime()
-	limit := e.route.Objective
+	limit := e.route.Objective * waitLimitPercent / 100
 	if wait <= limit && plan.Expected < time.Until(e.deadline) {
 		return 0, false
 	}
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -18,13 +18,13 @@
 	reservedShare = 0.17
 	// dryShare is the part of a domain's bound that is reserved while no spot
 	// upstreams are to be had. They cost about five times as much.
-	dryShare = 0.6
+	dryShare = 0.85
 	// exchangeStep is the number of reserved upstreams that leave at a time, once
 	// all are present, to make room for spot ones.
 	exchangeStep = 2
 	// prefillShare is the part of a domain's engines that read prompts. An engine
 	// reads twice as fast apart from generating, and generating needs few engines.
-	prefillShare = 0.6
+	prefillShare = 0.5
 )
 
 // Want is a number of upstreams of each kind.
