caller: answer 503 until a configuration is known

Cause: seen in dev, every route answered 404 for 3.2 s after the start, before the ready line, because the empty configuration has no routes. Requests are refused as not run until then.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -94,12 +94,16 @@
 	}
 }
 
-// accept refuses requests on a node that stops.
+// accept refuses requests on a node that stops, or that can't tell yet which
+// routes and keys there are.
 func (s *Server) accept(ex *exchange) (refused *Refusal) {
 	ex.deadline = ex.started.Add(s.options.ModelDeadline)
 	if s.stopping.Load() {
 		return notRun(upstream.ReasonStopping, "this node is shutting down; send the request again")
 	}
+	if ex.snapshot.Revision() == 0 {
+		return notRun(upstream.ReasonStarting, "this node has no configuration yet; send the request again")
+	}
 	return nil
 }
 
--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -71,6 +71,7 @@
 	upstream.ReasonBusy:        time.Second,
 	upstream.ReasonRate:        time.Second,
 	upstream.ReasonConcurrency: time.Second,
+	upstream.ReasonStarting:    time.Second,
 	upstream.ReasonStoreDown:   2 * time.Second,
 	upstream.ReasonInProgress:  time.Second,
 	upstream.ReasonRetryBudget: time.Second,
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -68,6 +68,7 @@
 	ReasonBodyTooLarge Reason = "BodyTooLarge" // the body exceeds the limit
 	ReasonBadRequest   Reason = "BadRequest"   // the request can't be read
 	ReasonNotFound     Reason = "NotFound"     // no route or model
+	ReasonStarting     Reason = "Starting"     // this node knows no configuration yet
 	ReasonStopping     Reason = "Stopping"     // this node shuts down
 )
 
