--- a/command/entry.go
+++ b/command/entry.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"reflect"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/juju/errors"
@@ -16,6 +17,10 @@
 	"github.com/guavagauge/guavagauge/settings"
 )
 
+// memoryPercent of the VM's memory is for the heap. The rest is for bytes that
+// wait in sockets, and for the program.
+const memoryPercent = 70
+
 func newEntry() *subcommand {
 	file, variable := "entry.toml", ""
 	c := newSubcommand("entry", "runs one entry node on a platform", "  guavagauge entry --config entry.toml",
@@ -42,6 +47,9 @@
 	if len(problems) > 0 {
 		return errors.Errorf("%s: %d problems", file, len(problems))
 	}
+	// The collector works harder before the process exceeds its VM's memory, which
+	// ends it.
+	debug.SetMemoryLimit(int64(s.Limits.MemoryMB) << 20 * memoryPercent / 100)
 	logger := logging.New(env.stdout, slog.LevelInfo)
 	// The node outlives the signal, so that it can stop gracefully.
 	ctx, cancel := context.WithCancel(context.WithoutCancel(env.ctx))
