--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -152,6 +152,41 @@
 	}
 }
 
+// While a prompt was read for 1.4 s, the engine that was to generate left, and got
+// the request later than leaving upstreams may.
+func TestRunnerLeavesMeanwhile(t *testing.T) {
+	p1, g1, g2 := engine("p1", "a", roster.Prefill), engine("g1", "a", roster.Decode), engine("g2", "a", roster.Decode)
+	leaving, restarted := g1, g1
+	leaving.Draining = true
+	restarted.Born = at(time.Second)
+	for name, c := range map[string]struct {
+		then []roster.Upstream
+		want string
+	}{
+		"stays":                  {[]roster.Upstream{p1, g1, g2}, "g1"},
+		"drains":                 {[]roster.Upstream{p1, leaving, g2}, "g2"},
+		"gone":                   {[]roster.Upstream{p1, g2}, "g2"},
+		"started again":          {[]roster.Upstream{p1, restarted, g2}, "g1"},
+		"none that takes work":   {[]roster.Upstream{p1, leaving}, ""},
+		"only engines that read": {[]roster.Upstream{p1}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDispatcher(p1, g1, g2)
+			d.TakeLoads("n2", []dispatch.Load{{Upstream: "g2", Running: 5}}, start)
+			plan, ok := d.PlacePrompt(dispatch.PromptRequest{Service: "models", Prompt: promptOf("book", 13_000, 4_000)}, start)
+			if !ok || plan.Run.Upstream.ID != "g1" {
+				t.Fatalf("planned to run at %q, want g1", plan.Run.Upstream.ID)
+			}
+			d.Sync(c.then, []routing.Service{models})
+			d.TakeLoads("n2", []dispatch.Load{{Upstream: "g2", Running: 5}}, start)
+			choice, ok := d.Runner(plan.Run, []string{"p1"}, at(1400*time.Millisecond))
+			if choice.Upstream.ID != c.want || ok != (c.want != "") {
+				t.Errorf("runs at %q, want %q", choice.Upstream.ID, c.want)
+			}
+		})
+	}
+}
+
 // An upstream that starts again under its ID knows nothing of before.
 func TestRestart(t *testing.T) {
 	before := engine("g1", "a", roster.Decode)
--- a/dispatch/prompt.go
+++ b/dispatch/prompt.go
@@ -138,6 +138,26 @@
 	return plan, ok
 }
 
+// Runner returns the engine that generates after a prompt was read: the planned
+// one if it still takes work, else the best of the others. Reading can take
+// seconds, in which engines leave.
+func (d *Dispatcher) Runner(planned Choice, tried []string, now time.Time) (choice Choice, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if u := d.upstreams[planned.Upstream.ID]; u != nil && !u.Draining && u.Born.Equal(planned.Upstream.Born) && !now.Before(u.avoid) {
+		return planned, true
+	}
+	service := d.config[planned.service]
+	if service == nil || service.Engine == nil {
+		return Choice{}, false
+	}
+	runner, wait := d.bestRunner(d.usable(planned.service, tried, now), service.Engine, now)
+	if runner == nil {
+		return Choice{}, false
+	}
+	return Choice{Upstream: runner.Upstream, Expected: wait, prompt: planned.prompt, service: planned.service}, true
+}
+
 // readCost estimates reading a prompt at an engine.
 func (d *Dispatcher) readCost(u *upstream, prompt platform.Prompt, engine *routing.Engine, now time.Time) (choice Choice, cost time.Duration) {
 	costs := d.options.Costs
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -60,14 +60,18 @@
 		}
 		source, ok := platform.Source{}, true
 		if plan.Read != nil {
-			source, ok = e.read(*plan.Read)
+			if source, ok = e.read(*plan.Read); ok {
+				if plan.Run, ok = e.node.dispatcher.Runner(plan.Run, e.tried, time.Now()); !ok {
+					e.last = reasonNoUpstream
+				}
+			}
 		}
 		if ok {
 			if s.run(plan.Run, source) {
 				return
 			}
 		}
-		mayHaveRun := e.last != reasonUnreachable && e.last != reasonRejected
+		mayHaveRun := e.last != reasonUnreachable && e.last != reasonRejected && e.last != reasonNoUpstream
 		if !e.another(mayHaveRun) {
 			s.give(retrySoon)
 			return
