--- a/entry/config.go
+++ b/entry/config.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// compareEvery is the time between comparisons of the configuration with the
-	// store's. Two of them fit into the bound for a new configuration.
+	// compareEvery is the longest time between comparisons of the configuration with
+	// the store's. Two of them fit into the bound for a new configuration.
 	compareEvery = 1200 * time.Millisecond
 	// compareTimeout bounds one comparison. A store that is slow answers within
 	// half a second.
@@ -31,6 +31,7 @@
 func (n *Node) followConfig() {
 	go func() {
 		reachable := true
+		every := min(compareEvery, n.settings.Bounds.Configuration*2/5)
 		for n.ctx.Err() == nil {
 			if !n.isReader() && !n.storeFailing.Load() && n.age() < followLimit {
 				n.pause(compareRetry)
@@ -38,7 +39,7 @@
 			}
 			asked := n.clock()
 			entry, changed, err := n.compare()
-			wait := compareEvery - compareEvery/8 + rand.N(compareEvery/4)
+			wait := every - every/8 + rand.N(every/4)
 			switch {
 			case err != nil:
 				if reachable {
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -40,6 +40,7 @@
 	given struct {
 		count int
 		ok    bool
+		none  bool // the platform had none of the kind
 		at    time.Time
 	}
 )
@@ -48,11 +49,12 @@
 	return &orders{node: n, given: map[orderKey]given{}, staged: map[string]time.Time{}}
 }
 
-// give orders capacity where the wanted number has changed.
-func (o *orders) give(held *lease.Held) (err error) {
+// give orders capacity where the wanted number has changed, or upstreams are
+// missing. Orders that fail are repeated.
+func (o *orders) give(held *lease.Held) {
 	table := o.node.table.Load()
 	if table == nil {
-		return nil
+		return
 	}
 	now := time.Now()
 	present := map[orderKey]int{}
@@ -74,24 +76,21 @@
 			local := engines[orderKey{service: service.Name, domain: domain}]
 			o.stage(held, service, local, want.Reserved+want.Spot-len(local), now)
 			for key, count := range map[orderKey]int{reserved: want.Reserved, spot: want.Spot} {
-				if err = o.order(held, key, count, present[key], service.Scaling.Boot, now); err != nil {
-					return err
-				}
+				o.order(held, key, count, present[key], service.Scaling.Boot, now)
 			}
 		}
 	}
-	return nil
 }
 
 // dry reports whether the platform lately had no upstreams of a kind.
 func (o *orders) dry(key orderKey, now time.Time) (ok bool) {
 	last, known := o.given[key]
-	return known && !last.ok && now.Sub(last.at) < 2*orderRetry
+	return known && last.none && now.Sub(last.at) < 2*orderRetry
 }
 
 // order gives one order unless it stands. Upstreams that the platform took away
 // don't come again by themselves.
-func (o *orders) order(held *lease.Held, key orderKey, count, present int, boot time.Duration, now time.Time) (err error) {
+func (o *orders) order(held *lease.Held, key orderKey, count, present int, boot time.Duration, now time.Time) {
 	last, known := o.given[key]
 	wait := orderRetry
 	if last.ok && present >= count {
@@ -100,25 +99,20 @@
 		wait += boot
 	}
 	if known && last.count == count && now.Sub(last.at) < wait {
-		return nil
+		return
 	}
-	err = held.Do(held.Context(), func(ctx context.Context) error {
+	err := held.Do(held.Context(), func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, dutyCall)
 		defer cancel()
 		return o.node.cloud.Order(ctx, o.node.authority(held), platform.Capacity{
 			Service: key.service, FailureDomain: key.domain, Count: count, Spot: key.spot,
 		})
 	})
-	o.given[key] = given{count: count, ok: err == nil, at: now}
+	// While the lease holds no other token is higher, so ErrFenced says that there
+	// are none to be had.
+	o.given[key] = given{count: count, ok: err == nil, none: errors.Is(err, platform.ErrFenced), at: now}
 	o.node.logger.Info("capacity ordered", "Service", key.service, "Domain", key.domain, "Spot", key.spot,
 		"Count", count, "Token", held.Epoch(), "Error", err)
-	if errors.Is(err, platform.ErrFenced) && held.Check() == nil {
-		return nil // none are to be had; while the lease holds, no other token is higher
-	}
-	if errors.Is(err, lease.ErrSuspended) || errors.Is(err, lease.ErrLost) || errors.Is(err, lease.ErrReleased) {
-		return nil
-	}
-	return nil
 }
 
 // stage gives at most one order to change a stage in a failure domain, unless
