--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -55,6 +55,7 @@
 		nodes     map[string]*entry.Node
 		start     time.Time
 		requests  int
+		taken     bool // the metrics address of nodes is taken
 		ends      []func()
 	}
 
@@ -137,6 +138,9 @@
 	s, _ := settings.ParseEntry("entry.toml", nil)
 	s.Name, s.FailureDomain, s.Regions = name, "a", map[string]string{"a": "r"}
 	s.Listen = settings.EntryListen{Caller: at(80), Ready: at(81), Peer: at(82)}
+	if w.taken {
+		s.Listen.Metrics = s.Listen.Ready
+	}
 	s.Store.Address, s.Cloud.Address = netip.MustParseAddrPort(storeAddress+":80"), netip.MustParseAddrPort(cloudAddress+":80")
 	n, err := entry.New(context.Background(), entry.Options{
 		Settings: s, Logger: slog.New(slog.DiscardHandler), Network: w.network.Host(address), Packets: w.packets.Listen,
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -60,6 +60,15 @@
 	w.pass(3 * time.Second)
 }
 
+// The metrics port was another listener's on one day, and no node started.
+func TestMetricsAddressTaken(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.taken = true
+		w.ready()
+		w.want(w.ask(n1+":80", http.MethodGet, "/draws/1", "", nil), http.StatusOK, "answer")
+	})
+}
+
 func TestAnswers(t *testing.T) {
 	inWorld(t, func(w *world) {
 		w.ready()
