peer: carry messages in CBOR with numbered fields

Cause: net/rpc's gob codec describes each type again on each new connection (about 300 bytes a membership message at the start), and an answer repeats the name of its method. TestScaleStartControlBytes had 6,619 control bytes/s a node at 192 nodes, TestScaleLoadControlBytes 4,720 to 5,075 at 9, want 5,000.

Change: a codec of our own for net/rpc: length, header, body; fields travel by number, zero values don't. Nodes of another version pass over unknown numbers. CheckMessages fills every message of every receiver, sends it and compares; it failed on all 51 message types before they had their numbers. scale counts an answer for the service of the request read last, since answers name none now; control traffic and requests' data have connections of their own.

The bounds are as they were.

--- a/distribution/distribution.go
+++ b/distribution/distribution.go
@@ -83,9 +83,9 @@
 
 	// Member is a live node of the fleet.
 	Member struct {
-		Name    string
-		Address netip.AddrPort
-		Domain  string // failure domain
+		Name    string         `cbor:"1,keyasint,omitzero"`
+		Address netip.AddrPort `cbor:"2,keyasint,omitzero"`
+		Domain  string         `cbor:"3,keyasint,omitzero"` // failure domain
 	}
 
 	// Caller makes calls to other nodes. peer.Pool is one.
--- a/distribution/fleet_test.go
+++ b/distribution/fleet_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/gob"
 	"fmt"
 	"maps"
 	"net/netip"
-	"net/rpc"
 	"slices"
 	"strconv"
 	"sync"
@@ -18,6 +16,7 @@
 	"github.com/juju/errors"
 
 	"github.com/guavagauge/guavagauge/distribution"
+	"github.com/guavagauge/guavagauge/peer"
 	"github.com/guavagauge/guavagauge/storetest"
 )
 
@@ -38,7 +37,6 @@
 		highest map[string]uint64     // revision that each node had while ready
 		cut     func(from, to int) bool
 		delay   time.Duration // of each message
-		encoder *gob.Encoder
 		// counting is off most of the time, since encoding takes long.
 		counting     bool
 		calls, bytes int
@@ -70,7 +68,6 @@
 			t: t, ctx: ctx, server: storetest.New(storetest.Options{}), set: metrics.NewSet(),
 			nodes: map[netip.AddrPort]*process{}, highest: map[string]uint64{}, surveys: map[int]int{},
 		}
-		f.encoder = gob.NewEncoder(writer{f})
 		f.apply()
 		for i := range n {
 			f.members = append(f.members, distribution.Member{Name: name(i), Address: address(i), Domain: fmt.Sprint(i % domains)})
@@ -239,8 +236,11 @@
 	f.mu.Lock()
 	if f.counting {
 		f.calls++
-		f.encoder.Encode(rpc.Request{ServiceMethod: method, Seq: 1000})
-		f.encoder.Encode(body)
+		n, err := peer.MessageBytes(method, body)
+		if err != nil {
+			panic(err)
+		}
+		f.bytes += n
 	}
 	cut, delay := f.cut != nil && f.cut(from, to), f.delay
 	f.mu.Unlock()
@@ -266,14 +266,6 @@
 	return f.calls, f.bytes, f.server.TotalCalls()
 }
 
-type writer struct{ fleet *fleet }
-
-// Write counts the bytes of a message; the caller holds mu.
-func (w writer) Write(b []byte) (n int, err error) {
-	w.fleet.bytes += len(b)
-	return len(b), nil
-}
-
 func name(i int) string { return fmt.Sprintf("entry-%03d", i) }
 
 func address(i int) netip.AddrPort {
--- a/distribution/inforce.go
+++ b/distribution/inforce.go
@@ -18,12 +18,12 @@
 type (
 	// Status is one node's position.
 	Status struct {
-		Name string
+		Name string `cbor:"1,keyasint,omitzero"`
 		// Reached is false when the node didn't answer in time.
-		Reached  bool
-		Revision uint64
+		Reached  bool   `cbor:"2,keyasint,omitzero"`
+		Revision uint64 `cbor:"3,keyasint,omitzero"`
 		// Rejected is the newest revision that the node refused, 0 if none.
-		Rejected uint64
+		Rejected uint64 `cbor:"4,keyasint,omitzero"`
 	}
 
 	// InForce tells which live members have a revision or a newer one.
@@ -36,13 +36,13 @@
 
 	// SurveyArgs ask a node for its own position and for that of others.
 	SurveyArgs struct {
-		Others  []Member
-		Timeout time.Duration
+		Others  []Member      `cbor:"1,keyasint,omitzero"`
+		Timeout time.Duration `cbor:"2,keyasint,omitzero"`
 	}
 
 	// SurveyReply holds one status for each node asked for.
 	SurveyReply struct {
-		Statuses []Status
+		Statuses []Status `cbor:"1,keyasint,omitzero"`
 	}
 )
 
--- a/distribution/pull.go
+++ b/distribution/pull.go
@@ -21,41 +21,43 @@
 
 	// PullArgs ask for the changes since a revision.
 	PullArgs struct {
-		From     string
-		Revision uint64
-		Whole    bool // the deltas did not fit
-		Peek     bool // the answer's revision is enough
+		From     string `cbor:"1,keyasint,omitzero"`
+		Revision uint64 `cbor:"2,keyasint,omitzero"`
+		Whole    bool   `cbor:"3,keyasint,omitzero"` // the deltas did not fit
+		Peek     bool   `cbor:"4,keyasint,omitzero"` // the answer's revision is enough
 	}
 
 	// PullReply leads to the receiver's revision. Its ages count from the
 	// moment of the reply, so that the caller, who knows when it asked, can't
 	// take old news for fresh.
 	PullReply struct {
-		Revision  uint64
-		Sum       uint64
-		Whole     bool
-		Set       map[string][]byte
-		Deleted   []string
-		Confirmed bool
-		Age       time.Duration // since the confirmation
-		Reports   []Report
+		Revision  uint64            `cbor:"1,keyasint,omitzero"`
+		Sum       uint64            `cbor:"2,keyasint,omitzero"`
+		Whole     bool              `cbor:"3,keyasint,omitzero"`
+		Set       map[string][]byte `cbor:"4,keyasint,omitzero"`
+		Deleted   []string          `cbor:"5,keyasint,omitzero"`
+		Confirmed bool              `cbor:"6,keyasint,omitzero"`
+		Age       time.Duration     `cbor:"7,keyasint,omitzero"` // since the confirmation
+		Reports   []Report          `cbor:"8,keyasint,omitzero"`
 	}
 
 	// Report is what a reader said about the store.
 	Report struct {
-		Reader string
-		Age    time.Duration
-		OK     bool
+		Reader string        `cbor:"1,keyasint,omitzero"`
+		Age    time.Duration `cbor:"2,keyasint,omitzero"`
+		OK     bool          `cbor:"3,keyasint,omitzero"`
 	}
 
 	// NotifyArgs announce a new revision.
 	NotifyArgs struct {
-		From     string
-		Revision uint64
+		From     string `cbor:"1,keyasint,omitzero"`
+		Revision uint64 `cbor:"2,keyasint,omitzero"`
 	}
 
 	// Nothing is an empty reply.
-	Nothing struct{ None bool }
+	Nothing struct {
+		None bool `cbor:"1,keyasint,omitzero"`
+	}
 )
 
 // Receiver returns the receiver to register under the name Service.
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -33,28 +33,28 @@
 type (
 	// FollowRequest says what a node knows, as revisions of the store.
 	FollowRequest struct {
-		Config    uint64
-		Upstreams uint64
+		Config    uint64 `cbor:"1,keyasint,omitzero"`
+		Upstreams uint64 `cbor:"2,keyasint,omitzero"`
 	}
 
 	// FollowReply has what the node doesn't know, and how old the knowledge is.
 	FollowReply struct {
-		ConfigAge       time.Duration // since the store confirmed it
-		ConfigRevision  uint64
-		Config          []byte // empty: the same as asked with
-		UpstreamsAge    time.Duration
-		Revision        uint64
-		Upstreams       []roster.Entry
-		UpstreamsListed bool // Upstreams hold the roster at Revision
+		ConfigAge       time.Duration  `cbor:"1,keyasint,omitzero"` // since the store confirmed it
+		ConfigRevision  uint64         `cbor:"2,keyasint,omitzero"`
+		Config          []byte         `cbor:"3,keyasint,omitzero"` // empty: the same as asked with
+		UpstreamsAge    time.Duration  `cbor:"4,keyasint,omitzero"`
+		Revision        uint64         `cbor:"5,keyasint,omitzero"`
+		Upstreams       []roster.Entry `cbor:"6,keyasint,omitzero"`
+		UpstreamsListed bool           `cbor:"7,keyasint,omitzero"` // Upstreams hold the roster at Revision
 	}
 
 	// AccountRequest hands a node's counts of an ended window to the reader.
 	AccountRequest struct {
-		Node   string
-		Window int64
-		Counts map[string]int64
+		Node   string           `cbor:"1,keyasint,omitzero"`
+		Window int64            `cbor:"2,keyasint,omitzero"`
+		Counts map[string]int64 `cbor:"3,keyasint,omitzero"`
 		// Write asks for the counts to be written to the store at once.
-		Write bool
+		Write bool `cbor:"4,keyasint,omitzero"`
 	}
 
 	// receiver answers other nodes.
--- /dev/null
+++ b/entry/messages_test.go
@@ -0,0 +1,9 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/guavagauge/guavagauge/nettest"
+)
+
+func TestReceiverMessages(t *testing.T) { nettest.CheckMessages(t, &receiver{}) }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -84,9 +84,9 @@
 
 	// ID identifies an object. Names are unique within an owner and kind only.
 	ID struct {
-		Owner string
-		Kind  Kind
-		Name  string
+		Owner string `cbor:"1,keyasint,omitzero"`
+		Kind  Kind   `cbor:"2,keyasint,omitzero"`
+		Name  string `cbor:"3,keyasint,omitzero"`
 	}
 
 	// Meta is common to all objects.
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -21,20 +21,20 @@
 type (
 	// ExchangeArgs asks for the members that the caller lacks.
 	ExchangeArgs struct {
-		Self  Member
-		About *Member // what the caller holds about the receiver
+		Self  Member  `cbor:"1,keyasint,omitzero"`
+		About *Member `cbor:"2,keyasint,omitzero"` // what the caller holds about the receiver
 		// Digest holds one hash over the members of each bucket. It is empty
 		// when the caller wants no members.
-		Digest  []uint32
-		Entries []Member
+		Digest  []uint32 `cbor:"3,keyasint,omitzero"`
+		Entries []Member `cbor:"4,keyasint,omitzero"`
 	}
 
 	// ExchangeReply holds the receiver's members in the buckets that differ.
 	ExchangeReply struct {
-		Self    Member
-		About   *Member // what the receiver holds about the caller
-		Differ  []int
-		Entries []Member
+		Self    Member   `cbor:"1,keyasint,omitzero"`
+		About   *Member  `cbor:"2,keyasint,omitzero"` // what the receiver holds about the caller
+		Differ  []int    `cbor:"3,keyasint,omitzero"`
+		Entries []Member `cbor:"4,keyasint,omitzero"`
 	}
 )
 
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/gob"
 	"fmt"
 	"net/netip"
-	"net/rpc"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,17 +12,17 @@
 	"github.com/juju/errors"
 
 	"github.com/guavagauge/guavagauge/membership"
+	"github.com/guavagauge/guavagauge/peer"
 )
 
 type (
 	// fleet carries calls between groups in memory and counts them.
 	fleet struct {
-		ctx     context.Context
-		mu      sync.Mutex
-		nodes   map[netip.Addr]*process
-		cut     func(from, to netip.Addr) bool // nil without cuts
-		delay   map[netip.Addr]time.Duration
-		encoder *gob.Encoder
+		ctx   context.Context
+		mu    sync.Mutex
+		nodes map[netip.Addr]*process
+		cut   func(from, to netip.Addr) bool // nil without cuts
+		delay map[netip.Addr]time.Duration
 		// counting is off most of the time, since encoding takes most of a
 		// large fleet's run.
 		counting     bool
@@ -53,7 +51,6 @@
 			synctest.Wait()
 		}()
 		f := &fleet{ctx: ctx, nodes: map[netip.Addr]*process{}, delay: map[netip.Addr]time.Duration{}}
-		f.encoder = gob.NewEncoder(writer{f})
 		for i := range n {
 			f.start(t, i)
 		}
@@ -179,8 +176,11 @@
 	f.mu.Lock()
 	if f.counting {
 		f.calls++
-		f.encoder.Encode(rpc.Request{ServiceMethod: method, Seq: 1000})
-		f.encoder.Encode(body)
+		n, err := peer.MessageBytes(method, body)
+		if err != nil {
+			panic(err)
+		}
+		f.bytes += n
 	}
 	cut := f.cut != nil && f.cut(from, to)
 	delay := f.delay[from] + f.delay[to]
@@ -195,14 +195,6 @@
 	return ctx.Err() == nil
 }
 
-type writer struct{ fleet *fleet }
-
-// Write counts the bytes of a message; the caller holds mu.
-func (w writer) Write(b []byte) (n int, err error) {
-	w.fleet.bytes += len(b)
-	return len(b), nil
-}
-
 func name(i int) string { return fmt.Sprintf("entry-%03d", i) }
 
 func address(i int) netip.AddrPort {
--- a/membership/member.go
+++ b/membership/member.go
@@ -26,13 +26,13 @@
 
 	// Member is one node of the fleet. Its payload must not be modified.
 	Member struct {
-		Name        string
-		Address     netip.AddrPort
-		Domain      string
-		Region      string
-		Incarnation uint64
-		State       State
-		Payload     []byte
+		Name        string         `cbor:"1,keyasint,omitzero"`
+		Address     netip.AddrPort `cbor:"2,keyasint,omitzero"`
+		Domain      string         `cbor:"3,keyasint,omitzero"`
+		Region      string         `cbor:"4,keyasint,omitzero"`
+		Incarnation uint64         `cbor:"5,keyasint,omitzero"`
+		State       State          `cbor:"6,keyasint,omitzero"`
+		Payload     []byte         `cbor:"7,keyasint,omitzero"`
 	}
 
 	// View is what a node knew of the fleet at one time. It doesn't change.
--- a/membership/receiver.go
+++ b/membership/receiver.go
@@ -12,14 +12,14 @@
 
 	// RelayArgs asks a helper to probe another member.
 	RelayArgs struct {
-		Name    string
-		Address netip.AddrPort
-		Timeout time.Duration
+		Name    string         `cbor:"1,keyasint,omitzero"`
+		Address netip.AddrPort `cbor:"2,keyasint,omitzero"`
+		Timeout time.Duration  `cbor:"3,keyasint,omitzero"`
 	}
 
 	// RelayReply tells whether the member answered the helper.
 	RelayReply struct {
-		Reached bool
+		Reached bool `cbor:"1,keyasint,omitzero"`
 	}
 )
 
--- a/membership/spread.go
+++ b/membership/spread.go
@@ -26,18 +26,18 @@
 type (
 	// Message is a probe and its answer.
 	Message struct {
-		From        string
-		Incarnation uint64
-		To          string
+		From        string `cbor:"1,keyasint,omitzero"`
+		Incarnation uint64 `cbor:"2,keyasint,omitzero"`
+		To          string `cbor:"3,keyasint,omitzero"`
 		// About is what the sender holds about the receiver, if the receiver
 		// has to do something about it.
-		About   *Member
-		Updates []Member
+		About   *Member  `cbor:"4,keyasint,omitzero"`
+		Updates []Member `cbor:"5,keyasint,omitzero"`
 		// Beacons identifies the members that Ages is about.
-		Beacons uint32
+		Beacons uint32 `cbor:"6,keyasint,omitzero"`
 		// BeaconIDs is set when the receiver's beacons differ.
-		BeaconIDs []uint32
-		Ages      []byte
+		BeaconIDs []uint32 `cbor:"7,keyasint,omitzero"`
+		Ages      []byte   `cbor:"8,keyasint,omitzero"`
 	}
 
 	// queued is an update that this node still passes on.
--- /dev/null
+++ b/node/messages_test.go
@@ -0,0 +1,19 @@
+package node_test
+
+import (
+	"testing"
+
+	"github.com/guavagauge/guavagauge/distribution"
+	"github.com/guavagauge/guavagauge/membership"
+	"github.com/guavagauge/guavagauge/nettest"
+	"github.com/guavagauge/guavagauge/steward"
+	"github.com/guavagauge/guavagauge/usage"
+)
+
+func TestMessages(t *testing.T) {
+	for _, receiver := range []any{
+		&membership.Receiver{}, &distribution.Receiver{}, &usage.Receiver{}, &steward.Receiver{},
+	} {
+		nettest.CheckMessages(t, receiver)
+	}
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -12,7 +12,7 @@
 //		// the peer can't have seen the call
 //	}
 //
-// Receivers follow the rules of net/rpc. Failures that a caller has to tell
+// Receivers follow the rules of net/rpc. Messages travel in CBOR (Encode). Failures that a caller has to tell
 // apart travel as typed fields of the reply, since net/rpc carries errors as
 // strings only. Traffic is counted in bytes per class and direction.
 package peer
@@ -149,7 +149,7 @@
 	}
 	conn.SetReadDeadline(time.Time{})
 	if c := Class(class[0]); c == Control || c == Data {
-		s.rpc.ServeConn(counted(conn, c, "server", s.options.Set))
+		s.rpc.ServeCodec(&serverCodec{newCodec(counted(conn, c, "server", s.options.Set))})
 	}
 }
 
@@ -246,7 +246,7 @@
 		conn.Close()
 		return nil, notSent(err)
 	}
-	return rpc.NewClient(counted(conn, p.class, "client", p.options.Set)), nil
+	return rpc.NewClientWithCodec(&clientCodec{newCodec(counted(conn, p.class, "client", p.options.Set))}), nil
 }
 
 // discard forgets a broken connection, unless another call has replaced it.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -38,23 +38,23 @@
 
 	// Upstream is one registered upstream.
 	Upstream struct {
-		ID            string
-		Service       string
-		Address       netip.AddrPort
-		FailureDomain string
-		Slots         int
-		Draining      bool
-		Spot          bool // may be reclaimed on short notice
-		Stage         Stage
-		Version       uint64    // of the model's weights
-		Born          time.Time // its start; another start under the same ID has another
+		ID            string         `cbor:"1,keyasint,omitzero"`
+		Service       string         `cbor:"2,keyasint,omitzero"`
+		Address       netip.AddrPort `cbor:"3,keyasint,omitzero"`
+		FailureDomain string         `cbor:"4,keyasint,omitzero"`
+		Slots         int            `cbor:"5,keyasint,omitzero"`
+		Draining      bool           `cbor:"6,keyasint,omitzero"`
+		Spot          bool           `cbor:"7,keyasint,omitzero"` // may be reclaimed on short notice
+		Stage         Stage          `cbor:"8,keyasint,omitzero"`
+		Version       uint64         `cbor:"9,keyasint,omitzero"`  // of the model's weights
+		Born          time.Time      `cbor:"10,keyasint,omitzero"` // its start; another start under the same ID has another
 	}
 
 	// Entry is an upstream as another node knows it. One whose entry vanished stays
 	// usable for what is Left of its grace.
 	Entry struct {
-		Upstream Upstream
-		Left     time.Duration
+		Upstream Upstream      `cbor:"1,keyasint,omitzero"`
+		Left     time.Duration `cbor:"2,keyasint,omitzero"`
 	}
 
 	// Roster is the set of known upstreams. It is safe for concurrent use.
--- a/scale/count.go
+++ b/scale/count.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/guavagauge/guavagauge/store"
@@ -17,7 +18,7 @@
 const noRegion = -1
 
 // services are the names that begin the methods of net/rpc. They stand in the
-// header of each request and answer.
+// header of each request.
 var services = [][]byte{[]byte("Membership."), []byte("Distribution."), []byte("Usage."), []byte("Steward.")}
 
 var (
@@ -67,7 +68,10 @@
 		net.Conn
 		network *network
 		remote  func() int // region of the other end
-		service string     // of the message that is being written
+		// service is that of the last request, written or read. Control traffic and
+		// requests' data have connections of their own, so an answer may at most be
+		// counted for another service of the same class.
+		service atomic.Pointer[string]
 		closed  chan struct{}
 		once    sync.Once
 	}
@@ -212,30 +216,35 @@
 	if !c.network.counts.awaitPath(c.network.region, c.remote(), c.closed) {
 		return 0, net.ErrClosed
 	}
+	c.note(b[:n])
 	return n, err
 }
 
-// Write counts the bytes as those of the service that they name. The parts of a
-// long message follow its header.
+// Write counts the bytes as those of the service that they name, and answers as
+// those of the request that was read last.
 func (c *conn) Write(b []byte) (n int, err error) {
-	messages := 0
-	for _, service := range services {
-		if bytes.Contains(b, service) {
-			c.service = string(bytes.TrimSuffix(service, []byte(".")))
-			messages = 1
-			break
-		}
-	}
-	if c.service != "" {
+	c.note(b)
+	if service := c.service.Load(); service != nil {
 		counts := c.network.counts
 		counts.mu.Lock()
-		t := counts.peers[c.service]
-		counts.peers[c.service] = Traffic{t.Messages + messages, t.Bytes + len(b)}
+		t := counts.peers[*service]
+		counts.peers[*service] = Traffic{t.Messages + 1, t.Bytes + len(b)}
 		counts.mu.Unlock()
 	}
 	return c.Conn.Write(b)
 }
 
+// note remembers the service that a request names.
+func (c *conn) note(b []byte) {
+	for _, service := range services {
+		if bytes.Contains(b, service) {
+			name := string(bytes.TrimSuffix(service, []byte(".")))
+			c.service.Store(&name)
+			return
+		}
+	}
+}
+
 // Close ends a Read that is held back.
 func (c *conn) Close() (err error) {
 	c.once.Do(func() { close(c.closed) })
--- a/steward/messages.go
+++ b/steward/messages.go
@@ -15,28 +15,28 @@
 	// Ident names one attempt at one request. Replies repeat it, so that an
 	// answer to another attempt is never taken for the right one.
 	Ident struct {
-		RequestID string
-		Attempt   int
+		RequestID string `cbor:"1,keyasint,omitzero"`
+		Attempt   int    `cbor:"2,keyasint,omitzero"`
 	}
 
 	// Origin says for whom a request runs and by which rule.
 	Origin struct {
-		Workspace string // empty on open routes
-		Weight    int
-		Key       fleet.ID // the key that let the request in; zero on open routes
-		Revision  uint64   // configuration revision that the entry node decided by
-		Priority  int
+		Workspace string   `cbor:"3,keyasint,omitzero"` // empty on open routes
+		Weight    int      `cbor:"4,keyasint,omitzero"`
+		Key       fleet.ID `cbor:"5,keyasint,omitzero"` // the key that let the request in; zero on open routes
+		Revision  uint64   `cbor:"6,keyasint,omitzero"` // configuration revision that the entry node decided by
+		Priority  int      `cbor:"7,keyasint,omitzero"`
 	}
 
 	// Load is an upstream's load as its steward knows it. Costs are those of
 	// policy.Prices.
 	Load struct {
-		Slots       int
-		Running     int
-		RunningCost int64
-		Waiting     int
-		WaitingCost int64
-		Draining    bool
+		Slots       int   `cbor:"1,keyasint,omitzero"`
+		Running     int   `cbor:"2,keyasint,omitzero"`
+		RunningCost int64 `cbor:"3,keyasint,omitzero"`
+		Waiting     int   `cbor:"4,keyasint,omitzero"`
+		WaitingCost int64 `cbor:"5,keyasint,omitzero"`
+		Draining    bool  `cbor:"6,keyasint,omitzero"`
 	}
 
 	// OpenArgs starts a generation. Remaining is the time left until the
@@ -44,18 +44,18 @@
 	OpenArgs struct {
 		Ident
 		Origin
-		Upstream   string
-		Puller     uint64 // whose pulls carry the tokens
-		Remaining  time.Duration
-		Suspect    bool // it ran on an upstream that crashed
-		Generation upstream.Generation
+		Upstream   string              `cbor:"11,keyasint,omitzero"`
+		Puller     uint64              `cbor:"12,keyasint,omitzero"` // whose pulls carry the tokens
+		Remaining  time.Duration       `cbor:"13,keyasint,omitzero"`
+		Suspect    bool                `cbor:"14,keyasint,omitzero"` // it ran on an upstream that crashed
+		Generation upstream.Generation `cbor:"15,keyasint,omitzero"`
 	}
 
 	// OpenReply accepts a generation into the upstream's queue, or refuses it.
 	OpenReply struct {
 		Ident
-		Load    Load
-		Failure *upstream.Failure
+		Load    Load              `cbor:"11,keyasint,omitzero"`
+		Failure *upstream.Failure `cbor:"12,keyasint,omitzero"`
 	}
 
 	// NextManyArgs asks for the tokens that an entry node's streams have ready.
@@ -63,85 +63,95 @@
 	// Resend lists all streams and makes their tokens from the confirmed offset
 	// on be sent again, after a reply may have been lost.
 	NextManyArgs struct {
-		Puller   uint64 // names the entry node's process
-		Sequence uint64
-		Resend   bool
-		Confirms []Confirmation
-		Wait     time.Duration
+		Puller   uint64         `cbor:"1,keyasint,omitzero"` // names the entry node's process
+		Sequence uint64         `cbor:"2,keyasint,omitzero"`
+		Resend   bool           `cbor:"3,keyasint,omitzero"`
+		Confirms []Confirmation `cbor:"4,keyasint,omitzero"`
+		Wait     time.Duration  `cbor:"5,keyasint,omitzero"`
 	}
 
 	// Confirmation says that the tokens before Offset have been passed on. A
 	// stream that isn't confirmed for idleLimit is canceled.
 	Confirmation struct {
 		Ident
-		Offset int
+		Offset int `cbor:"11,keyasint,omitzero"`
 	}
 
 	// NextManyReply holds what the streams have ready. When Epoch changes, the
 	// steward has forgotten what it sent, and the entry node asks to resend.
 	NextManyReply struct {
-		Epoch   uint64
-		Streams []NextReply
+		Epoch   uint64      `cbor:"1,keyasint,omitzero"`
+		Streams []NextReply `cbor:"2,keyasint,omitzero"`
 	}
 
 	// ConfirmArgs confirms tokens without asking for more.
 	ConfirmArgs struct {
-		Puller   uint64
-		Confirms []Confirmation
+		Puller   uint64         `cbor:"1,keyasint,omitzero"`
+		Confirms []Confirmation `cbor:"2,keyasint,omitzero"`
 	}
 
 	// ConfirmReply counts the streams that are known and hold the tokens from
 	// the confirmed offset on.
-	ConfirmReply struct{ Known int }
+	ConfirmReply struct {
+		Known int `cbor:"1,keyasint,omitzero"`
+	}
 
 	// NextReply holds one stream's tokens from Offset on. After Done or a Failure
 	// there are no more.
 	NextReply struct {
 		Ident
-		Offset  int
-		Tokens  []string
-		Done    bool
-		Usage   upstream.Usage
-		Failure *upstream.Failure
+		Offset  int               `cbor:"11,keyasint,omitzero"`
+		Tokens  []string          `cbor:"12,keyasint,omitzero"`
+		Done    bool              `cbor:"13,keyasint,omitzero"`
+		Usage   upstream.Usage    `cbor:"14,keyasint,omitzero"`
+		Failure *upstream.Failure `cbor:"15,keyasint,omitzero"`
 	}
 
 	// CancelArgs ends an attempt whose caller has left.
 	CancelArgs struct{ Ident }
 
 	// CancelReply says whether the attempt was still known.
-	CancelReply struct{ Known bool }
+	CancelReply struct {
+		Known bool `cbor:"1,keyasint,omitzero"`
+	}
 
 	// CallArgs makes one call to a plain service.
 	CallArgs struct {
 		Ident
 		Origin
-		Upstream  string
-		Remaining time.Duration
-		Suspect   bool
-		Call      upstream.Call
+		Upstream  string        `cbor:"11,keyasint,omitzero"`
+		Remaining time.Duration `cbor:"12,keyasint,omitzero"`
+		Suspect   bool          `cbor:"13,keyasint,omitzero"`
+		Call      upstream.Call `cbor:"14,keyasint,omitzero"`
 	}
 
 	// CallReply is the service's whole answer, or the failure.
 	CallReply struct {
 		Ident
-		Load    Load
-		Answer  upstream.Answer
-		Failure *upstream.Failure
+		Load    Load              `cbor:"11,keyasint,omitzero"`
+		Answer  upstream.Answer   `cbor:"12,keyasint,omitzero"`
+		Failure *upstream.Failure `cbor:"13,keyasint,omitzero"`
 	}
 
 	// CrashArgs asks for, or adds to, the upstreams that a request crashed.
 	// Upstream is empty in a query.
 	CrashArgs struct {
-		Fingerprint string
-		Upstream    string
+		Fingerprint string `cbor:"1,keyasint,omitzero"`
+		Upstream    string `cbor:"2,keyasint,omitzero"`
 	}
 
 	// ReclaimArgs says that an upstream ends within seconds.
-	ReclaimArgs struct{ Upstream string }
+	ReclaimArgs struct {
+		Upstream string `cbor:"1,keyasint,omitzero"`
+	}
 
 	// ReclaimReply counts the requests that were running there.
-	ReclaimReply struct{ Running int }
+	ReclaimReply struct {
+		Running int `cbor:"1,keyasint,omitzero"`
+	}
 
 	// CrashReply counts the distinct upstreams that the request crashed.
-	CrashReply struct{ Upstreams int }
+	CrashReply struct {
+		Upstreams int `cbor:"1,keyasint,omitzero"`
+	}
 )
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -82,26 +82,26 @@
 
 	// Generation is a model request as it travels to an engine.
 	Generation struct {
-		Workspace string // Workspace.Key, passed on as a header instead of the caller's key
-		Model     string
-		Prompt    string // chat messages are flattened by the caller package
-		MaxTokens int
+		Workspace string `cbor:"1,keyasint,omitzero"` // Workspace.Key, passed on as a header instead of the caller's key
+		Model     string `cbor:"2,keyasint,omitzero"`
+		Prompt    string `cbor:"3,keyasint,omitzero"` // chat messages are flattened by the caller package
+		MaxTokens int    `cbor:"4,keyasint,omitzero"`
 		// Offset is the number of tokens that the caller already has. An engine
 		// resumes behind them.
-		Offset int
+		Offset int `cbor:"5,keyasint,omitzero"`
 		// Given are those tokens, for an engine that has to prefill them.
-		Given    []string
-		Priority int
-		Seed     int64
-		Prefix   []uint64 // hashes of the prompt's leading pieces
+		Given    []string `cbor:"6,keyasint,omitzero"`
+		Priority int      `cbor:"7,keyasint,omitzero"`
+		Seed     int64    `cbor:"8,keyasint,omitzero"`
+		Prefix   []uint64 `cbor:"9,keyasint,omitzero"` // hashes of the prompt's leading pieces
 	}
 
 	// Usage counts the tokens of one attempt. CompletionTokens are those that
 	// the attempt generated, without the ones below its Offset.
 	Usage struct {
-		PromptTokens     int
-		CachedTokens     int
-		CompletionTokens int
+		PromptTokens     int `cbor:"1,keyasint,omitzero"`
+		CachedTokens     int `cbor:"2,keyasint,omitzero"`
+		CompletionTokens int `cbor:"3,keyasint,omitzero"`
 	}
 
 	// Token is one piece of generated text at its offset in the answer.
@@ -112,27 +112,27 @@
 
 	// Call is a request to a plain service.
 	Call struct {
-		Method string
-		Target string // path and query
-		Header http.Header
-		Body   []byte
+		Method string      `cbor:"1,keyasint,omitzero"`
+		Target string      `cbor:"2,keyasint,omitzero"` // path and query
+		Header http.Header `cbor:"3,keyasint,omitzero"`
+		Body   []byte      `cbor:"4,keyasint,omitzero"`
 	}
 
 	// Answer is a plain service's whole answer.
 	Answer struct {
-		Status int
-		Header http.Header
-		Body   []byte
+		Status int         `cbor:"1,keyasint,omitzero"`
+		Header http.Header `cbor:"2,keyasint,omitzero"`
+		Body   []byte      `cbor:"3,keyasint,omitzero"`
 	}
 
 	// Failure is a failed attempt.
 	Failure struct {
-		Reason   Reason
-		Progress Progress
+		Reason   Reason   `cbor:"1,keyasint,omitzero"`
+		Progress Progress `cbor:"2,keyasint,omitzero"`
 		// Crashed means that the upstream broke off while it ran the request.
-		Crashed    bool
-		RetryAfter time.Duration
-		Detail     string
+		Crashed    bool          `cbor:"3,keyasint,omitzero"`
+		RetryAfter time.Duration `cbor:"4,keyasint,omitzero"`
+		Detail     string        `cbor:"5,keyasint,omitzero"`
 	}
 )
 
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -39,8 +39,8 @@
 type (
 	// Source is one run of one node's process.
 	Source struct {
-		Node        string
-		Incarnation uint64
+		Node        string `cbor:"1,keyasint,omitzero"`
+		Incarnation uint64 `cbor:"2,keyasint,omitzero"`
 	}
 
 	// Member is a live node.
@@ -52,19 +52,19 @@
 
 	// Totals is what a workspace used.
 	Totals struct {
-		Requests         int64
-		PromptTokens     int64
-		CachedTokens     int64
-		CompletionTokens int64
-		Milliseconds     int64
+		Requests         int64 `cbor:"1,keyasint,omitzero"`
+		PromptTokens     int64 `cbor:"2,keyasint,omitzero"`
+		CachedTokens     int64 `cbor:"3,keyasint,omitzero"`
+		CompletionTokens int64 `cbor:"4,keyasint,omitzero"`
+		Milliseconds     int64 `cbor:"5,keyasint,omitzero"`
 	}
 
 	// Cell is a source's total for one workspace in one window, so far. Totals
 	// only grow, so of two copies of a cell the larger is the newer.
 	Cell struct {
-		Window    int64 // start, in seconds since 1970
-		Workspace string
-		Totals    Totals
+		Window    int64  `cbor:"1,keyasint,omitzero"` // start, in seconds since 1970
+		Workspace string `cbor:"2,keyasint,omitzero"`
+		Totals    Totals `cbor:"3,keyasint,omitzero"`
 	}
 
 	cellKey struct {
--- a/usage/witness.go
+++ b/usage/witness.go
@@ -9,9 +9,9 @@
 type (
 	// HoldArgs asks a witness to hold copies of cells. Repeats are harmless.
 	HoldArgs struct {
-		Source Source
-		Cells  []Cell
-		Final  bool // the source has stopped, and there will be no more
+		Source Source `cbor:"1,keyasint,omitzero"`
+		Cells  []Cell `cbor:"2,keyasint,omitzero"`
+		Final  bool   `cbor:"3,keyasint,omitzero"` // the source has stopped, and there will be no more
 	}
 
 	// HoldReply confirms the copies.
@@ -20,29 +20,29 @@
 	// CollectArgs asks for a window's cells of a shard: the node's own, and its
 	// copies for the sources in Copies.
 	CollectArgs struct {
-		Window int64
-		Shard  int
-		Shards int
-		Copies []Source
+		Window int64    `cbor:"1,keyasint,omitzero"`
+		Shard  int      `cbor:"2,keyasint,omitzero"`
+		Shards int      `cbor:"3,keyasint,omitzero"`
+		Copies []Source `cbor:"4,keyasint,omitzero"`
 	}
 
 	// CollectReply holds what the node has. Without Passed its own cells may
 	// still grow.
 	CollectReply struct {
-		Source Source
-		Passed bool
-		Cells  []Cell
-		Oldest int64    // window of the oldest cells, own or copied; 0 if none
-		Held   []Source // other sources of which it has copies for the window
-		Copies []Copy
+		Source Source   `cbor:"1,keyasint,omitzero"`
+		Passed bool     `cbor:"2,keyasint,omitzero"`
+		Cells  []Cell   `cbor:"3,keyasint,omitzero"`
+		Oldest int64    `cbor:"4,keyasint,omitzero"` // window of the oldest cells, own or copied; 0 if none
+		Held   []Source `cbor:"5,keyasint,omitzero"` // other sources of which it has copies for the window
+		Copies []Copy   `cbor:"6,keyasint,omitzero"`
 	}
 
 	// Copy is a witness's copy of a source's cells. It may lack the last ones,
 	// unless it is final.
 	Copy struct {
-		Source Source
-		Cells  []Cell
-		Final  bool
+		Source Source `cbor:"1,keyasint,omitzero"`
+		Cells  []Cell `cbor:"2,keyasint,omitzero"`
+		Final  bool   `cbor:"3,keyasint,omitzero"`
 	}
 
 	// Receiver has the methods that peers call, in the form of net/rpc.
