peer: end control connections on which a peer stays silent

Cause: a connection whose calls time out was kept, so each call of a long cut waited in it, and the peer answered them all at once when the cut ended. TestScaleJoinControlBytes had 23,619 control bytes/s a node in 10 s after an hour apart; by the second, 214,173 bytes a node in the first, of 467 membership messages a node, and below 1,800 in each later one.

Change: a control connection on which nothing came since a call 4 s ago is closed without delivering the rest when another of its calls ends without an answer. Connections of requests' data are kept, whose calls may take long. nettest drops what is under way on a close with SetLinger(0), as TCP does. TestSilentPeer failed before: 60 calls arrived after the cut, want none.

--- a/nettest/conn.go
+++ b/nettest/conn.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -21,6 +22,7 @@
 		network       *Network
 		local, remote netip.AddrPort
 		in, out       *stream
+		drop          atomic.Bool // when closed
 	}
 
 	// stream holds the bytes under way in one direction.
@@ -64,12 +66,21 @@
 
 // Close ends the connection. The other end reads what was sent, then EOF.
 func (c *conn) Close() (err error) {
+	if c.drop.Load() {
+		c.out.abort(syscall.ECONNRESET)
+	}
 	c.out.fail(io.EOF, net.ErrClosed)
 	c.in.abort(net.ErrClosed)
 	c.forget()
 	return nil
 }
 
+// SetLinger with 0 makes Close drop what hasn't arrived, as on a TCP connection.
+func (c *conn) SetLinger(seconds int) (err error) {
+	c.drop.Store(seconds == 0)
+	return nil
+}
+
 // reset ends the connection at once in both directions.
 func (c *conn) reset() {
 	c.out.abort(syscall.ECONNRESET)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -48,6 +48,10 @@
 	classTimeout    = 5 * time.Second // for the first byte of an accepted connection
 	idleLimit       = 5 * time.Minute // unused connections are closed after this
 	idleCheckPeriod = time.Minute
+	// silenceLimit ends a control connection on which nothing came since a call
+	// that long ago. The calls of a long cut would all be answered at its end. It
+	// is twice the time that membership gives its longest call.
+	silenceLimit = 4 * time.Second
 )
 
 type (
@@ -96,9 +100,17 @@
 	connection struct {
 		token    chan struct{}
 		client   *rpc.Client
+		watch    *watchedConn
 		lastUsed time.Time
 	}
 
+	// watchedConn knows since when a call has waited with nothing coming back.
+	watchedConn struct {
+		net.Conn
+		mu      sync.Mutex
+		waiting time.Time // zero once something came
+	}
+
 	countingConn struct {
 		net.Conn
 		read, written *metrics.Counter
@@ -184,15 +196,20 @@
 	if p.options.Local != nil && address == p.options.LocalAddress {
 		return p.options.Local.callLocal(ctx, method, args, reply)
 	}
-	client, err := p.client(ctx, address)
+	client, watch, err := p.client(ctx, address)
 	if err != nil {
 		return err
 	}
+	watch.called()
 	fresh := reflect.New(reflect.TypeOf(reply).Elem())
 	call := client.Go(method, args, fresh.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
+		if p.class == Control && watch.silent() >= silenceLimit {
+			watch.drop()
+			p.discard(address, client)
+		}
 		return ctx.Err()
 	}
 	if call.Error != nil {
@@ -206,9 +223,9 @@
 	return call.Error
 }
 
-func (p *Pool) client(ctx context.Context, address netip.AddrPort) (client *rpc.Client, err error) {
+func (p *Pool) client(ctx context.Context, address netip.AddrPort) (client *rpc.Client, watch *watchedConn, err error) {
 	if p.ctx.Err() != nil {
-		return nil, notSent(p.ctx.Err())
+		return nil, nil, notSent(p.ctx.Err())
 	}
 	p.mu.Lock()
 	conn := p.peers[address]
@@ -221,32 +238,33 @@
 	select {
 	case conn.token <- struct{}{}:
 	case <-ctx.Done():
-		return nil, notSent(ctx.Err())
+		return nil, nil, notSent(ctx.Err())
 	}
 	defer conn.release()
 	conn.lastUsed = time.Now()
-	if conn.client != nil {
-		return conn.client, nil
+	if conn.client == nil {
+		conn.client, conn.watch, err = p.dial(ctx, address)
 	}
-	conn.client, err = p.dial(ctx, address)
-	return conn.client, err
+	return conn.client, conn.watch, err
 }
 
-func (p *Pool) dial(ctx context.Context, address netip.AddrPort) (client *rpc.Client, err error) {
+func (p *Pool) dial(ctx context.Context, address netip.AddrPort) (client *rpc.Client, watch *watchedConn, err error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := p.network.Dial(ctx, address)
 	if err != nil {
-		return nil, notSent(err)
+		return nil, nil, notSent(err)
 	}
+	watch = &watchedConn{Conn: conn}
+	conn = watch
 	if p.options.TLS != nil {
 		conn = tls.Client(conn, p.options.TLS)
 	}
 	if _, err := conn.Write([]byte{byte(p.class)}); err != nil {
 		conn.Close()
-		return nil, notSent(err)
+		return nil, nil, notSent(err)
 	}
-	return rpc.NewClientWithCodec(&clientCodec{newCodec(counted(conn, p.class, "client", p.options.Set))}), nil
+	return rpc.NewClientWithCodec(&clientCodec{newCodec(counted(conn, p.class, "client", p.options.Set))}), watch, nil
 }
 
 // discard forgets a broken connection, unless another call has replaced it.
@@ -268,6 +286,43 @@
 	}
 }
 
+// Read notes that something came.
+func (c *watchedConn) Read(b []byte) (n int, err error) {
+	n, err = c.Conn.Read(b)
+	if n > 0 {
+		c.mu.Lock()
+		c.waiting = time.Time{}
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+func (c *watchedConn) called() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting.IsZero() {
+		c.waiting = time.Now()
+	}
+}
+
+// silent returns how long calls have waited with nothing coming.
+func (c *watchedConn) silent() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting.IsZero() {
+		return 0
+	}
+	return time.Since(c.waiting)
+}
+
+// drop makes Close give up what hasn't arrived, so that the peer doesn't answer
+// calls that nobody waits for.
+func (c *watchedConn) drop() {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		tcp.SetLinger(0)
+	}
+}
+
 func (c *connection) release() { <-c.token }
 
 // closeIdle closes the connections that were unused for at least idle.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -124,3 +124,48 @@
 	time.Sleep(2 * time.Second)
 	return e.Say(text, reply)
 }
+
+// Guards against a backlog of calls that a peer answers all at once when a long
+// cut ends.
+func TestSilentPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); synctest.Wait() }()
+		network := nettest.New()
+		address := netip.MustParseAddrPort("10.0.0.2:7000")
+		listener, err := network.Host("10.0.0.2").Listen(ctx, address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		receiver := &echo{}
+		if err := peer.NewServer(ctx, listener, peer.Options{}).Register("Echo", receiver); err != nil {
+			t.Fatal(err)
+		}
+		pool := peer.NewPool(ctx, network.Host("10.0.0.1"), peer.Control, peer.Options{})
+		say := func() error {
+			ctx, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			var reply string
+			return pool.Call(ctx, address, "Echo.Say", "hello", &reply)
+		}
+		if err := say(); err != nil {
+			t.Fatal(err)
+		}
+		network.Cut("10.0.0.1", "10.0.0.2")
+		network.Cut("10.0.0.2", "10.0.0.1")
+		for range 60 {
+			if err := say(); err == nil {
+				t.Error("a call got through the cut")
+			}
+		}
+		network.Heal("10.0.0.1", "10.0.0.2")
+		network.Heal("10.0.0.2", "10.0.0.1")
+		time.Sleep(5 * time.Second)
+		if calls := receiver.calls.Load(); calls > 1 {
+			t.Errorf("%d calls arrived after the cut, want none of those that were given up", calls-1)
+		}
+		if err := say(); err != nil {
+			t.Errorf("call after the cut: %v", err)
+		}
+	})
+}
--- a/scale/count.go
+++ b/scale/count.go
@@ -245,6 +245,14 @@
 	}
 }
 
+// SetLinger passes on the option, which a wrapped connection hides.
+func (c *conn) SetLinger(seconds int) (err error) {
+	if inner, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		return inner.SetLinger(seconds)
+	}
+	return nil
+}
+
 // Close ends a Read that is held back.
 func (c *conn) Close() (err error) {
 	c.once.Do(func() { close(c.closed) })
