distribution: space the writes of changes

Cause: a change takes a write for each chunk that it touches, the record and the head, four in TestScaleBurst, and nothing spaced them: 20 changes at once were 80 to 82 writes in the worst second, want 75 (a quarter of 300).

Change: a repository makes at most 40 writes a second, 30 of them at once; RepositoryOptions.WritesPerSecond sets another rate. A change whose time ends while it waits is reported as not in force, as other failures before the head's write are. scale.Observe counted the time of its function into one 'second'; it now samples each second while the function runs, so that a bound on a second is one.

Deletes of old revisions are spaced as well, so each 64th change takes a few seconds longer.

--- a/distribution/apply.go
+++ b/distribution/apply.go
@@ -61,7 +61,12 @@
 			return 0, err
 		}
 	}
-	if err := r.commit(ctx, version, p); err != nil {
+	if err = r.writes.Wait(ctx); err != nil {
+		err = errors.Annotatef(store.ErrUnavailable, "write the head: %v", err)
+	} else {
+		err = r.commit(ctx, version, p)
+	}
+	if err != nil {
 		if !errors.Is(err, store.ErrUnknownOutcome) {
 			r.remove(ctx, p.keys)
 		}
@@ -260,6 +265,9 @@
 // putUnique writes a key that no other change uses, so that repeating it is safe.
 func (r *Repository) putUnique(ctx context.Context, key string, value []byte) (err error) {
 	for {
+		if err = r.writes.Wait(ctx); err != nil {
+			return errors.Annotatef(store.ErrUnavailable, "%s: %v", key, err)
+		}
 		_, err = r.options.Client.Put(ctx, store.PutRequest{Key: key, Value: value, IfVersion: store.AnyVersion})
 		if store.Classify(err) != store.UnknownOutcome {
 			return errors.Annotate(err, key)
@@ -311,6 +319,9 @@
 	defer cancel()
 	ok = true
 	for _, key := range keys {
+		if r.writes.Wait(ctx) != nil {
+			return false // a later change makes up for it
+		}
 		err := r.options.Client.Delete(ctx, key, store.AnyVersion)
 		ok = ok && (err == nil || errors.Is(err, store.ErrNotFound))
 	}
--- a/distribution/repository.go
+++ b/distribution/repository.go
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/guavagauge/guavagauge/store"
 )
@@ -31,6 +32,10 @@
 	// milestone is the distance of the records that link to each other, so that
 	// old ones are found in few reads.
 	milestone = 64
+	// defaultWritesPerSecond, of which three quarters may come at once, keeps the
+	// changes of one process below the system's share of the store: a quarter of
+	// 300 writes a second, of which leases and usage need a few.
+	defaultWritesPerSecond = 40
 )
 
 type (
@@ -47,11 +52,14 @@
 		Keep int
 		// KeepRecords is the number of revisions that History shows.
 		KeepRecords int
+		// WritesPerSecond bounds the calls that change the store. Default 40.
+		WritesPerSecond int
 	}
 
 	// Repository is the document in the store. It is safe for concurrent use.
 	Repository struct {
 		options RepositoryOptions
+		writes  *rate.Limiter
 
 		mu     sync.Mutex
 		chunks map[string]map[string][]byte // the chunks last loaded, by key
@@ -102,8 +110,15 @@
 	if options.KeepRecords <= 0 {
 		options.KeepRecords = defaultKeepRecords
 	}
+	if options.WritesPerSecond <= 0 {
+		options.WritesPerSecond = defaultWritesPerSecond
+	}
 	options.KeepRecords = max(options.KeepRecords, options.Keep)
-	return &Repository{options: options, chunks: make(map[string]map[string][]byte)}, nil
+	return &Repository{
+		options: options,
+		writes:  rate.NewLimiter(rate.Limit(options.WritesPerSecond), (3*options.WritesPerSecond+3)/4),
+		chunks:  make(map[string]map[string][]byte),
+	}, nil
 }
 
 // Latest reads the newest revision. A document that was never written has
--- a/distribution/repository_test.go
+++ b/distribution/repository_test.go
@@ -33,6 +33,7 @@
 func repository(t interface{ Fatal(...any) }, client store.Client, keep int) *distribution.Repository {
 	r, err := distribution.NewRepository(distribution.RepositoryOptions{
 		Client: client, Prefix: "config/", Chunks: 4, Keep: keep, KeepRecords: 2 * keep,
+		WritesPerSecond: 1e6, // some tests run in real time
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/scale/count.go
+++ b/scale/count.go
@@ -100,25 +100,38 @@
 }
 
 // Observe counts for a while, second by second. The function, if any, is called
-// at the beginning of each second.
+// at the beginning of each second. While it runs for longer than that, seconds
+// are counted on without further calls.
 func (f *Fleet) Observe(while time.Duration, each func(second int)) (total Cost) {
 	first := f.sample()
 	last := first
-	seconds := int(while / time.Second)
 	var worst Worst
-	for second := range seconds {
-		if each != nil {
-			each(second)
+	for second := range int(while / time.Second) {
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if each != nil {
+				each(second)
+			}
+		}()
+		for running := true; running; {
+			time.Sleep(time.Second)
+			next := f.sample()
+			diff := next.minus(last)
+			worst.ControlBytes = max(worst.ControlBytes, diff.Control().Bytes)
+			worst.Reads = max(worst.Reads, diff.Reads)
+			worst.Writes = max(worst.Writes, diff.Writes)
+			worst.StoreBytes = max(worst.StoreBytes, diff.StoreBytes)
+			last = next
+			total.Seconds++
+			select {
+			case <-done:
+				running = false
+			default:
+			}
 		}
-		time.Sleep(time.Second)
-		next := f.sample()
-		diff := next.minus(last)
-		worst.ControlBytes = max(worst.ControlBytes, diff.Control().Bytes)
-		worst.Reads = max(worst.Reads, diff.Reads)
-		worst.Writes = max(worst.Writes, diff.Writes)
-		worst.StoreBytes = max(worst.StoreBytes, diff.StoreBytes)
-		last = next
 	}
+	seconds := total.Seconds
 	total = last.minus(first)
 	total.Seconds, total.Worst = seconds, worst
 	return total
