dispatch: count what an engine has read since the last prompt once

Cause: each node takes off, from the prompts that it has sent to an engine, the time since one of its own was read. With prompts of nine nodes waiting, the engine's progress is counted nine times: after 150 ms of 2.7 s of reading, 1.37 s were expected to be left, in place of 2.55 s. TestBacklogOfManyNodes plays this and failed first.

Change: nodes tell unread time as it is, since when they wait for it, and when a prompt was last read to its end; progress is the time since the latest of these ends, or since the first prompt was sent. The log has a line for each prompt read apart, and the tokens that were expected to be kept.

Conclusion: kept for the estimates, by which requests are refused and told when to come back; no gain is claimed.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -45,6 +45,9 @@
 	avoidLimit = 4 * time.Second
 	// peerLoadLife is how long the load that another node told counts.
 	peerLoadLife = 1500 * time.Millisecond
+	// readTold is how long other nodes are told that a prompt was read, in case
+	// datagrams are lost. Other failure domains hear four times a second.
+	readTold = 300 * time.Millisecond
 	// ownLoadLife is how long the load that an upstream told counts.
 	ownLoadLife = 400 * time.Millisecond
 )
@@ -81,6 +84,8 @@
 		// Fetch is the address of another engine from which cached parts of the
 		// prompt are fetched, if valid.
 		Fetch netip.AddrPort
+		// Kept is the number of tokens that the engine probably keeps or fetches.
+		Kept int
 
 		prompt  platform.Prompt
 		service string
@@ -102,22 +107,26 @@
 		region string
 		jobs   map[*Job]struct{}
 		unread time.Duration // of jobs whose prompt isn't read yet
-		// lastRead is when a prompt of this node was last read to its end.
-		lastRead time.Time
-		peers    map[string]peerLoad
-		load     platform.Load
-		loadAt   time.Time
-		loadOwn  int // this node's jobs when the load was told
-		cache    *cache
-		work     time.Duration // smoothed time of a plain job
-		failures int
-		avoid    time.Time // until when other upstreams go first
+		// busySince is when the first of these was sent.
+		busySince time.Time
+		// lastRead is when any node's prompt was last read to its end, and ownRead
+		// when one of this node was.
+		lastRead, ownRead time.Time
+		peers             map[string]peerLoad
+		load              platform.Load
+		loadAt            time.Time
+		loadOwn           int // this node's jobs when the load was told
+		cache             *cache
+		work              time.Duration // smoothed time of a plain job
+		failures          int
+		avoid             time.Time // until when other upstreams go first
 	}
 
 	peerLoad struct {
-		unread  time.Duration
-		running int
-		at      time.Time
+		unread    time.Duration
+		busySince time.Time
+		running   int
+		at        time.Time
 	}
 )
 
@@ -174,7 +183,7 @@
 		return job
 	}
 	if u.unread == 0 {
-		u.lastRead = now
+		u.busySince = now
 	}
 	u.jobs[job] = struct{}{}
 	u.unread += job.read
@@ -236,25 +245,37 @@
 	}
 	j.upstream.unread -= j.read
 	j.upstream.cache.read(j.choice.prompt, now)
-	j.upstream.lastRead = now
+	j.upstream.lastRead, j.upstream.ownRead = now, now
 	j.read = 0
 }
 
-// backlog is the time until all prompts that were sent to an engine are read.
+// backlog is the time until all prompts that were sent to an engine are read. It
+// reads one after the other: what it has done since the last one ended counts
+// once, whichever node sent it.
 func (u *upstream) backlog(now time.Time) (wait time.Duration) {
-	wait = u.ownBacklog(now)
+	wait = u.unread
+	begun := now
+	if wait > 0 {
+		begun = u.busySince
+	}
 	for _, peer := range u.peers {
-		if age := now.Sub(peer.at); age < peerLoadLife {
-			wait += max(0, peer.unread-age)
+		if now.Sub(peer.at) < peerLoadLife && peer.unread > 0 {
+			wait += peer.unread
+			begun = earlier(begun, peer.busySince)
 		}
 	}
-	return wait
+	if u.lastRead.After(begun) {
+		begun = u.lastRead
+	}
+	// An engine that takes longer than expected isn't taken to be done.
+	return max(0, wait-min(now.Sub(begun), wait/2))
 }
 
-// ownBacklog is the part of the backlog that this node has sent.
-func (u *upstream) ownBacklog(now time.Time) (wait time.Duration) {
-	// The engine reads on while no answer comes.
-	return max(0, u.unread-min(now.Sub(u.lastRead), u.unread/2))
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // running is the number of jobs that an upstream probably works on.
@@ -340,19 +361,45 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, u := range d.upstreams {
-		if len(u.jobs) > 0 {
-			loads = append(loads, Load{Upstream: u.ID, UnreadMs: u.ownBacklog(now).Milliseconds(), Running: len(u.jobs)})
+		read := now.Sub(u.ownRead)
+		if len(u.jobs) == 0 && read > readTold {
+			continue
 		}
+		l := Load{Upstream: u.ID, UnreadMs: u.unread.Milliseconds(), Running: len(u.jobs)}
+		if read < readTold {
+			l.Read, l.ReadAgoMs = true, read.Milliseconds()
+		}
+		if u.unread > 0 {
+			l.BusyMs = now.Sub(u.busySince).Milliseconds()
+		}
+		loads = append(loads, l)
 	}
 	return loads
 }
 
-// Load is what one node has sent to an upstream.
+// Load is what one node, or all of a failure domain, has sent to an upstream.
 type Load struct {
 	_        struct{} `cbor:",toarray"`
 	Upstream string
-	UnreadMs int64
-	Running  int
+	// UnreadMs is the time that reading the prompts takes that aren't read, and
+	// BusyMs the time since the first of them was sent.
+	UnreadMs, BusyMs int64
+	Running          int
+	// ReadAgoMs is the time since a prompt was last read to its end, if Read.
+	Read      bool
+	ReadAgoMs int64
+}
+
+// Plus returns the load of both, on the same upstream.
+func (l Load) Plus(o Load) (sum Load) {
+	sum = Load{
+		Upstream: l.Upstream, UnreadMs: l.UnreadMs + o.UnreadMs, BusyMs: max(l.BusyMs, o.BusyMs), Running: l.Running + o.Running,
+		Read: l.Read || o.Read, ReadAgoMs: l.ReadAgoMs,
+	}
+	if o.Read && (!l.Read || o.ReadAgoMs < l.ReadAgoMs) {
+		sum.ReadAgoMs = o.ReadAgoMs
+	}
+	return sum
 }
 
 // TakeLoads takes what another node has sent to upstreams. Upstreams that it
@@ -363,9 +410,17 @@
 	for _, u := range d.upstreams {
 		delete(u.peers, node)
 	}
+	before := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	for _, l := range loads {
-		if u := d.upstreams[l.Upstream]; u != nil {
-			u.peers[node] = peerLoad{unread: time.Duration(l.UnreadMs) * time.Millisecond, running: l.Running, at: now}
+		u := d.upstreams[l.Upstream]
+		if u == nil {
+			continue
+		}
+		u.peers[node] = peerLoad{
+			unread: time.Duration(l.UnreadMs) * time.Millisecond, busySince: before(l.BusyMs), running: l.Running, at: now,
+		}
+		if read := before(l.ReadAgoMs); l.Read && read.After(u.lastRead) {
+			u.lastRead = read
 		}
 	}
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -315,3 +315,45 @@
 		t.Errorf("%d on time when told every 25 ms, %d when every 2 s", often.onTime, seldom.onTime)
 	}
 }
+
+// Guards against a queue that looks half as long as it is, since each of the
+// nodes whose prompts wait in it takes its own to be the one that is being read.
+func TestBacklogOfManyNodes(t *testing.T) {
+	const nodes = 9
+	e := engine("e1", "a", roster.Decode) // the only one, so it is always chosen
+	var all []*dispatch.Dispatcher
+	for range nodes {
+		all = append(all, newDispatcher(e))
+	}
+	tell := func(now time.Time) {
+		for a, told := range all {
+			for b, node := range all {
+				if a != b {
+					node.TakeLoads(fmt.Sprint(a), told.Backlogs(now), now)
+				}
+			}
+		}
+	}
+	var jobs []*dispatch.Job
+	for i, node := range all {
+		jobs = append(jobs, node.Begin(dispatch.Choice{
+			Upstream: e, Read: 300 * time.Millisecond, Expected: time.Duration(i+1) * 300 * time.Millisecond,
+		}, start))
+	}
+	short := platform.Prompt{Tokens: 48, Parts: []platform.Part{{ID: "short", Tokens: 48}}}
+	for now := 25 * time.Millisecond; now < 2600*time.Millisecond; now += 25 * time.Millisecond {
+		if done := int(now/(300*time.Millisecond)) - 1; done >= 0 && now%(300*time.Millisecond) == 0 {
+			jobs[done].FirstByte(at(now))
+			jobs[done].End(at(now), dispatch.Served)
+		}
+		tell(at(now))
+		left := nodes*300*time.Millisecond - now
+		plan, ok := all[nodes-1].PlacePrompt(dispatch.PromptRequest{Service: "models", Prompt: short}, at(now))
+		if !ok {
+			t.Fatal("no engine")
+		}
+		if off := (plan.Expected - left).Abs(); off > 200*time.Millisecond {
+			t.Errorf("after %v: %v expected, %v of reading are left", now, plan.Expected, left)
+		}
+	}
+}
--- a/dispatch/prompt.go
+++ b/dispatch/prompt.go
@@ -169,13 +169,13 @@
 	}
 	kept := u.cache.kept(prompt)
 	read := readTime(prompt.Tokens, kept, rate, costs.PairTime)
-	choice = Choice{Upstream: u.Upstream, Read: read, prompt: prompt}
+	choice = Choice{Upstream: u.Upstream, Read: read, Kept: kept, prompt: prompt}
 	surcharge := time.Duration(0)
 	if holder, held := d.bestHolder(u, prompt, kept, now); holder != nil {
 		transfer := d.transfer(holder, u, held-kept, engine)
 		fetched := readTime(prompt.Tokens, held, rate, costs.PairTime)
 		if paid := time.Duration(float64(transfer) * costs.Transfer); transfer+fetched+paid < read {
-			choice.Read = transfer + fetched
+			choice.Read, choice.Kept = transfer+fetched, held
 			choice.Fetch = holder.Address
 			surcharge = paid
 		}
--- a/entry/message.go
+++ b/entry/message.go
@@ -98,8 +98,7 @@
 	loads := map[string]dispatch.Load{}
 	add := func(list []dispatch.Load) {
 		for _, l := range list {
-			sum := loads[l.Upstream]
-			loads[l.Upstream] = dispatch.Load{Upstream: l.Upstream, UnreadMs: sum.UnreadMs + l.UnreadMs, Running: sum.Running + l.Running}
+			loads[l.Upstream] = l.Plus(loads[l.Upstream])
 		}
 	}
 	add(n.dispatcher.Backlogs(now))
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -31,6 +31,7 @@
 	*exchange
 	lastEvent string        // the last one that was passed on
 	started   bool          // the caller has the head
+	readAt    time.Duration // when the prompt was read apart, after the request's arrival
 	firstAt   time.Duration // after the request's arrival
 	plan      dispatch.Plan
 }
@@ -61,6 +62,7 @@
 		source, ok := platform.Source{}, true
 		if plan.Read != nil {
 			if source, ok = e.read(*plan.Read); ok {
+				s.readAt = time.Since(e.arrived)
 				if plan.Run, ok = e.node.dispatcher.Runner(plan.Run, e.tried, time.Now()); !ok {
 					e.last = reasonNoUpstream
 				}
@@ -179,12 +181,13 @@
 
 // logServed tells what was expected of the engines, and what came.
 func (s *stream) logServed() {
-	read, fetched := "", s.plan.Run.Fetch.IsValid()
+	reader := s.plan.Run
 	if s.plan.Read != nil {
-		read, fetched = s.plan.Read.Upstream.ID, s.plan.Read.Fetch.IsValid()
+		reader = *s.plan.Read
+		s.log("prompt read", "Read", reader.Upstream.ID, "Expected", reader.Expected, "Took", s.readAt)
 	}
-	s.log("generation served", "Read", read, "Run", s.plan.Run.Upstream.ID, "Fetched", fetched, "Tokens", s.request.Prompt.Tokens,
-		"Expected", s.plan.Expected, "First", s.firstAt)
+	s.log("generation served", "Run", s.plan.Run.Upstream.ID, "Fetched", reader.Fetch.IsValid(), "Tokens", s.request.Prompt.Tokens,
+		"Kept", reader.Kept, "Expected", s.plan.Expected, "First", s.firstAt)
 }
 
 // relay passes on whole events as they come.
