dispatch: keep account of what engines have read, not of what they were sent

Of 27 whose part was expected to be read by then and wasn't, 20. Of 37 whose part was read 15 to 30 s earlier, 26: it had yielded to other nodes' prompts, whose own parts nobody told.

Change: a part can be fetched once its reading has ended, and is told to others then; a prompt that isn't read is forgotten; nodes tell how many tokens of other parts an engine has read, which age in the model like parts of their own. TestKeptParts has these cases; it uses a new field and so couldn't run before, and fails without each of the two calls. "not fetched before it was read" now has a reading that takes longer than expected, in place of a told time.

--- a/dispatch/cache.go
+++ b/dispatch/cache.go
@@ -15,12 +15,16 @@
 		used     int
 		parts    map[string]*list.Element
 		order    *list.List // of *cachedPart, the most recently used first
+		// others stands for parts that other nodes' prompts don't share with any,
+		// since othersAt.
+		others   *list.Element
+		othersAt time.Time
 	}
 
 	cachedPart struct {
-		id     string
+		id     string // empty if it stands for others
 		tokens int
-		ready  time.Time // when it has been read; others can't fetch it before
+		read   bool // until then, others can't fetch it
 	}
 )
 
@@ -28,51 +32,77 @@
 	return &cache{parts: map[string]*list.Element{}, order: list.New()}
 }
 
-// use notes that an engine is about to read a prompt, which takes until ready.
-func (c *cache) use(prompt platform.Prompt, ready time.Time) {
+// use notes that an engine is about to read a prompt.
+func (c *cache) use(prompt platform.Prompt) {
 	for i := len(prompt.Parts) - 1; i >= 0; i-- {
-		c.add(prompt.Parts[i], ready)
+		c.add(prompt.Parts[i])
 	}
 }
 
 // read notes that an engine has read a prompt.
-func (c *cache) read(prompt platform.Prompt, now time.Time) {
+func (c *cache) read(prompt platform.Prompt) {
 	for _, part := range prompt.Parts {
-		if element, ok := c.parts[part.ID]; ok {
-			if cached := element.Value.(*cachedPart); now.Before(cached.ready) {
-				cached.ready = now
-			}
+		c.add(part).read = true
+	}
+}
+
+// forget takes back use, after the engine didn't read the prompt.
+func (c *cache) forget(prompt platform.Prompt) {
+	for _, part := range prompt.Parts {
+		if element, ok := c.parts[part.ID]; ok && !element.Value.(*cachedPart).read {
+			c.remove(element)
 		}
 	}
 }
 
-func (c *cache) add(part platform.Part, ready time.Time) {
+func (c *cache) add(part platform.Part) (cached *cachedPart) {
 	if element, ok := c.parts[part.ID]; ok {
 		c.order.MoveToFront(element)
-		if cached := element.Value.(*cachedPart); ready.Before(cached.ready) {
-			cached.ready = ready
-		}
-		return
+		return element.Value.(*cachedPart)
 	}
-	c.parts[part.ID] = c.order.PushFront(&cachedPart{id: part.ID, tokens: part.Tokens, ready: ready})
+	cached = &cachedPart{id: part.ID, tokens: part.Tokens}
+	c.parts[part.ID] = c.order.PushFront(cached)
 	c.used += part.Tokens
+	c.yield()
+	return cached
+}
+
+// addOthers notes that other nodes had the engine read tokens of which they don't
+// tell the parts. They yield like parts that were last used now.
+func (c *cache) addOthers(tokens int, now time.Time) {
+	if c.others == nil || now.Sub(c.othersAt) >= othersPeriod {
+		c.others, c.othersAt = c.order.PushFront(&cachedPart{}), now
+	}
+	c.others.Value.(*cachedPart).tokens += tokens
+	c.used += tokens
+	c.yield()
+}
+
+// yield removes parts until the rest fits.
+func (c *cache) yield() {
 	for c.capacity > 0 && c.used > c.capacity && c.order.Len() > 1 {
-		last := c.order.Back()
-		part := c.order.Remove(last).(*cachedPart)
-		delete(c.parts, part.id)
-		c.used -= part.tokens
+		c.remove(c.order.Back())
+	}
+}
+
+func (c *cache) remove(element *list.Element) {
+	part := c.order.Remove(element).(*cachedPart)
+	delete(c.parts, part.id)
+	c.used -= part.tokens
+	if element == c.others {
+		c.others = nil
 	}
 }
 
-// kept returns the number of tokens of a prompt that need not be read: those of
-// its first parts, as far as all of them are kept or about to be read.
+// kept returns the number of tokens of a prompt that the engine need not read:
+// those of its first parts, as far as all of them are kept or about to be read.
 func (c *cache) kept(prompt platform.Prompt) (tokens int) {
 	return c.first(prompt, func(*cachedPart) bool { return true })
 }
 
-// fetchable returns the number of tokens of a prompt that others can fetch now.
-func (c *cache) fetchable(prompt platform.Prompt, now time.Time) (tokens int) {
-	return c.first(prompt, func(part *cachedPart) bool { return !now.Before(part.ready) })
+// fetchable returns the number of tokens of a prompt that other engines can fetch.
+func (c *cache) fetchable(prompt platform.Prompt) (tokens int) {
+	return c.first(prompt, func(part *cachedPart) bool { return part.read })
 }
 
 func (c *cache) first(prompt platform.Prompt, counts func(part *cachedPart) bool) (tokens int) {
@@ -92,29 +122,37 @@
 	placementLife = 350 * time.Millisecond
 	// minSharedTokens is the size from which a part is worth telling about.
 	minSharedTokens = 512
+	// othersPeriod is the time for which untold parts are kept as one.
+	othersPeriod = 500 * time.Millisecond
 )
 
-// Placement says that a part of a prompt was sent to an engine, which keeps it.
+// Placement says that an engine has read a part of a prompt, and keeps it.
 type Placement struct {
 	_        struct{} `cbor:",toarray"`
 	Upstream string
 	Part     string
 	Tokens   int
-	// WaitMs is the time until the part has been read.
-	WaitMs int64
-	at     time.Time
-	ready  time.Time
+	at       time.Time
 }
 
-// note remembers the shared parts of a placed prompt. It is called with mu held.
-func (d *Dispatcher) note(u *upstream, prompt platform.Prompt, now, ready time.Time) {
+// note remembers the shared parts of a prompt that was read. It is called with mu
+// held.
+func (d *Dispatcher) note(u *upstream, prompt platform.Prompt, now time.Time) {
 	for i, part := range prompt.Parts {
-		if i < len(prompt.Parts)-1 && part.Tokens >= minSharedTokens {
-			d.placed = append(d.placed, Placement{Upstream: u.ID, Part: part.ID, Tokens: part.Tokens, at: now, ready: ready})
+		if isShared(prompt, i) {
+			d.placed = append(d.placed, Placement{Upstream: u.ID, Part: part.ID, Tokens: part.Tokens, at: now})
+		} else {
+			u.ownTokens += int64(part.Tokens)
 		}
 	}
 }
 
+// isShared reports whether other nodes are told of a part. The last one belongs to
+// the request itself.
+func isShared(prompt platform.Prompt, part int) (shared bool) {
+	return part < len(prompt.Parts)-1 && prompt.Parts[part].Tokens >= minSharedTokens
+}
+
 // Placements returns what this node placed lately, to be told to other nodes.
 func (d *Dispatcher) Placements(now time.Time) (placed []Placement) {
 	d.mu.Lock()
@@ -126,20 +164,16 @@
 		}
 	}
 	d.placed = kept
-	for _, p := range kept {
-		p.WaitMs = max(0, p.ready.Sub(now)).Milliseconds()
-		placed = append(placed, p)
-	}
-	return placed
+	return append(placed, kept...)
 }
 
 // TakePlacements takes what another node placed.
-func (d *Dispatcher) TakePlacements(placed []Placement, now time.Time) {
+func (d *Dispatcher) TakePlacements(placed []Placement) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range placed {
 		if u := d.upstreams[p.Upstream]; u != nil {
-			u.cache.add(platform.Part{ID: p.Part, Tokens: p.Tokens}, now.Add(time.Duration(p.WaitMs)*time.Millisecond))
+			u.cache.add(platform.Part{ID: p.Part, Tokens: p.Tokens}).read = true
 		}
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -96,9 +96,9 @@
 		dispatcher *Dispatcher
 		upstream   *upstream
 		choice     Choice
-		read       time.Duration // still to be read
+		read       time.Duration
 		began      time.Time
-		started    bool
+		finished   bool // reading
 		ended      bool
 	}
 
@@ -109,17 +109,22 @@
 		unread time.Duration // of jobs whose prompt isn't read yet
 		// busySince is when the first of these was sent.
 		busySince time.Time
+		// ownTokens counts the tokens of this node's prompts that the engine read
+		// without other nodes being told of their parts.
+		ownTokens int64
 		// lastRead is when any node's prompt was last read to its end, and ownRead
 		// when one of this node was.
 		lastRead, ownRead time.Time
 		peers             map[string]peerLoad
-		load              platform.Load
-		loadAt            time.Time
-		loadOwn           int // this node's jobs when the load was told
-		cache             *cache
-		work              time.Duration // smoothed time of a plain job
-		failures          int
-		avoid             time.Time // until when other upstreams go first
+		// peerTokens are the other nodes\' ownTokens, as told last.
+		peerTokens map[string]int64
+		load       platform.Load
+		loadAt     time.Time
+		loadOwn    int // this node's jobs when the load was told
+		cache      *cache
+		work       time.Duration // smoothed time of a plain job
+		failures   int
+		avoid      time.Time // until when other upstreams go first
 	}
 
 	peerLoad struct {
@@ -154,7 +159,7 @@
 			if u != nil {
 				gone = append(gone, r.ID)
 			}
-			u = &upstream{jobs: map[*Job]struct{}{}, peers: map[string]peerLoad{}, cache: newCache()}
+			u = &upstream{jobs: map[*Job]struct{}{}, peers: map[string]peerLoad{}, peerTokens: map[string]int64{}, cache: newCache()}
 			d.upstreams[r.ID] = u
 		}
 		u.Upstream, u.region = r, d.options.Regions[r.FailureDomain]
@@ -187,9 +192,7 @@
 	}
 	u.jobs[job] = struct{}{}
 	u.unread += job.read
-	ready := now.Add(choice.Expected)
-	u.cache.use(choice.prompt, ready)
-	d.note(u, choice.prompt, now, ready)
+	u.cache.use(choice.prompt)
 	return job
 }
 
@@ -200,8 +203,7 @@
 func (j *Job) FirstByte(now time.Time) {
 	j.dispatcher.mu.Lock()
 	defer j.dispatcher.mu.Unlock()
-	j.started = true
-	j.finishRead(now)
+	j.finishRead(now, true)
 }
 
 // Load takes the load that the upstream told with an answer.
@@ -224,7 +226,7 @@
 		return
 	}
 	j.ended = true
-	j.finishRead(now)
+	j.finishRead(now, outcome == Served)
 	u := j.upstream
 	delete(u.jobs, j)
 	switch outcome {
@@ -238,15 +240,24 @@
 	}
 }
 
-// finishRead is called with mu held.
-func (j *Job) finishRead(now time.Time) {
-	if j.upstream == nil || j.read == 0 {
+// finishRead notes that the prompt was read, or that it won't be. It is called
+// with mu held.
+func (j *Job) finishRead(now time.Time, kept bool) {
+	u := j.upstream
+	if u == nil || j.finished {
 		return
 	}
-	j.upstream.unread -= j.read
-	j.upstream.cache.read(j.choice.prompt, now)
-	j.upstream.lastRead, j.upstream.ownRead = now, now
-	j.read = 0
+	j.finished = true
+	if kept {
+		u.cache.read(j.choice.prompt)
+		j.dispatcher.note(u, j.choice.prompt, now)
+	} else {
+		u.cache.forget(j.choice.prompt)
+	}
+	if j.read > 0 {
+		u.unread -= j.read
+		u.lastRead, u.ownRead = now, now
+	}
 }
 
 // backlog is the time until all prompts that were sent to an engine are read. It
@@ -365,7 +376,7 @@
 		if len(u.jobs) == 0 && read > readTold {
 			continue
 		}
-		l := Load{Upstream: u.ID, UnreadMs: u.unread.Milliseconds(), Running: len(u.jobs)}
+		l := Load{Upstream: u.ID, UnreadMs: u.unread.Milliseconds(), Running: len(u.jobs), Tokens: u.ownTokens}
 		if read < readTold {
 			l.Read, l.ReadAgoMs = true, read.Milliseconds()
 		}
@@ -388,13 +399,16 @@
 	// ReadAgoMs is the time since a prompt was last read to its end, if Read.
 	Read      bool
 	ReadAgoMs int64
+	// Tokens counts all tokens that the upstream has read of parts that aren't
+	// told as placements.
+	Tokens int64
 }
 
 // Plus returns the load of both, on the same upstream.
 func (l Load) Plus(o Load) (sum Load) {
 	sum = Load{
 		Upstream: l.Upstream, UnreadMs: l.UnreadMs + o.UnreadMs, BusyMs: max(l.BusyMs, o.BusyMs), Running: l.Running + o.Running,
-		Read: l.Read || o.Read, ReadAgoMs: l.ReadAgoMs,
+		Read: l.Read || o.Read, ReadAgoMs: l.ReadAgoMs, Tokens: l.Tokens + o.Tokens,
 	}
 	if o.Read && (!l.Read || o.ReadAgoMs < l.ReadAgoMs) {
 		sum.ReadAgoMs = o.ReadAgoMs
@@ -419,6 +433,11 @@
 		u.peers[node] = peerLoad{
 			unread: time.Duration(l.UnreadMs) * time.Millisecond, busySince: before(l.BusyMs), running: l.Running, at: now,
 		}
+		// A count that falls is that of fewer or restarted nodes.
+		if last, known := u.peerTokens[node]; known && l.Tokens > last {
+			u.cache.addOthers(int(l.Tokens-last), now)
+		}
+		u.peerTokens[node] = l.Tokens
 		if read := before(l.ReadAgoMs); l.Read && read.After(u.lastRead) {
 			u.lastRead = read
 		}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -94,6 +94,14 @@
 	}
 }
 
+// reader is the choice by which a plan has its prompt read.
+func reader(plan dispatch.Plan) (choice dispatch.Choice) {
+	if plan.Read != nil {
+		return *plan.Read
+	}
+	return plan.Run
+}
+
 func TestPlacePrompt(t *testing.T) {
 	p1, p2 := engine("p1", "a", roster.Prefill), engine("p2", "a", roster.Prefill)
 	g1, g2, away := engine("g1", "a", roster.Decode), engine("g2", "a", roster.Decode), engine("away", "c", roster.Prefill)
@@ -101,10 +109,7 @@
 	kept := func(d *dispatch.Dispatcher, u roster.Upstream) {
 		other := promptOf("book", 13_000, 3_999) // shares its first part with long
 		plan, _ := d.PlacePrompt(dispatch.PromptRequest{Service: "models", Prompt: other}, start)
-		choice := plan.Run
-		if plan.Read != nil {
-			choice = *plan.Read
-		}
+		choice := reader(plan)
 		choice.Upstream = u
 		job := d.Begin(choice, start)
 		job.FirstByte(at(time.Second))
@@ -127,7 +132,9 @@
 			d.TakeLoads("n2", []dispatch.Load{{Upstream: "p2", UnreadMs: 900, Running: 3}}, at(time.Second))
 		}, long, []roster.Upstream{p1, p2, g1}, "p1", "g1", true},
 		"not fetched before it was read": {func(d *dispatch.Dispatcher) {
-			d.TakePlacements([]dispatch.Placement{{Upstream: "p2", Part: "book", Tokens: 13_000, WaitMs: 5_000}}, start)
+			plan, _ := d.PlacePrompt(dispatch.PromptRequest{Service: "models", Prompt: promptOf("book", 13_000, 3_999)}, start)
+			plan.Read.Upstream = p2
+			d.Begin(*plan.Read, start) // 400 ms were expected; it isn't read after a second
 			d.TakeLoads("n2", []dispatch.Load{{Upstream: "p2", UnreadMs: 5_000, Running: 3}}, at(time.Second))
 		}, long, []roster.Upstream{p1, p2, g1}, "p1", "g1", false},
 		"another region when its own is full": {func(d *dispatch.Dispatcher) {
@@ -255,7 +262,7 @@
 				for b, node := range nodes {
 					if a != b {
 						node.TakeLoads(fmt.Sprint(a), told.Backlogs(now), now)
-						node.TakePlacements(told.Placements(now), now)
+						node.TakePlacements(told.Placements(now))
 					}
 				}
 			}
@@ -357,3 +364,58 @@
 		}
 	}
 }
+
+// Guards against parts that a node takes an engine to keep though it doesn't:
+// prompts that weren't read in the end, and parts that have yielded to prompts of
+// other nodes.
+func TestKeptParts(t *testing.T) {
+	p1, p2, g1 := engine("p1", "a", roster.Prefill), engine("p2", "a", roster.Prefill), engine("g1", "a", roster.Decode)
+	read := func(d *dispatch.Dispatcher, outcome dispatch.Outcome) {
+		plan, _ := d.PlacePrompt(dispatch.PromptRequest{Service: "models", Prompt: promptOf("book", 13_000, 3_999)}, start)
+		choice := reader(plan)
+		choice.Upstream = p2
+		d.Begin(choice, start).End(at(time.Second), outcome)
+	}
+	for name, c := range map[string]struct {
+		prepare func(d *dispatch.Dispatcher)
+		kept    int
+	}{
+		"read":            {func(d *dispatch.Dispatcher) { read(d, dispatch.Served) }, 13_000},
+		"rejected":        {func(d *dispatch.Dispatcher) { read(d, dispatch.Rejected) }, 0},
+		"broken":          {func(d *dispatch.Dispatcher) { read(d, dispatch.Broken) }, 0},
+		"the caller left": {func(d *dispatch.Dispatcher) { read(d, dispatch.Abandoned) }, 0},
+		"rejected, but read before": {func(d *dispatch.Dispatcher) {
+			read(d, dispatch.Served)
+			read(d, dispatch.Rejected)
+		}, 13_000},
+		"read at another node": {func(d *dispatch.Dispatcher) {
+			d.TakePlacements([]dispatch.Placement{{Upstream: "p2", Part: "book", Tokens: 13_000}})
+		}, 13_000},
+		"others' parts fit": {func(d *dispatch.Dispatcher) {
+			d.TakeLoads("n2", []dispatch.Load{{Upstream: "p2", Tokens: 1_000_000}}, start)
+			read(d, dispatch.Served)
+			d.TakeLoads("n2", []dispatch.Load{{Upstream: "p2", Tokens: 1_300_000}}, at(time.Second))
+		}, 13_000},
+		"yielded to others' parts": {func(d *dispatch.Dispatcher) {
+			d.TakeLoads("n2", []dispatch.Load{{Upstream: "p2", Tokens: 1_000_000}}, start)
+			read(d, dispatch.Served)
+			for i := range int64(40) {
+				d.TakeLoads("n2", []dispatch.Load{{Upstream: "p2", Tokens: 1_000_000 + 10_000*i}}, at(time.Second+time.Duration(i)*time.Second))
+			}
+		}, 0},
+		"the other node started again": {func(d *dispatch.Dispatcher) {
+			d.TakeLoads("n2", []dispatch.Load{{Upstream: "p2", Tokens: 1_000_000}}, start)
+			read(d, dispatch.Served)
+			d.TakeLoads("n2", []dispatch.Load{{Upstream: "p2", Tokens: 10_000}}, at(time.Second))
+		}, 13_000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDispatcher(p1, p2, g1)
+			c.prepare(d)
+			plan, ok := d.PlacePrompt(dispatch.PromptRequest{Service: "models", Prompt: promptOf("book", 13_000, 4_000)}, at(time.Minute))
+			if !ok || reader(plan).Kept != c.kept {
+				t.Errorf("plan %+v, want one with %d tokens kept", plan, c.kept)
+			}
+		})
+	}
+}
--- a/dispatch/prompt.go
+++ b/dispatch/prompt.go
@@ -171,7 +171,7 @@
 	read := readTime(prompt.Tokens, kept, rate, costs.PairTime)
 	choice = Choice{Upstream: u.Upstream, Read: read, Kept: kept, prompt: prompt}
 	surcharge := time.Duration(0)
-	if holder, held := d.bestHolder(u, prompt, kept, now); holder != nil {
+	if holder, held := d.bestHolder(u, prompt, kept); holder != nil {
 		transfer := d.transfer(holder, u, held-kept, engine)
 		fetched := readTime(prompt.Tokens, held, rate, costs.PairTime)
 		if paid := time.Duration(float64(transfer) * costs.Transfer); transfer+fetched+paid < read {
@@ -201,13 +201,13 @@
 
 // bestHolder returns the engine from which the most of a prompt's first parts
 // can be fetched at the least cost, if it keeps more than the engine itself.
-func (d *Dispatcher) bestHolder(u *upstream, prompt platform.Prompt, kept int, now time.Time) (holder *upstream, held int) {
+func (d *Dispatcher) bestHolder(u *upstream, prompt platform.Prompt, kept int) (holder *upstream, held int) {
 	held = kept
 	for _, other := range d.services[u.Service] {
 		if other == u {
 			continue
 		}
-		n := other.cache.fetchable(prompt, now)
+		n := other.cache.fetchable(prompt)
 		if n > held || n == held && holder != nil && d.factor(other, u) < d.factor(holder, u) {
 			holder, held = other, n
 		}
--- a/entry/message.go
+++ b/entry/message.go
@@ -190,11 +190,11 @@
 	p.node.takeCrashes(m.Crashes, false)
 	if !m.Whole {
 		p.node.dispatcher.TakeLoads(m.Node, m.Loads, now)
-		p.node.dispatcher.TakePlacements(m.Placed, now)
+		p.node.dispatcher.TakePlacements(m.Placed)
 	}
 	for _, r := range m.Relayed {
 		p.node.takeCrashes(r.Crashes, false)
 		p.node.dispatcher.TakeLoads(r.FailureDomain, r.Loads, now)
-		p.node.dispatcher.TakePlacements(r.Placed, now)
+		p.node.dispatcher.TakePlacements(r.Placed)
 	}
 }
