dispatch: choose the generating engine by the loads after reading

The engine was chosen before reading, and no node counts it as loaded until the prompt is sent there, so the plans of some hundred ms agree on it.

Change: Runner chooses among all engines by the loads of that moment; the planned one has no preference. TestRunnerBusyMeanwhile failed first.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -194,6 +194,21 @@
 	}
 }
 
+// While a prompt was read, the engine that was to generate got the requests of
+// other nodes, which had all planned to use it.
+func TestRunnerBusyMeanwhile(t *testing.T) {
+	d := newDispatcher(engine("p1", "a", roster.Prefill), engine("g1", "a", roster.Decode), engine("g2", "a", roster.Decode))
+	d.TakeLoads("n2", []dispatch.Load{{Upstream: "g2", Running: 5}}, start)
+	plan, ok := d.PlacePrompt(dispatch.PromptRequest{Service: "models", Prompt: promptOf("book", 13_000, 4_000)}, start)
+	if !ok || plan.Run.Upstream.ID != "g1" {
+		t.Fatalf("planned to run at %q, want g1", plan.Run.Upstream.ID)
+	}
+	d.TakeLoads("n2", []dispatch.Load{{Upstream: "g2", Running: 5}, {Upstream: "g1", Running: 16}}, at(300*time.Millisecond))
+	if choice, ok := d.Runner(plan.Run, []string{"p1"}, at(300*time.Millisecond)); !ok || choice.Upstream.ID != "g2" {
+		t.Errorf("runs at %q, want g2", choice.Upstream.ID)
+	}
+}
+
 // An upstream that starts again under its ID knows nothing of before.
 func TestRestart(t *testing.T) {
 	before := engine("g1", "a", roster.Decode)
--- a/dispatch/prompt.go
+++ b/dispatch/prompt.go
@@ -138,15 +138,12 @@
 	return plan, ok
 }
 
-// Runner returns the engine that generates after a prompt was read: the planned
-// one if it still takes work, else the best of the others. Reading can take
-// seconds, in which engines leave.
+// Runner returns the engine that generates after a prompt was read. Reading can
+// take seconds, in which engines leave, and the planned one may have got many
+// others: until the prompt is sent there, no node counts it.
 func (d *Dispatcher) Runner(planned Choice, tried []string, now time.Time) (choice Choice, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if u := d.upstreams[planned.Upstream.ID]; u != nil && !u.Draining && u.Born.Equal(planned.Upstream.Born) && !now.Before(u.avoid) {
-		return planned, true
-	}
 	service := d.config[planned.service]
 	if service == nil || service.Engine == nil {
 		return Choice{}, false
