dispatch, entry: tell a failure domain's read tokens as a count of their own

Change: a node adds up what it has heard of its own domain, and tells that; who hears it keeps the count by the teller, since two nodes have heard different ones. TestDomainTokens plays nodes that leave out an upstream each other time; it uses new functions, so it couldn't run before.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -112,6 +112,8 @@
 		// ownTokens counts the tokens of this node's prompts that the engine read
 		// without other nodes being told of their parts.
 		ownTokens int64
+		// domainTokens counts those of other nodes of the failure domain.
+		domainTokens int64
 		// lastRead is when any node's prompt was last read to its end, and ownRead
 		// when one of this node was.
 		lastRead, ownRead time.Time
@@ -399,16 +401,16 @@
 	// ReadAgoMs is the time since a prompt was last read to its end, if Read.
 	Read      bool
 	ReadAgoMs int64
-	// Tokens counts all tokens that the upstream has read of parts that aren't
-	// told as placements.
+	// Tokens counts all tokens that the upstream has read, since it is known, of
+	// parts that aren't told as placements.
 	Tokens int64
 }
 
-// Plus returns the load of both, on the same upstream.
+// Plus returns the load of both, on the same upstream, without Tokens.
 func (l Load) Plus(o Load) (sum Load) {
 	sum = Load{
 		Upstream: l.Upstream, UnreadMs: l.UnreadMs + o.UnreadMs, BusyMs: max(l.BusyMs, o.BusyMs), Running: l.Running + o.Running,
-		Read: l.Read || o.Read, ReadAgoMs: l.ReadAgoMs, Tokens: l.Tokens + o.Tokens,
+		Read: l.Read || o.Read, ReadAgoMs: l.ReadAgoMs,
 	}
 	if o.Read && (!l.Read || o.ReadAgoMs < l.ReadAgoMs) {
 		sum.ReadAgoMs = o.ReadAgoMs
@@ -416,13 +418,37 @@
 	return sum
 }
 
-// TakeLoads takes what another node has sent to upstreams. Upstreams that it
-// doesn't list have nothing from it.
+// TakeLoads takes what another node of the failure domain has sent to upstreams.
+// Upstreams that it doesn't list have nothing from it.
 func (d *Dispatcher) TakeLoads(node string, loads []Load, now time.Time) {
+	d.take(node, node, loads, now, func(u *upstream, read int64) { u.domainTokens += read })
+}
+
+// TakeDomainLoads takes what the nodes of another failure domain have sent to
+// upstreams, as one of them, the teller, has added it up.
+func (d *Dispatcher) TakeDomainLoads(domain, teller string, loads []Load, now time.Time) {
+	d.take(domain, teller, loads, now, func(*upstream, int64) {})
+}
+
+// DomainTokens returns the Tokens of a load of the failure domain's nodes, as far
+// as this one has heard. The sum of their last loads isn't it, since nodes leave
+// out upstreams that have nothing from them.
+func (d *Dispatcher) DomainTokens(id string) (tokens int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if u := d.upstreams[id]; u != nil {
+		tokens = u.ownTokens + u.domainTokens
+	}
+	return tokens
+}
+
+// take notes loads under a name. Tokens are counted by their teller, since two
+// nodes have heard of different ones.
+func (d *Dispatcher) take(name, teller string, loads []Load, now time.Time, count func(u *upstream, read int64)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, u := range d.upstreams {
-		delete(u.peers, node)
+		delete(u.peers, name)
 	}
 	before := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	for _, l := range loads {
@@ -430,14 +456,15 @@
 		if u == nil {
 			continue
 		}
-		u.peers[node] = peerLoad{
+		u.peers[name] = peerLoad{
 			unread: time.Duration(l.UnreadMs) * time.Millisecond, busySince: before(l.BusyMs), running: l.Running, at: now,
 		}
-		// A count that falls is that of fewer or restarted nodes.
-		if last, known := u.peerTokens[node]; known && l.Tokens > last {
+		// A count that falls is that of a node that started again.
+		if last, known := u.peerTokens[teller]; known && l.Tokens > last {
 			u.cache.addOthers(int(l.Tokens-last), now)
+			count(u, l.Tokens-last)
 		}
-		u.peerTokens[node] = l.Tokens
+		u.peerTokens[teller] = l.Tokens
 		if read := before(l.ReadAgoMs); l.Read && read.After(u.lastRead) {
 			u.lastRead = read
 		}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -434,3 +434,33 @@
 		})
 	}
 }
+
+// Guards against counts of a failure domain that jump when nodes leave out an
+// upstream for a while: its parts would seem to have yielded.
+func TestDomainTokens(t *testing.T) {
+	p1, g1 := engine("p1", "a", roster.Prefill), engine("g1", "a", roster.Decode)
+	near, far := newDispatcher(p1, g1), newDispatcher(p1, g1)
+	far.TakePlacements([]dispatch.Placement{{Upstream: "p1", Part: "book", Tokens: 13_000}})
+	read := int64(0)
+	for i := range 400 {
+		now := at(time.Duration(i) * 250 * time.Millisecond)
+		near.TakeLoads("n2", []dispatch.Load{{Upstream: "p1", Tokens: 100_000 + 500*int64(i)}}, now)
+		if i%2 == 0 { // leaves the upstream out each other time
+			near.TakeLoads("n3", []dispatch.Load{{Upstream: "p1", Tokens: 300_000}}, now)
+		} else {
+			near.TakeLoads("n3", nil, now)
+		}
+		if tokens := near.DomainTokens("p1"); tokens < read {
+			t.Fatalf("count falls from %d to %d", read, tokens)
+		}
+		read = near.DomainTokens("p1")
+		far.TakeDomainLoads("b", "n1", []dispatch.Load{{Upstream: "p1", Tokens: read}}, now)
+	}
+	if read != 399*500 {
+		t.Errorf("%d tokens counted, want %d", read, 399*500)
+	}
+	plan, ok := far.PlacePrompt(dispatch.PromptRequest{Service: "models", Prompt: promptOf("book", 13_000, 4_000)}, at(100*time.Second))
+	if !ok || reader(plan).Kept != 13_000 {
+		t.Errorf("plan %+v, want one that uses the kept part: others have read half of the engine's capacity", plan)
+	}
+}
--- a/entry/message.go
+++ b/entry/message.go
@@ -48,6 +48,7 @@
 	relayed struct {
 		_             struct{} `cbor:",toarray"`
 		FailureDomain string
+		Node          string
 		Crashes       []crash
 		Offset        time.Duration // of its sender's wall clock to that of who hands it on
 		Loads         []dispatch.Load
@@ -124,6 +125,7 @@
 	}
 	p.mu.Unlock()
 	for _, l := range loads {
+		l.Tokens = n.dispatcher.DomainTokens(l.Upstream)
 		m.Loads = append(m.Loads, l)
 	}
 	p.send(m, to)
@@ -177,7 +179,7 @@
 	}
 	if m.Whole {
 		peer.whole = now
-		p.far = append(p.far, relayed{FailureDomain: m.FailureDomain, Crashes: m.Crashes, Offset: offset, Loads: m.Loads, Placed: m.Placed})
+		p.far = append(p.far, relayed{FailureDomain: m.FailureDomain, Node: m.Node, Crashes: m.Crashes, Offset: offset, Loads: m.Loads, Placed: m.Placed})
 		m.Relayed = append(m.Relayed, p.far[len(p.far)-1])
 		offset = 0
 	} else {
@@ -194,7 +196,7 @@
 	}
 	for _, r := range m.Relayed {
 		p.node.takeCrashes(r.Crashes, false)
-		p.node.dispatcher.TakeLoads(r.FailureDomain, r.Loads, now)
+		p.node.dispatcher.TakeDomainLoads(r.FailureDomain, r.Node, r.Loads, now)
 		p.node.dispatcher.TakePlacements(r.Placed)
 	}
 }
