dispatch: weigh what a full engine gives up for a prompt

Change: a token that has to yield counts 2 us, a tenth of the time of reading it again. An engine that keeps the part is preferred while others are as good. TestFullEngines fails without the surcharge.

--- a/dispatch/cache.go
+++ b/dispatch/cache.go
@@ -94,6 +94,14 @@
 	}
 }
 
+// displaced returns the number of tokens that yield when an engine takes others.
+func (c *cache) displaced(taken int) (tokens int) {
+	if c.capacity == 0 {
+		return 0
+	}
+	return min(taken, max(0, c.used+taken-c.capacity))
+}
+
 // kept returns the number of tokens of a prompt that the engine need not read:
 // those of its first parts, as far as all of them are kept or about to be read.
 func (c *cache) kept(prompt platform.Prompt) (tokens int) {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -464,3 +464,29 @@
 		t.Errorf("plan %+v, want one that uses the kept part: others have read half of the engine's capacity", plan)
 	}
 }
+
+// Guards against copies of a shared part at each engine in turn, for which others
+// have to yield: the engine that keeps it is preferred while it is as good.
+func TestFullEngines(t *testing.T) {
+	p1, g1, g2 := engine("p1", "a", roster.Prefill), engine("g1", "a", roster.Decode), engine("g2", "a", roster.Decode)
+	for name, c := range map[string]struct {
+		others int64 // tokens of other prompts at the engine without the part
+		busy   int   // requests at the engine with the part
+		want   string
+	}{
+		"room for a copy":      {10_000, 3, "g1"},
+		"full":                 {399_000, 3, "g2"},
+		"full, the other busy": {399_000, 16, "g1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDispatcher(p1, g1, g2)
+			d.TakePlacements([]dispatch.Placement{{Upstream: "p1", Part: "book", Tokens: 13_000}, {Upstream: "g2", Part: "book", Tokens: 13_000}})
+			d.TakeLoads("n2", []dispatch.Load{{Upstream: "g1", Tokens: 1}, {Upstream: "g2", Tokens: 1}}, start)
+			d.TakeLoads("n2", []dispatch.Load{{Upstream: "g1", Tokens: 1 + c.others}, {Upstream: "g2", Tokens: 1 + c.others/2, Running: c.busy}}, start)
+			plan, ok := d.PlacePrompt(dispatch.PromptRequest{Service: "models", Prompt: promptOf("book", 13_000, 4_000)}, start)
+			if !ok || plan.Run.Upstream.ID != c.want {
+				t.Errorf("runs at %q, want %s", plan.Run.Upstream.ID, c.want)
+			}
+		})
+	}
+}
--- a/dispatch/prompt.go
+++ b/dispatch/prompt.go
@@ -46,6 +46,9 @@
 		// OtherDomain and OtherRegion are the costs of sending a request there: the
 		// round trip, and a surcharge for traffic that is paid by volume.
 		OtherDomain, OtherRegion time.Duration
+		// Displace is the surcharge for each token that an engine has to give up to
+		// take a prompt: it may have to be read again.
+		Displace time.Duration
 		// Transfer is the surcharge for a second of transfer of memory, as a factor.
 		Transfer float64
 	}
@@ -87,6 +90,7 @@
 	setTime(&c.StepTime, 2600*time.Microsecond)
 	setTime(&c.StepTimePerRun, 120*time.Microsecond)
 	setTime(&c.PairTime, 248*time.Microsecond)
+	setTime(&c.Displace, 2*time.Microsecond)
 	setTime(&c.Hop, 10*time.Millisecond)
 	setTime(&c.OtherDomain, 4*time.Millisecond)
 	setTime(&c.OtherRegion, 120*time.Millisecond)
@@ -112,7 +116,7 @@
 	}
 	engines := d.usable(request.Service, request.Tried, now)
 	lowest := time.Duration(math.MaxInt64)
-	runner, runWait := d.bestRunner(engines, service.Engine, now)
+	runner, runWait := d.bestRunner(engines, request.Prompt, service.Engine, now)
 	for _, u := range engines {
 		choice, cost := d.readCost(u, request.Prompt, service.Engine, now)
 		choice.service = request.Service
@@ -148,7 +152,7 @@
 	if service == nil || service.Engine == nil {
 		return Choice{}, false
 	}
-	runner, wait := d.bestRunner(d.usable(planned.service, tried, now), service.Engine, now)
+	runner, wait := d.bestRunner(d.usable(planned.service, tried, now), planned.prompt, service.Engine, now)
 	if runner == nil {
 		return Choice{}, false
 	}
@@ -177,6 +181,7 @@
 			surcharge = paid
 		}
 	}
+	surcharge += costs.Displace * time.Duration(u.cache.displaced(prompt.Tokens-kept))
 	choice.Expected = u.backlog(now) + choice.Read + u.stepDelay(now, engine)
 	// Reading slows the generations that the engine runs.
 	surcharge += choice.Read * time.Duration(min(running, maxSlowed)) / slowedShare
@@ -213,14 +218,15 @@
 }
 
 // bestRunner returns the engine of the decode stage with the least work.
-func (d *Dispatcher) bestRunner(engines []*upstream, engine *routing.Engine, now time.Time) (runner *upstream, wait time.Duration) {
+func (d *Dispatcher) bestRunner(engines []*upstream, prompt platform.Prompt, engine *routing.Engine, now time.Time) (runner *upstream, wait time.Duration) {
 	lowest := time.Duration(math.MaxInt64)
 	for _, u := range engines {
 		if u.Stage == roster.Prefill {
 			continue
 		}
 		delay := u.stepDelay(now, engine) + u.backlog(now)/4
-		if cost := delay + d.distance(u); cost < lowest {
+		displaced := d.options.Costs.Displace * time.Duration(u.cache.displaced(prompt.Tokens-u.cache.kept(prompt)))
+		if cost := delay + d.distance(u) + displaced; cost < lowest {
 			runner, wait, lowest = u, delay, cost
 		}
 	}
