entry: learn what engines keep after a start

Change: a new node asks a node of its failure domain what engines keep. Where all of them have just started, the reader asks the domain's engines, once, and tells the others. TestKeptPartsAreLearnt failed without it in both cases.

--- a/dispatch/cache.go
+++ b/dispatch/cache.go
@@ -185,3 +185,67 @@
 		}
 	}
 }
+
+// Kept is what an engine keeps, the parts that were used last first.
+type Kept struct {
+	Upstream string          `cbor:"1,keyasint,omitzero"`
+	Parts    []platform.Part `cbor:"2,keyasint,omitzero"`
+}
+
+// Kept returns what engines keep of parts that are worth telling.
+func (d *Dispatcher) Kept() (engines []Kept) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, u := range d.upstreams {
+		kept := Kept{Upstream: u.ID}
+		for element := u.cache.order.Front(); element != nil; element = element.Next() {
+			if part := element.Value.(*cachedPart); part.read && part.tokens >= minSharedTokens {
+				kept.Parts = append(kept.Parts, platform.Part{ID: part.id, Tokens: part.tokens})
+			}
+		}
+		if len(kept.Parts) > 0 {
+			engines = append(engines, kept)
+		}
+	}
+	return engines
+}
+
+// TakeKept takes what engines kept, as another node knows. What this one has
+// heard already is newer.
+func (d *Dispatcher) TakeKept(engines []Kept) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, kept := range engines {
+		if u := d.upstreams[kept.Upstream]; u != nil {
+			u.cache.addOlder(kept.Parts)
+		}
+	}
+}
+
+// TellKept takes what an engine keeps, as it says itself, and tells other nodes.
+func (d *Dispatcher) TellKept(kept Kept, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	u := d.upstreams[kept.Upstream]
+	if u == nil {
+		return
+	}
+	u.cache.addOlder(kept.Parts)
+	for _, part := range kept.Parts {
+		if part.Tokens >= minSharedTokens {
+			d.placed = append(d.placed, Placement{Upstream: u.ID, Part: part.ID, Tokens: part.Tokens, at: now})
+		}
+	}
+}
+
+// addOlder adds parts that were used before those that are known, as far as there
+// is room.
+func (c *cache) addOlder(parts []platform.Part) {
+	for _, part := range parts {
+		if _, known := c.parts[part.ID]; known || c.capacity > 0 && c.used+part.Tokens > c.capacity {
+			continue
+		}
+		c.parts[part.ID] = c.order.PushBack(&cachedPart{id: part.ID, tokens: part.Tokens, read: true})
+		c.used += part.Tokens
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -114,6 +114,8 @@
 		addresses    Addresses
 		network      transport.Network
 		peerCalls    *peer.Pool
+		engines      *platform.Engines
+		keptKnown    atomic.Bool // what engines keep has been learnt
 
 		knownMu           sync.Mutex
 		configEntry       store.Entry   // the one in force
@@ -155,6 +157,7 @@
 		dispatcher: dispatch.New(dispatch.Options{FailureDomain: s.FailureDomain, Regions: s.Regions}),
 		network:    options.Network, budget: newBudget(s.Bounds), usage: newLedger(s.Bounds.UsageWindow), crashes: newCrashes(),
 	}
+	n.engines = platform.NewEngines(options.Network)
 	n.pool = relay.New(relay.Options{Network: options.Network, Count: func(event string) { n.count("connections", event) }})
 	n.ctx, n.cancel = context.WithCancel(ctx)
 	if err = n.listen(); err != nil {
@@ -173,6 +176,7 @@
 	n.followReader()
 	n.followUpstreams()
 	n.holdDuties()
+	n.learnKept()
 	go func() {
 		ticker := time.NewTicker(sweepEvery)
 		defer ticker.Stop()
--- /dev/null
+++ b/entry/kept.go
@@ -0,0 +1,137 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/guavagauge/guavagauge/dispatch"
+	"github.com/guavagauge/guavagauge/roster"
+)
+
+const (
+	// learnEvery is the time between attempts of a new node to learn what engines
+	// keep. Messages of other nodes come several times within it.
+	learnEvery = 300 * time.Millisecond
+	// learnLimit is the number of attempts after which a node goes on with what it
+	// has heard by then, and listAfter the number from which it asks the engines.
+	learnLimit = 20
+	listAfter  = 2
+	// keptTimeout bounds a question to a node or an engine.
+	keptTimeout = 500 * time.Millisecond
+	// keptCalls is the number of engines that are asked at a time.
+	keptCalls = 4
+)
+
+type (
+	// KeptRequest asks what engines keep.
+	KeptRequest struct{}
+
+	// KeptReply has what a node knows of it.
+	KeptReply struct {
+		Known   bool            `cbor:"1,keyasint,omitzero"` // the node has learnt it
+		Engines []dispatch.Kept `cbor:"2,keyasint,omitzero"`
+	}
+)
+
+// Kept answers what engines keep.
+func (r *receiver) Kept(_ KeptRequest, reply *KeptReply) (err error) {
+	if reply.Known = r.node.keptKnown.Load(); reply.Known {
+		reply.Engines = r.node.dispatcher.Kept()
+	}
+	return nil
+}
+
+// learnKept learns what engines keep after the start, from another node of the
+// failure domain. Where all of them have just started, the reader asks the
+// engines of the domain and tells the others.
+func (n *Node) learnKept() {
+	go func() {
+		defer n.keptKnown.Store(true)
+		for attempt := range learnLimit {
+			n.pause(learnEvery)
+			if n.ctx.Err() != nil {
+				return
+			}
+			if n.table.Load() == nil || !n.listed.Load() {
+				continue
+			}
+			for _, address := range n.peers.near(time.Now()) {
+				if n.learnFrom(address) {
+					return
+				}
+			}
+			if attempt >= listAfter && n.isReader() {
+				n.listKept()
+				return
+			}
+		}
+		n.logger.Info("kept parts not learnt")
+	}()
+}
+
+func (n *Node) learnFrom(address netip.AddrPort) (ok bool) {
+	ctx, cancel := context.WithTimeout(n.ctx, keptTimeout)
+	defer cancel()
+	var reply KeptReply
+	if err := n.peerCalls.Call(ctx, address, "Entry.Kept", KeptRequest{}, &reply); err != nil {
+		n.logger.Debug("node not asked what engines keep", "Address", address, "Error", err)
+		return false
+	}
+	if reply.Known {
+		n.dispatcher.TakeKept(reply.Engines)
+		n.logger.Info("kept parts learnt", "From", address, "Engines", len(reply.Engines))
+	}
+	return reply.Known
+}
+
+// listKept asks the engines of the failure domain.
+func (n *Node) listKept() {
+	var group errgroup.Group
+	group.SetLimit(keptCalls)
+	for _, engine := range n.enginesHere() {
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(n.ctx, keptTimeout)
+			defer cancel()
+			parts, err := n.engines.Kept(ctx, engine)
+			if err != nil {
+				// Its parts count as not kept until they are used again.
+				n.logger.Warn("engine not asked what it keeps", "Upstream", engine.ID, "Error", err)
+				return nil
+			}
+			n.dispatcher.TellKept(dispatch.Kept{Upstream: engine.ID, Parts: parts}, time.Now())
+			n.logger.Info("kept parts listed", "Upstream", engine.ID, "Parts", len(parts))
+			return nil
+		})
+	}
+	_ = group.Wait() // no function returns an error
+}
+
+// enginesHere returns the engines of the node's failure domain.
+func (n *Node) enginesHere() (engines []roster.Upstream) {
+	models := map[string]bool{}
+	for _, service := range n.table.Load().Services {
+		models[service.Name] = service.Engine != nil
+	}
+	for _, u := range n.roster.View(time.Now()) {
+		if u.FailureDomain == n.settings.FailureDomain && models[u.Service] && !u.Draining {
+			engines = append(engines, u)
+		}
+	}
+	return engines
+}
+
+// near returns the addresses of the other nodes of the failure domain that were
+// heard lately.
+func (p *peers) near(now time.Time) (addresses []netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, other := range p.known {
+		if other.domain == p.node.settings.FailureDomain && now.Sub(other.heard) < readerLife {
+			addresses = append(addresses, other.address)
+		}
+	}
+	return addresses
+}
--- a/platformtest/upstream.go
+++ b/platformtest/upstream.go
@@ -30,6 +30,7 @@
 		mu      sync.Mutex
 		handles map[string]bool
 		runs    []Run
+		kept    map[string]int // tokens of parts of prompts
 	}
 
 	// Script is what becomes of the next requests.
@@ -103,6 +104,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.URL.Path == "/v1/kv-list" {
+		u.list(w)
+		return
+	}
 	var body strings.Builder
 	buffer := make([]byte, 4<<10)
 	for {
@@ -118,6 +123,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	u.keep(r.Header.Get("Prompt-Prefix"))
 	if r.Header.Get("Stage") == "prefill" {
 		u.read(w, id)
 		return
@@ -153,6 +159,33 @@
 	}
 }
 
+// keep notes the parts of a prompt.
+func (u *Upstream) keep(prefix string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for entry := range strings.SplitSeq(prefix, ",") {
+		id, text, ok := strings.Cut(entry, ":")
+		tokens, err := strconv.Atoi(text)
+		if !ok || err != nil {
+			continue
+		}
+		if u.kept == nil {
+			u.kept = map[string]int{}
+		}
+		u.kept[id] = tokens
+	}
+}
+
+func (u *Upstream) list(w http.ResponseWriter) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	held := [][]any{}
+	for id, tokens := range u.kept {
+		held = append(held, []any{"", id, tokens, "m"})
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"epoch": 1, "next": len(held) + 1, "held": held})
+}
+
 func (u *Upstream) read(w http.ResponseWriter, id string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
