dispatch: bound the placements of a message

Cause: a reader that lists many engines after a start tells all their parts in each message for 350 ms. At about 1,300 placements a message exceeds the 60 KB that other nodes read, and its loads are lost as well.

Change: a message has the newest 1,000. TestPlacementsAreBounded failed first (2,400 told).

--- a/dispatch/cache.go
+++ b/dispatch/cache.go
@@ -130,6 +130,9 @@
 	placementLife = 350 * time.Millisecond
 	// minSharedTokens is the size from which a part is worth telling about.
 	minSharedTokens = 512
+	// maxTold placements are about 45 KB, which leaves room for loads in a datagram.
+	// Only listing many engines after a start comes near it.
+	maxTold = 1000
 	// othersPeriod is the time for which untold parts are kept as one.
 	othersPeriod = 500 * time.Millisecond
 )
@@ -161,7 +164,8 @@
 	return part < len(prompt.Parts)-1 && prompt.Parts[part].Tokens >= minSharedTokens
 }
 
-// Placements returns what this node placed lately, to be told to other nodes.
+// Placements returns what this node placed lately, the newest at most, to be told
+// to other nodes.
 func (d *Dispatcher) Placements(now time.Time) (placed []Placement) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -172,7 +176,7 @@
 		}
 	}
 	d.placed = kept
-	return append(placed, kept...)
+	return append(placed, kept[max(0, len(kept)-maxTold):]...)
 }
 
 // TakePlacements takes what another node placed.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -490,3 +490,32 @@
 		})
 	}
 }
+
+// Guards against messages that exceed a datagram when many engines are listed at
+// once: all loads would be lost with them.
+func TestPlacementsAreBounded(t *testing.T) {
+	const most, engines, parts = 1000, 60, 40
+	var upstreams []roster.Upstream
+	for i := range engines {
+		upstreams = append(upstreams, engine(fmt.Sprint("e", i), "a", roster.Decode))
+	}
+	d := newDispatcher(upstreams...)
+	for _, u := range upstreams {
+		kept := dispatch.Kept{Upstream: u.ID}
+		for i := range parts {
+			kept.Parts = append(kept.Parts, platform.Part{ID: fmt.Sprint(u.ID, "-", i), Tokens: 5_000})
+		}
+		d.TellKept(kept, start)
+	}
+	placed := d.Placements(start)
+	if len(placed) != most || placed[most-1].Upstream != upstreams[engines-1].ID {
+		t.Errorf("%d placements told, the last of %s, want the newest %d", len(placed), placed[len(placed)-1].Upstream, most)
+	}
+	kept := 0
+	for _, k := range d.Kept() {
+		kept += len(k.Parts)
+	}
+	if kept != engines*parts {
+		t.Errorf("%d parts known, want %d", kept, engines*parts)
+	}
+}
