membership: step around the ring in an order that spreads news

Cause: TestDetectionAndCost/192 failed once in 'go test ./...': seven nodes heard 57 of 64 beacons, want nine in ten of the members. In 112 fleets of 192 looked at in nine seconds each, three had such dips, of up to 182 nodes, without a message that was passed over and with the same beacons on all nodes. All nodes step around the ring by the same distance, which rose by one each interval: ten such distances in a row reach 61 of 192 members at the least, by the sums that they have, and all of them at most starts.

Change: the distances come in an order by their hash, the same on all nodes.

The platform's entry nodes don't use this package.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -137,6 +137,7 @@
 		reach       reach
 		gossiping   bool
 		reviveSoon  bool
+		steps       []int // the distances of probes, for the number of live members
 	}
 
 	// record is what this node holds about another member.
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -1,11 +1,14 @@
 package membership
 
 import (
+	"cmp"
 	"context"
+	"encoding/binary"
 	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 )
 
@@ -54,12 +57,30 @@
 		// interval every member is probed by about one other. With an order of
 		// its own for each node, a member was now and then probed by nobody for
 		// seconds. Clocks that disagree cost evenness only.
-		step := int(time.Now().UnixNano()/int64(g.options.Interval))%(len(ring)-1) + 1
+		step := g.step(time.Now().UnixNano()/int64(g.options.Interval), len(ring))
 		return g.members[ring[(self+step)%len(ring)]].Member, nil, true
 	}
 	return Member{}, nil, false
 }
 
+// step returns how far around a ring of n members all nodes step in an interval.
+// Over n-1 intervals each distance comes once, in an order that looks random:
+// distances that rise by one made news spread to half of the members only in ten
+// intervals, when they were near 1, n/2 or n. The caller holds mu.
+func (g *Group) step(interval int64, n int) (distance int) {
+	if len(g.steps) != n-1 {
+		g.steps = make([]int, n-1)
+		for i := range g.steps {
+			g.steps[i] = i + 1
+		}
+		hash := func(distance int) uint64 {
+			return xxhash.Sum64(binary.BigEndian.AppendUint64(nil, uint64(distance)))
+		}
+		slices.SortFunc(g.steps, func(a, b int) int { return cmp.Compare(hash(a), hash(b)) })
+	}
+	return g.steps[interval%int64(n-1)]
+}
+
 func (g *Group) probe(target Member, about *Member) {
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(g.ctx, g.options.DirectTimeout+g.options.IndirectTimeout)
