peer: say in comments what the codec and drop do

Cause: reading the diff: one comment stood for two types, a line was too long, and an ignored error had no reason. Change: comments only.

--- a/peer/codec.go
+++ b/peer/codec.go
@@ -20,13 +20,14 @@
 )
 
 type (
-	// requestHeader and replyHeader precede the arguments and the result.
+	// requestHeader precedes the arguments of a call.
 	requestHeader struct {
 		Sequence uint64 `cbor:"1,keyasint,omitzero"`
 		Method   string `cbor:"2,keyasint,omitzero"`
 	}
 
-	// replyHeader has no method, since the sequence identifies the call.
+	// replyHeader precedes the result. It has no method, since the sequence
+	// identifies the call.
 	replyHeader struct {
 		Sequence uint64 `cbor:"1,keyasint,omitzero"`
 		Error    string `cbor:"2,keyasint,omitzero"`
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -12,9 +12,10 @@
 //		// the peer can't have seen the call
 //	}
 //
-// Receivers follow the rules of net/rpc. Messages travel in CBOR (Encode). Failures that a caller has to tell
-// apart travel as typed fields of the reply, since net/rpc carries errors as
-// strings only. Traffic is counted in bytes per class and direction.
+// Receivers follow the rules of net/rpc. Messages travel in CBOR, see Encode.
+// Failures that a caller has to tell apart travel as typed fields of the reply,
+// since net/rpc carries errors as strings only. Traffic is counted in bytes per
+// class and direction.
 package peer
 
 import (
@@ -316,10 +317,10 @@
 }
 
 // drop makes Close give up what hasn't arrived, so that the peer doesn't answer
-// calls that nobody waits for.
+// calls that nobody waits for. It fails only on a connection that has ended.
 func (c *watchedConn) drop() {
 	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
-		tcp.SetLinger(0)
+		_ = tcp.SetLinger(0)
 	}
 }
 
