dispatch, entry: make placement and messages cost what they list

Cause: a placement compared each engine with each other one to find where a prompt part can be fetched (engines squared), and each message of another node visited all upstreams to forget that node's last loads. Change: one pass over the engines a placement, the best source per failure domain; loads kept by source; Sync only after a change. Listen.Profile serves net/http/pprof.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -75,6 +75,7 @@
 		// grace later are taken as caused by the outage.
 		storeDownAt  time.Time
 		view         []Upstream
+		generation   uint64 // of view
 		viewOutdated bool
 		nextExpiry   time.Time // of an entry in its grace period; zero: none
 	}
@@ -187,15 +188,31 @@
 	}
 }
 
+// Generation returns a number that grows when the result of View changes.
+func (s *UpstreamSet) Generation(now time.Time) (generation uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refreshView(now)
+	return s.generation
+}
+
 // View returns the usable and the draining upstreams, sorted by ID. Callers must
 // not modify the slice.
 func (s *UpstreamSet) View(now time.Time) (upstreams []Upstream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.refreshView(now)
+	return s.view
+}
+
+// refreshView computes the view again if an entry has changed or a grace period
+// has ended. It is called with mu held.
+func (s *UpstreamSet) refreshView(now time.Time) {
 	if !s.viewOutdated && (s.nextExpiry.IsZero() || now.Before(s.nextExpiry)) {
-		return s.view
+		return
 	}
 	s.viewOutdated, s.nextExpiry = false, time.Time{}
+	s.generation++
 	s.view = make([]Upstream, 0, len(s.entries))
 	for id, e := range s.entries {
 		if !e.missingSince.IsZero() {
@@ -211,5 +228,4 @@
 		s.view = append(s.view, e.upstream)
 	}
 	slices.SortFunc(s.view, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
-	return s.view
 }
--- a/dispatch/cache.go
+++ b/dispatch/cache.go
@@ -118,29 +118,23 @@
 	return min(added, max(0, c.used+added-c.capacity))
 }
 
-// cachedTokens returns the length in tokens of the longest prefix of a prompt
-// whose parts are all cached or pending, so that the engine needn't prefill it.
-func (c *cache) cachedTokens(prompt platform.Prompt) (tokens int) {
-	return c.prefixTokens(prompt, func(*cachedPart) bool { return true })
-}
-
-// fetchableTokens returns the length in tokens of the longest prefix of a prompt
-// whose parts are all prefilled, so that other engines can fetch it.
-func (c *cache) fetchableTokens(prompt platform.Prompt) (tokens int) {
-	return c.prefixTokens(prompt, func(part *cachedPart) bool { return part.prefilled })
-}
-
-// prefixTokens returns the number of tokens in the first parts of a prompt, up
-// to the first one that isn't cached or that include rejects.
-func (c *cache) prefixTokens(prompt platform.Prompt, include func(part *cachedPart) bool) (tokens int) {
-	for _, part := range prompt.Parts {
-		element, ok := c.parts[part.ID]
-		if !ok || !include(element.Value.(*cachedPart)) {
+// prefixTokens returns the length in tokens of two prefixes of a prompt: cached is
+// that of the parts which are all cached or pending, so that the engine needn't
+// prefill them, and fetchable that of the parts which are all prefilled, so that
+// other engines can fetch them.
+func (c *cache) prefixTokens(prompt platform.Prompt) (cached, fetchable int) {
+	prefilled := true
+	for i := range prompt.Parts {
+		element, ok := c.parts[prompt.Parts[i].ID]
+		if !ok {
 			break
 		}
-		tokens += part.Tokens
+		cached += prompt.Parts[i].Tokens
+		if prefilled = prefilled && element.Value.(*cachedPart).prefilled; prefilled {
+			fetchable = cached
+		}
 	}
-	return tokens
+	return cached, fetchable
 }
 
 // addOlder adds parts that were used less recently than all known ones. They are
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -92,6 +92,10 @@
 		upstreamsByService map[string][]*upstream
 		serviceConfigs     map[string]*routing.Service
 		cacheInserts       []CacheInsert // recent ones, to be sent to other nodes
+		// loadedBy has the upstreams whose peerLoads have an entry of a source.
+		loadedBy map[string][]*upstream
+		// engineStates is reused by each placement of a prompt.
+		engineStates []engineState
 	}
 
 	// Choice is the upstream chosen for one step of a request: the prefill, the
@@ -147,7 +151,7 @@
 		// lastPrefill is the time at which the last prefill for any node ended or
 		// was given up, and ownLastPrefill the same for this node.
 		lastPrefill, ownLastPrefill time.Time
-		peerLoads                   map[string]peerLoad // by node, or by failure domain for the other domains
+		peerLoads                   []peerLoad // at most one of each source
 		// peerUnsharedTokens has the last Load.UnsharedTokens by the node that
 		// reported it.
 		peerUnsharedTokens  map[string]int64
@@ -164,7 +168,10 @@
 // New returns a dispatcher without upstreams; Sync adds them.
 func New(options Options) *Dispatcher {
 	options.Costs = options.Costs.withDefaults()
-	return &Dispatcher{options: options, upstreams: map[string]*upstream{}, upstreamsByService: map[string][]*upstream{}, serviceConfigs: map[string]*routing.Service{}}
+	return &Dispatcher{
+		options: options, upstreams: map[string]*upstream{}, upstreamsByService: map[string][]*upstream{},
+		serviceConfigs: map[string]*routing.Service{}, loadedBy: map[string][]*upstream{},
+	}
 }
 
 // Sync replaces the upstreams and the services by the registered upstreams and
@@ -186,7 +193,7 @@
 			if u != nil {
 				gone = append(gone, r.ID)
 			}
-			u = &upstream{jobs: map[*Job]struct{}{}, peerLoads: map[string]peerLoad{}, peerUnsharedTokens: map[string]int64{}, cache: newCache()}
+			u = &upstream{jobs: map[*Job]struct{}{}, peerUnsharedTokens: map[string]int64{}, cache: newCache()}
 			d.upstreams[r.ID] = u
 		}
 		u.Upstream, u.region = r, d.options.Regions[r.FailureDomain]
@@ -293,8 +300,8 @@
 // nodes: the higher of what the nodes report and what the upstream reports.
 func (u *upstream) runningJobs(now time.Time) (jobs int) {
 	jobs = len(u.jobs)
-	for _, peer := range u.peerLoads {
-		if now.Sub(peer.receivedAt) < peerLoadTTL {
+	for i := range u.peerLoads {
+		if peer := &u.peerLoads[i]; now.Sub(peer.receivedAt) < peerLoadTTL {
 			jobs += peer.running
 		}
 	}
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// peerLoadTTL is how long the load that another node reported is used. It is
@@ -35,6 +38,7 @@
 	}
 
 	peerLoad struct {
+		source         string // a node of this failure domain, or another failure domain
 		pendingPrefill time.Duration
 		busySince      time.Time
 		running        int
@@ -53,8 +57,8 @@
 	if wait > 0 {
 		currentSince = u.busySince
 	}
-	for _, peer := range u.peerLoads {
-		if now.Sub(peer.receivedAt) < peerLoadTTL && peer.pendingPrefill > 0 {
+	for i := range u.peerLoads {
+		if peer := &u.peerLoads[i]; peer.pendingPrefill > 0 && now.Sub(peer.receivedAt) < peerLoadTTL {
 			wait += peer.pendingPrefill
 			currentSince = earlier(currentSince, peer.busySince)
 		}
@@ -141,18 +145,24 @@
 func (d *Dispatcher) setLoads(source, reporter string, loads []Load, now time.Time, countTokens func(u *upstream, tokens int64)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, u := range d.upstreams {
-		delete(u.peerLoads, source)
+	// Only the upstreams that the source listed last are visited, as messages are
+	// many and list few of the upstreams.
+	listed := d.loadedBy[source]
+	for _, u := range listed {
+		u.peerLoads = slices.DeleteFunc(u.peerLoads, func(l peerLoad) bool { return l.source == source })
 	}
+	listed = listed[:0]
 	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	for _, l := range loads {
 		u := d.upstreams[l.Upstream]
 		if u == nil {
 			continue
 		}
-		u.peerLoads[source] = peerLoad{
-			pendingPrefill: time.Duration(l.PendingPrefillMs) * time.Millisecond, busySince: ago(l.BusyMs), running: l.Running, receivedAt: now,
-		}
+		u.peerLoads = append(u.peerLoads, peerLoad{
+			source: source, pendingPrefill: time.Duration(l.PendingPrefillMs) * time.Millisecond, busySince: ago(l.BusyMs),
+			running: l.Running, receivedAt: now,
+		})
+		listed = append(listed, u)
 		// The first count of a reporter only sets the base for the next ones, and so
 		// does a smaller one than before, which means that the reporter has restarted.
 		if last, known := u.peerUnsharedTokens[reporter]; known && l.UnsharedTokens > last {
@@ -164,4 +174,5 @@
 			u.lastPrefill = prefilledAt
 		}
 	}
+	d.loadedBy[source] = listed
 }
--- a/dispatch/prompt.go
+++ b/dispatch/prompt.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/guavagauge/guavagauge/discovery"
@@ -84,6 +85,20 @@
 		// Expected is the expected time to the first event.
 		Expected time.Duration
 	}
+
+	// engineState is what a placement needs to know of an engine.
+	engineState struct {
+		upstream *upstream
+		running  int           // requests, see upstream.runningJobs
+		backlog  time.Duration // see upstream.backlog
+		cached   int           // tokens of the prompt, see cache.prefixTokens
+	}
+
+	// kvSource is an engine from which the first tokens of a prompt can be fetched.
+	kvSource struct {
+		upstream  *upstream
+		fetchable int // tokens
+	}
 )
 
 func (c Costs) withDefaults() Costs {
@@ -132,10 +147,12 @@
 		return Plan{}, false
 	}
 	engines := d.usableUpstreams(request.Service, request.Tried, now)
+	states, sources := d.inspect(engines, request.Service, request.Prompt, now)
 	lowest := time.Duration(math.MaxInt64)
-	decodeEngine, decodeWait := d.bestDecode(engines, request.Prompt, service.Engine, now)
-	for _, u := range engines {
-		choice, cost := d.prefillCost(u, request.Prompt, service.Engine, now)
+	decodeEngine, decodeWait := d.bestDecode(states, request.Prompt, service.Engine)
+	for i := range states {
+		u := states[i].upstream
+		choice, cost := d.prefillCost(&states[i], sources, request.Prompt, service.Engine)
 		choice.service = request.Service
 		candidate := Plan{Decode: choice, Expected: choice.Expected}
 		if u.Stage == discovery.Prefill {
@@ -145,6 +162,9 @@
 			handoff := d.transferTime(u, decodeEngine, request.Prompt.Tokens, service.Engine)
 			extra := d.options.Costs.HandoffOverhead + handoff + decodeWait
 			cost += extra + d.networkCost(decodeEngine)
+			if cost >= lowest {
+				continue
+			}
 			prefillChoice := choice
 			candidate = Plan{
 				Prefill:  &prefillChoice,
@@ -171,28 +191,55 @@
 	if service == nil || service.Engine == nil {
 		return Choice{}, false
 	}
-	decodeEngine, wait := d.bestDecode(d.usableUpstreams(planned.service, tried, now), planned.prompt, service.Engine, now)
+	states, _ := d.inspect(d.usableUpstreams(planned.service, tried, now), planned.service, planned.prompt, now)
+	decodeEngine, wait := d.bestDecode(states, planned.prompt, service.Engine)
 	if decodeEngine == nil {
 		return Choice{}, false
 	}
 	return Choice{Upstream: decodeEngine.Upstream, Expected: wait, prompt: planned.prompt, service: planned.service}, true
 }
 
+// inspect returns the states of the engines among which a placement chooses, and
+// for each failure domain the engine of the service that has the longest prefix of
+// the prompt to fetch, usable or not. So the cost of a placement grows in
+// proportion to the engines. The states are valid until the next placement.
+func (d *Dispatcher) inspect(engines []*upstream, service string, prompt platform.Prompt, now time.Time) (states []engineState, sources []kvSource) {
+	states = d.engineStates[:0]
+	for _, u := range engines {
+		state := engineState{upstream: u, running: u.runningJobs(now), backlog: u.backlog(now)}
+		state.cached, _ = u.cache.prefixTokens(prompt)
+		states = append(states, state)
+	}
+	d.engineStates = states
+	for _, u := range d.upstreamsByService[service] {
+		_, fetchable := u.cache.prefixTokens(prompt)
+		if fetchable == 0 {
+			continue
+		}
+		index := slices.IndexFunc(sources, func(s kvSource) bool { return s.upstream.FailureDomain == u.FailureDomain })
+		if index < 0 {
+			sources = append(sources, kvSource{u, fetchable})
+		} else if fetchable > sources[index].fetchable {
+			sources[index] = kvSource{u, fetchable}
+		}
+	}
+	return states, sources
+}
+
 // prefillCost returns the choice of an engine for a prefill, with the expected
 // times, and its cost: the expected time with surcharges.
-func (d *Dispatcher) prefillCost(u *upstream, prompt platform.Prompt, engine *routing.Engine, now time.Time) (choice Choice, cost time.Duration) {
-	costs := d.options.Costs
+func (d *Dispatcher) prefillCost(state *engineState, sources []kvSource, prompt platform.Prompt, engine *routing.Engine) (choice Choice, cost time.Duration) {
+	costs, u, cached := &d.options.Costs, state.upstream, state.cached
 	rate := costs.PrefillRate
 	running := 0
 	if u.Stage != discovery.Prefill {
-		running = u.runningJobs(now)
+		running = state.running
 		rate = costs.interleavedPrefillRate(running)
 	}
-	cached := u.cache.cachedTokens(prompt)
 	localTime := prefillTime(prompt.Tokens, cached, rate, costs.TimePerMillionPairs)
 	choice = Choice{Upstream: u.Upstream, PrefillTime: localTime, CachedTokens: cached, prompt: prompt}
 	surcharge := time.Duration(0)
-	if source, fetchable := d.bestKVSource(u, prompt, cached); source != nil {
+	if source, fetchable := d.bestKVSource(u, sources, cached); source != nil {
 		// The source has more of the prompt, but fetching it can take longer than
 		// prefilling it again.
 		transfer := d.transferTime(source, u, fetchable-cached, engine)
@@ -204,7 +251,7 @@
 		}
 	}
 	surcharge += costs.EvictionCost * time.Duration(u.cache.evictedTokens(prompt.Tokens-cached))
-	choice.Expected = u.backlog(now) + choice.PrefillTime + u.concurrencyDelay(now, engine)
+	choice.Expected = state.backlog + choice.PrefillTime + state.concurrencyDelay(engine)
 	// The prefill slows the generations that run on the engine.
 	surcharge += choice.PrefillTime * time.Duration(min(running, maxSlowedGenerations)) / slowdownDivisor
 	return choice, choice.Expected + d.networkCost(u) + surcharge
@@ -227,16 +274,13 @@
 // bestKVSource returns the engine that has the longest prefix of a prompt to
 // fetch, and the prefix's length in tokens. Among equals it returns the one with
 // the fastest transfer. It returns nil if no engine has more than the cached
-// tokens at u itself.
-func (d *Dispatcher) bestKVSource(u *upstream, prompt platform.Prompt, cached int) (source *upstream, fetchable int) {
+// tokens at u itself, which so is never the source.
+func (d *Dispatcher) bestKVSource(u *upstream, sources []kvSource, cached int) (source *upstream, fetchable int) {
 	fetchable = cached
-	for _, other := range d.upstreamsByService[u.Service] {
-		if other == u {
-			continue
-		}
-		n := other.cache.fetchableTokens(prompt)
-		if n > fetchable || n == fetchable && source != nil && d.transferSlowdown(other, u) < d.transferSlowdown(source, u) {
-			source, fetchable = other, n
+	for _, other := range sources {
+		n := other.fetchable
+		if n > fetchable || n == fetchable && source != nil && d.transferSlowdown(other.upstream, u) < d.transferSlowdown(source, u) {
+			source, fetchable = other.upstream, n
 		}
 	}
 	return source, fetchable
@@ -246,14 +290,16 @@
 // expected wait there. Engines of the prefill stage are left out. A quarter of the
 // prefill backlog counts as wait, since engines alternate prefill chunks with
 // decoding steps.
-func (d *Dispatcher) bestDecode(engines []*upstream, prompt platform.Prompt, engine *routing.Engine, now time.Time) (best *upstream, wait time.Duration) {
+func (d *Dispatcher) bestDecode(states []engineState, prompt platform.Prompt, engine *routing.Engine) (best *upstream, wait time.Duration) {
 	lowest := time.Duration(math.MaxInt64)
-	for _, u := range engines {
+	for i := range states {
+		state := &states[i]
+		u := state.upstream
 		if u.Stage == discovery.Prefill {
 			continue
 		}
-		delay := u.concurrencyDelay(now, engine) + u.backlog(now)/4
-		evictionCost := d.options.Costs.EvictionCost * time.Duration(u.cache.evictedTokens(prompt.Tokens-u.cache.cachedTokens(prompt)))
+		delay := state.concurrencyDelay(engine) + state.backlog/4
+		evictionCost := d.options.Costs.EvictionCost * time.Duration(u.cache.evictedTokens(prompt.Tokens-state.cached))
 		if cost := delay + d.networkCost(u) + evictionCost; cost < lowest {
 			best, wait, lowest = u, delay, cost
 		}
@@ -266,13 +312,12 @@
 // number of slots is that of the service's configuration. If it is 0, there is no
 // such wait. Upstream.Slots, which the engine has registered, isn't used here, but
 // only for requests without a prompt.
-func (u *upstream) concurrencyDelay(now time.Time, engine *routing.Engine) (delay time.Duration) {
-	running := u.runningJobs(now)
-	delay = time.Duration(running) * 2 * time.Millisecond
-	if excess := running + 1 - engine.Slots; excess > 0 && engine.Slots > 0 {
-		jobTime := max(u.averageJobTime, defaultJobTime)
+func (s *engineState) concurrencyDelay(engine *routing.Engine) (delay time.Duration) {
+	delay = time.Duration(s.running) * 2 * time.Millisecond
+	if excess := s.running + 1 - engine.Slots; excess > 0 && engine.Slots > 0 {
+		jobTime := max(s.upstream.averageJobTime, defaultJobTime)
 		delay += jobTime * time.Duration(excess) / time.Duration(engine.Slots)
-		if u.Stage != discovery.Prefill {
+		if s.upstream.Stage != discovery.Prefill {
 			delay += fullEngineDelay
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -53,6 +53,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"net/netip"
 	"strings"
 	"sync"
@@ -167,6 +168,11 @@
 		transfer           configTransfer
 		transferAdvancedAt atomic.Int64 // clock reading when the transfer began or received its last part
 
+		// syncMu guards the inputs of the last Dispatcher.Sync.
+		syncMu           sync.Mutex
+		syncedTable      *routing.Table
+		syncedGeneration uint64
+
 		// storeStateMu guards the fields below. The other types of this package have
 		// their own locks.
 		storeStateMu         sync.Mutex
@@ -278,20 +284,36 @@
 	n.readinessServer = &http.Server{Handler: router}
 	go func() { n.logListenerError("caller listener", n.callerServer.Serve(listener)) }()
 	go func() { n.logListenerError("readiness listener", n.readinessServer.Serve(readyListener)) }()
-	if n.settings.Listen.Metrics.IsValid() {
-		metricsListener, err := n.network.Listen(n.ctx, n.settings.Listen.Metrics)
-		if err != nil {
-			// The node can serve callers without its metrics endpoint.
-			n.logger.Error("can't listen for metrics requests", "Address", n.settings.Listen.Metrics, "Error", err)
-			return nil
-		}
-		router := chi.NewRouter()
-		router.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.Metrics.WritePrometheus(w) })
-		go func() { n.logListenerError("metrics listener", http.Serve(metricsListener, router)) }()
-	}
+	metricsRouter := chi.NewRouter()
+	metricsRouter.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.Metrics.WritePrometheus(w) })
+	n.listenOptional("metrics listener", n.settings.Listen.Metrics, metricsRouter)
+	n.listenOptional("profile listener", n.settings.Listen.Profile, profileRouter())
 	return nil
 }
 
+// listenOptional starts a listener for operators if its address is set. The node
+// can serve callers without it, so a failure is only logged.
+func (n *Node) listenOptional(name string, address netip.AddrPort, handler http.Handler) {
+	if !address.IsValid() {
+		return
+	}
+	listener, err := n.network.Listen(n.ctx, address)
+	if err != nil {
+		n.logger.Error("can't listen", "Listener", name, "Address", address, "Error", err)
+		return
+	}
+	go func() { n.logListenerError(name, http.Serve(listener, handler)) }()
+}
+
+// profileRouter serves the profiles of net/http/pprof at their usual paths.
+func profileRouter() (router chi.Router) {
+	router = chi.NewRouter()
+	router.Get("/debug/pprof/profile", pprof.Profile)
+	router.Get("/debug/pprof/trace", pprof.Trace)
+	router.Get("/debug/pprof/*", pprof.Index)
+	return router
+}
+
 func addressOf(listener net.Listener) netip.AddrPort {
 	return listener.Addr().(*net.TCPAddr).AddrPort()
 }
--- a/entry/upstreams.go
+++ b/entry/upstreams.go
@@ -150,13 +150,24 @@
 }
 
 // syncDispatcher passes the upstream set and the configured services to the
-// dispatcher, and closes idle connections to upstreams that are gone.
+// dispatcher if they have changed, and closes idle connections to upstreams that
+// are gone.
 func (n *Node) syncDispatcher() {
 	table := n.table.Load()
 	if table == nil {
 		return
 	}
-	for _, id := range n.dispatcher.Sync(n.upstreams.View(time.Now()), table.Services) {
+	n.syncMu.Lock()
+	defer n.syncMu.Unlock()
+	// The generation is read first, so that a change in between is passed on by the
+	// next call.
+	now := time.Now()
+	generation := n.upstreams.Generation(now)
+	if table == n.syncedTable && generation == n.syncedGeneration {
+		return
+	}
+	n.syncedTable, n.syncedGeneration = table, generation
+	for _, id := range n.dispatcher.Sync(n.upstreams.View(now), table.Services) {
 		n.upstreamPool.Forget(id)
 	}
 }
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -11,7 +11,7 @@
 	// EntrySettings holds the settings of an entry node (package entry), which
 	// serves callers and reads the configuration and the list of upstreams from
 	// the platform's store. Name, FailureDomain, its region, Store and the
-	// listeners other than Metrics are required.
+	// listeners other than Metrics and Profile are required.
 	EntrySettings struct {
 		Name          string
 		FailureDomain string
@@ -33,6 +33,7 @@
 		Ready   netip.AddrPort // readiness checks by the load balancer
 		Peer    netip.AddrPort // UDP and TCP, for other entry nodes
 		Metrics netip.AddrPort // optional
+		Profile netip.AddrPort // optional; profiles of the process, see net/http/pprof
 	}
 
 	// EntryEndpoint is the address of a service of the platform.
