dispatch, relay, entry: one model of what an upstream says of itself

Change: dispatch.Condition (Available, Suspect, Paused, Leaving), fed by sealed Evidence; a paused or leaving instance gets no request, prefill, fetch, probe or order, also if the connection was being opened meanwhile (relay.Request.Check). If all that could serve asked for a pause, requests are refused at once with the rest of the shortest one. Only the first response on a connection may omit its ID.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,9 +7,11 @@
 // and cache inserts with other nodes.
 //
 // Failures affect the choices as follows:
-//   - An upstream that rejected a request or failed is in backoff, and is chosen
-//     only if there is no other.
-//   - An upstream that has restarted starts without jobs, loads and cached parts.
+//   - An upstream that rejected a request or failed is suspect for a while, and is
+//     chosen only if there is no other. One that asked for a pause, or that leaves,
+//     isn't chosen at all; see Condition.
+//   - An upstream that has restarted starts without jobs, loads and cached parts,
+//     and without a pause.
 //   - The loads that another node has reported expire after peerLoadTTL.
 //   - If messages from other nodes are lost, the expected times and the cache
 //     estimates are less accurate.
@@ -94,6 +96,7 @@
 		cacheInserts       []CacheInsert // recent ones, to be sent to other nodes
 		// loadedBy has the upstreams whose peerLoads have an entry of a source.
 		loadedBy map[string][]*upstream
+		leaving  map[instance]time.Time // instances that said that they leave, by the time of their last notice
 		// engineStates is reused by each placement of a prompt.
 		engineStates []engineState
 	}
@@ -162,6 +165,8 @@
 		averageJobTime      time.Duration // exponential moving average over served jobs, starting from 0
 		consecutiveFailures int
 		backoffUntil        time.Time // other upstreams are preferred until then
+		pausedUntil         time.Time // no request is sent until then
+		saidLeaving         bool      // in one of its answers
 	}
 )
 
@@ -170,7 +175,7 @@
 	options.Costs = options.Costs.withDefaults()
 	return &Dispatcher{
 		options: options, upstreams: map[string]*upstream{}, upstreamsByService: map[string][]*upstream{},
-		serviceConfigs: map[string]*routing.Service{}, loadedBy: map[string][]*upstream{},
+		serviceConfigs: map[string]*routing.Service{}, loadedBy: map[string][]*upstream{}, leaving: map[instance]time.Time{},
 	}
 }
 
@@ -193,7 +198,8 @@
 			if u != nil {
 				gone = append(gone, r.ID)
 			}
-			u = &upstream{jobs: map[*Job]struct{}{}, peerUnsharedTokens: map[string]int64{}, cache: newCache()}
+			_, left := d.leaving[instanceOf(r)]
+			u = &upstream{saidLeaving: left, jobs: map[*Job]struct{}{}, peerUnsharedTokens: map[string]int64{}, cache: newCache()}
 			d.upstreams[r.ID] = u
 		}
 		u.Upstream, u.region = r, d.options.Regions[r.FailureDomain]
@@ -313,21 +319,21 @@
 	return jobs
 }
 
-// usableUpstreams returns the upstreams of a service that accept requests, except
-// the tried ones. Upstreams in backoff are returned only if there are no others.
+// usableUpstreams returns the upstreams of a service that are available, except
+// the tried ones. Suspect ones are returned only if there are no others.
 func (d *Dispatcher) usableUpstreams(service string, tried []string, now time.Time) (upstreams []*upstream) {
-	var backingOff []*upstream
+	var suspects []*upstream
 	for _, u := range d.upstreamsByService[service] {
-		switch {
-		case u.Draining, slices.Contains(tried, u.ID):
-		case now.Before(u.backoffUntil):
-			backingOff = append(backingOff, u)
+		switch condition := u.condition(now); {
+		case condition >= Paused, slices.Contains(tried, u.ID):
+		case condition == Suspect:
+			suspects = append(suspects, u)
 		default:
 			upstreams = append(upstreams, u)
 		}
 	}
 	if len(upstreams) == 0 {
-		return backingOff
+		return suspects
 	}
 	return upstreams
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -526,3 +526,45 @@
 		t.Errorf("CacheContents has %d parts, want %d", knownParts, engines*parts)
 	}
 }
+
+// Guards against an upstream that is used, or from which cached parts are fetched,
+// while it wants nothing, and against a pause that a late answer ends.
+func TestConditions(t *testing.T) {
+	d := newDispatcher(engine("e1", "a", discovery.Decode), engine("e2", "a", discovery.Decode))
+	begin := func(id string) *dispatch.Job {
+		return d.Begin(dispatch.Choice{Upstream: engine(id, "a", discovery.Decode)}, start)
+	}
+	expect := func(what, id string, after time.Duration, want dispatch.Condition) {
+		t.Helper()
+		if got, ok := d.Condition(id, at(after)); got != want || !ok {
+			t.Errorf("%s: condition %d, registered %t, want %d", what, got, ok, want)
+		}
+	}
+	first, late := begin("e1"), begin("e1")
+	first.Observe(dispatch.PauseRequest{For: 2 * time.Second}, start)
+	first.End(start, dispatch.Rejected)
+	late.Observe(dispatch.PauseRequest{For: time.Second}, at(100*time.Millisecond))
+	late.End(at(100*time.Millisecond), dispatch.Served)
+	expect("during the pause", "e1", 1900*time.Millisecond, dispatch.Paused)
+	expect("after the pause", "e1", 2100*time.Millisecond, dispatch.Available)
+	if wait, ok := d.ResumesIn("models", at(time.Second)); ok {
+		t.Errorf("resumes in %s, want no wait beside an available upstream", wait)
+	}
+	begin("e2").Observe(dispatch.PauseRequest{For: time.Minute}, start)
+	if wait, ok := d.ResumesIn("models", at(time.Second)); !ok || wait != time.Second {
+		t.Errorf("resumes in %s, %t, want %s", wait, ok, time.Second)
+	}
+	d.ApplyCacheInserts([]dispatch.CacheInsert{{Upstream: "e2", Part: "book", Tokens: 13_000}})
+	if plan, ok := d.PlacePrompt(dispatch.PromptRequest{Service: "models", Prompt: promptOf("book", 13_000, 300)}, at(3*time.Second)); !ok || plan.Decode.Fetch.IsValid() {
+		t.Errorf("plan %+v, %t, want one at e1 that fetches nothing from e2", plan, ok)
+	}
+	begin("e2").Observe(dispatch.PauseRequest{For: 1 << 62}, start)
+	expect("absurdly long pause", "e2", 59*time.Minute, dispatch.Paused)
+	expect("absurdly long pause", "e2", 61*time.Minute, dispatch.Available)
+	begin("e2").Observe(dispatch.LeavingNotice{}, start)
+	expect("leaving", "e2", 2*time.Hour, dispatch.Leaving)
+	restarted := engine("e2", "a", discovery.Decode)
+	restarted.StartedAt = at(time.Hour)
+	d.Sync([]discovery.Upstream{engine("e1", "a", discovery.Decode), restarted}, []routing.Service{models, desk})
+	expect("new instance", "e2", 0, dispatch.Available)
+}
--- a/dispatch/prompt.go
+++ b/dispatch/prompt.go
@@ -201,7 +201,8 @@
 
 // inspect returns the states of the engines among which a placement chooses, and
 // for each failure domain the engine of the service that has the longest prefix of
-// the prompt to fetch, usable or not. So the cost of a placement grows in
+// the prompt to fetch. That may be a suspect or leaving one, but none that asked for
+// a pause. So the cost of a placement grows in
 // proportion to the engines. The states are valid until the next placement.
 func (d *Dispatcher) inspect(engines []*upstream, service string, prompt platform.Prompt, now time.Time) (states []engineState, sources []kvSource) {
 	states = d.engineStates[:0]
@@ -213,7 +214,7 @@
 	d.engineStates = states
 	for _, u := range d.upstreamsByService[service] {
 		_, fetchable := u.cache.prefixTokens(prompt)
-		if fetchable == 0 {
+		if fetchable == 0 || u.condition(now) == Paused {
 			continue
 		}
 		index := slices.IndexFunc(sources, func(s kvSource) bool { return s.upstream.FailureDomain == u.FailureDomain })
--- a/entry/cachecontents.go
+++ b/entry/cachecontents.go
@@ -116,15 +116,17 @@
 	_ = group.Wait() // no function returns an error
 }
 
-// localEngines returns the engines of the node's failure domain that aren't
-// draining.
+// localEngines returns the engines of the node's failure domain that neither leave
+// nor asked for a pause.
 func (n *Node) localEngines() (engines []discovery.Upstream) {
 	hasEngine := map[string]bool{}
 	for _, service := range n.table.Load().Services {
 		hasEngine[service.Name] = service.Engine != nil
 	}
-	for _, u := range n.upstreams.View(time.Now()) {
-		if u.FailureDomain == n.settings.FailureDomain && hasEngine[u.Service] && !u.Draining {
+	now := time.Now()
+	for _, u := range n.upstreams.View(now) {
+		condition, _ := n.dispatcher.Condition(u.ID, now)
+		if u.FailureDomain == n.settings.FailureDomain && hasEngine[u.Service] && condition < dispatch.Paused {
 			engines = append(engines, u)
 		}
 	}
--- a/entry/call.go
+++ b/entry/call.go
@@ -123,7 +123,7 @@
 	var failure *relay.Failure
 	if errors.As(err, &failure) && !failure.MayHaveRun {
 		e.lastReason = reasonUnreachable
-		if e.ctx.Err() != nil {
+		if e.ctx.Err() != nil || errors.Is(err, errWithdrawn) {
 			job.End(time.Now(), dispatch.Abandoned)
 			return
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -168,6 +168,9 @@
 		transfer           configTransfer
 		transferAdvancedAt atomic.Int64 // clock reading when the transfer began or received its last part
 
+		// malformedEntries has the revisions of the upstream entries that couldn't be
+		// decoded, by key. Only the goroutine of followUpstreams uses it.
+		malformedEntries map[string]uint64
 		// syncMu guards the inputs of the last Dispatcher.Sync.
 		syncMu           sync.Mutex
 		syncedTable      *routing.Table
@@ -215,6 +218,7 @@
 		cloud: options.Cloud, clock: options.Clock, upstreams: discovery.New(upstreamGrace),
 		dispatcher: dispatch.New(dispatch.Options{FailureDomain: s.FailureDomain, Regions: s.Regions}),
 		network:    options.Network, budget: newRetryBudget(s.Bounds), usage: newLedger(s.Bounds.UsageWindow), crashes: newCrashTracker(),
+		malformedEntries: map[string]uint64{},
 	}
 	n.engineClient = platform.NewEngineClient(options.Network)
 	n.upstreamPool = relay.New(relay.Options{Network: options.Network, Count: func(event string) { n.count("connections", event) }})
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -145,10 +145,15 @@
 	f.registerUpstream(id, service, stage, address, "ready")
 }
 
-// registerUpstream writes the store entry of an upstream.
+// registerUpstream writes the store entry of an upstream that starts now.
 func (f *testFleet) registerUpstream(id, service, stage, address, state string) {
+	f.registerUpstreamStartedAt(id, service, stage, address, state, time.Now())
+}
+
+// registerUpstreamStartedAt writes the store entry of an upstream.
+func (f *testFleet) registerUpstreamStartedAt(id, service, stage, address, state string, start time.Time) {
 	text, err := json.Marshal(map[string]any{
-		"service": service, "address": address, "zone": "a", "slots": 8, "state": state, "stage": stage, "born": time.Now().UnixMilli(),
+		"service": service, "address": address, "zone": "a", "slots": 8, "state": state, "stage": stage, "born": start.UnixMilli(),
 	})
 	if err != nil {
 		f.t.Fatal(err)
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"github.com/guavagauge/guavagauge/discovery"
+	"github.com/guavagauge/guavagauge/dispatch"
 	"github.com/guavagauge/guavagauge/lease"
 	"github.com/guavagauge/guavagauge/platform"
 	"github.com/guavagauge/guavagauge/routing"
@@ -134,6 +135,9 @@
 	if !ok {
 		return
 	}
+	if condition, _ := c.node.dispatcher.Condition(engine.ID, now); condition >= dispatch.Paused {
+		return
+	}
 	c.lastStageChange[engine.ID] = now
 	err := held.Do(held.Context(), func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -35,6 +35,7 @@
 	reasonTimeout     reason = "Timeout"     // the request may have run, and its deadline passed
 	reasonQuarantined reason = "HeldOut"     // the request is quarantined, since it crashed upstreams
 	reasonUnreachable reason = "Unreachable" // no connection to an upstream could be made
+	reasonPaused      reason = "Paused"      // all upstreams that could serve the request asked for a pause
 )
 
 const (
@@ -48,6 +49,9 @@
 	// responseMargin is the time reserved for responding to the caller, so that a
 	// timeout is reported before the route's timeout rather than after it.
 	responseMargin = 20 * time.Millisecond
+	// errWithdrawn means that the chosen upstream left or asked for a pause while a
+	// connection to it was being opened. The request was not sent.
+	errWithdrawn = errors.ConstError("upstream was withdrawn before the request was sent")
 	// upstreamMargin is the time reserved for the response's way back from an
 	// upstream. The deadline that the upstream gets is earlier by it.
 	upstreamMargin = 5 * time.Millisecond
@@ -178,13 +182,35 @@
 	target := relay.Target{ID: choice.Upstream.ID, Address: choice.Upstream.Address}
 	response, err = e.node.upstreamPool.Send(e.ctx, target, &relay.Request{
 		Method: e.r.Method, URI: requestURI(e.r), Host: e.r.Host, Header: header, Body: e.body, ID: e.request.ID,
+		Check: func() (err error) {
+			condition, registered := e.node.dispatcher.Condition(choice.Upstream.ID, time.Now())
+			if !registered || condition >= dispatch.Paused {
+				return errWithdrawn
+			}
+			return nil
+		},
 	})
 	if err == nil {
-		job.ObserveLoad(response.Reply.Load, time.Now())
+		e.observe(job, response.Reply)
 	}
 	return response, job, err
 }
 
+// observe passes on to the dispatcher what an upstream said of itself in an answer.
+func (e *exchange) observe(job *dispatch.Job, reply platform.ResponseHeaders) {
+	now := time.Now()
+	job.ObserveLoad(reply.Load, now)
+	if reply.Leaving {
+		job.Observe(dispatch.LeavingNotice{}, now)
+		e.node.count("upstream_evidence", "Leaving")
+	}
+	if reply.Pause > 0 {
+		job.Observe(dispatch.PauseRequest{For: reply.Pause}, now)
+		e.node.count("upstream_evidence", "Pause")
+		e.log("upstream asked for a pause", "Upstream", job.Upstream().ID, "Pause", reply.Pause)
+	}
+}
+
 // requestURI returns the request's URI as it was received. An absolute URI is
 // reduced to its path and query.
 func requestURI(r *http.Request) (uri string) {
@@ -223,6 +249,10 @@
 	case e.runs > 0:
 		e.fail(http.StatusBadGateway, e.lastReason, nil)
 	default:
+		// Before the first pause ends, another attempt here would be refused too.
+		if wait, paused := e.node.dispatcher.ResumesIn(e.service, time.Now()); paused && wait > retryAfter {
+			e.lastReason, retryAfter = reasonPaused, wait
+		}
 		e.refuse(e.lastReason, retryAfter)
 	}
 }
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -116,8 +116,12 @@
 	if err != nil {
 		// A prefill doesn't count as a run, so it may be repeated even if it
 		// happened.
-		e.calls++
 		e.lastReason = reasonRejected
+		if errors.Is(err, errWithdrawn) {
+			job.End(time.Now(), dispatch.Abandoned)
+			return platform.KVSource{}, false
+		}
+		e.calls++
 		if e.ctx.Err() != nil {
 			job.End(time.Now(), dispatch.Abandoned)
 		} else {
--- a/entry/upstreams.go
+++ b/entry/upstreams.go
@@ -28,6 +28,9 @@
 	// the entries before it watches them, and another node stops relying on the
 	// reader. It exceeds the three seconds of a watch without events.
 	relistAge = 5 * time.Second
+	// maxMalformedEntries bounds the memory for entries that were logged as
+	// malformed. Beyond it, they are logged again.
+	maxMalformedEntries = 1000
 )
 
 // followUpstreams keeps the upstream set up to date with the entries in the
@@ -138,15 +141,24 @@
 	return revision, nil
 }
 
-// decodeUpstream decodes the entry of an upstream. It logs a malformed entry, which
-// another writer may have left, and returns false.
+// decodeUpstream decodes the entry of an upstream. It returns false for a malformed
+// one, which another writer may have left, and logs and counts it once for each
+// time that it was written. Only followUpstreams calls it.
 func (n *Node) decodeUpstream(entry store.Entry) (upstream discovery.Upstream, ok bool) {
 	upstream, err := platform.DecodeUpstream(entry.Key, entry.Value)
-	if err != nil {
+	if err == nil {
+		delete(n.malformedEntries, entry.Key)
+		return upstream, true
+	}
+	if n.malformedEntries[entry.Key] != entry.Version {
+		if len(n.malformedEntries) >= maxMalformedEntries {
+			clear(n.malformedEntries)
+		}
+		n.malformedEntries[entry.Key] = entry.Version
+		n.count("malformed_entries", "Upstream")
 		n.logger.Warn("upstream entry can't be decoded", "Key", entry.Key, "Revision", entry.Version, "Error", err)
-		return discovery.Upstream{}, false
 	}
-	return upstream, true
+	return discovery.Upstream{}, false
 }
 
 // syncDispatcher passes the upstream set and the configured services to the
--- a/platformtest/upstream.go
+++ b/platformtest/upstream.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -33,6 +34,11 @@
 		// Script holds the faults of the next requests. Several upstreams may share
 		// it, and it may be nil.
 		Script *FaultScript
+		// Pause is the Retry-After header of a RejectWithPause.
+		Pause string
+
+		leaving  atomic.Bool
+		arrivals atomic.Int64
 
 		mu          sync.Mutex
 		handles     map[string]bool // KV handles that prefill issued; never read
@@ -41,7 +47,7 @@
 	}
 
 	// FaultScript is a queue of faults, one for each of the next requests. Prefill
-	// requests take a fault too, of which only Reject affects them. Requests for the
+	// requests take a fault too, of which only Reject and RejectWithPause affect them. Requests for the
 	// list of cached prompt parts, or for another instance, take none.
 	FaultScript struct {
 		mu   sync.Mutex
@@ -77,6 +83,8 @@
 	NoSeal
 	// Fail runs the request and answers 500.
 	Fail
+	// RejectWithPause is Reject with a Retry-After header.
+	RejectWithPause
 )
 
 // Add appends the faults of the next requests.
@@ -106,10 +114,21 @@
 	return append(runs, u.runs...)
 }
 
+// SetLeaving makes the upstream say in its answers that it leaves, or stop saying so.
+func (u *Upstream) SetLeaving(leaving bool) { u.leaving.Store(leaving) }
+
+// Arrivals returns the number of requests that arrived, including prefills, lists
+// of cached parts and those that were rejected.
+func (u *Upstream) Arrivals() (n int) { return int(u.arrivals.Load()) }
+
 // ServeHTTP implements http.Handler.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
+	u.arrivals.Add(1)
+	if u.leaving.Load() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != u.ID {
 		w.Header().Set("Instance-Id", u.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -129,7 +148,10 @@
 		}
 	}
 	fault := u.Script.pop()
-	if fault == Reject {
+	if fault == Reject || fault == RejectWithPause {
+		if fault == RejectWithPause {
+			w.Header().Set("Retry-After", u.Pause)
+		}
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -100,8 +100,10 @@
 	}
 
 	// Request is an HTTP request. Pool.Send adds no headers but Host and
-	// Content-Length. ID is the request ID that the response has to repeat; a
-	// refusal that says NotRun may omit it.
+	// Content-Length. ID is the request ID that the response has to repeat. Only the
+	// first response on a connection may omit it, if it is a refusal that says
+	// NotRun: on a connection that was used before, a refusal without an ID may be
+	// that of an earlier request, sent once more.
 	Request struct {
 		Method string
 		URI    string
@@ -109,6 +111,10 @@
 		Header http.Header
 		Body   []byte
 		ID     string
+		// Check, if set, is called when there is a connection, before the first byte
+		// is written. Opening a connection can take a second. If Check returns an
+		// error, the request isn't sent.
+		Check func() (err error)
 	}
 
 	// Response is an upstream's response and the reader of its body. Read returns
@@ -154,6 +160,7 @@
 		upstreamID string
 		limiter    *headLimiter // read by reader
 		reader     *bufio.Reader
+		used       bool       // a request was sent on it before the current one
 		expires    time.Time  // when the connection, if idle, is no longer reused
 		written    chan error // receives the result of writing a long body; nil for short ones
 	}
@@ -185,6 +192,12 @@
 	if err != nil {
 		return nil, &Failure{MayHaveRun: false, Err: err}
 	}
+	if request.Check != nil {
+		if err = request.Check(); err != nil {
+			p.returnUnused(c)
+			return nil, &Failure{MayHaveRun: false, Err: err}
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
 	defer func() {
 		if err != nil {
@@ -325,6 +338,16 @@
 	}
 }
 
+// returnUnused keeps a connection on which a request was not sent after all. Its
+// expiry, if it was idle before, stays.
+func (p *Pool) returnUnused(c *conn) {
+	if !c.used {
+		p.putIdle(c, defaultIdleTimeout)
+		return
+	}
+	p.putIdle(c, time.Until(c.expires))
+}
+
 // write sends the request. A long body is written in the background, since an
 // upstream may respond before it has read the whole body.
 func (c *conn) write(request *Request) (err error) {
@@ -358,6 +381,7 @@
 // after a response to another request that only the end of the connection ends.
 func (c *conn) readHead(request *Request) (response *http.Response, reply platform.ResponseHeaders, err error) {
 	methodOnly := &http.Request{Method: request.Method}
+	strayed := false // a response to another request came first
 	for range maxStrayResponses {
 		c.limiter.limited, c.limiter.remaining = true, maxHeadBytes
 		response, err = http.ReadResponse(c.reader, methodOnly)
@@ -369,9 +393,10 @@
 			continue
 		}
 		reply = platform.ParseResponseHeaders(response)
-		if reply.ID == request.ID || reply.ID == "" && reply.NotRun {
+		if reply.ID == request.ID || reply.ID == "" && reply.NotRun && !c.used && !strayed {
 			return response, reply, nil
 		}
+		strayed = true
 		c.pool.options.Count("stray")
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			break
@@ -449,5 +474,6 @@
 	if r.Reply.KeepAlive > 0 {
 		idle = max(r.Reply.KeepAlive-keepAliveMargin, defaultIdleTimeout)
 	}
+	r.conn.used = true
 	r.conn.pool.putIdle(r.conn, idle)
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -79,6 +79,14 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%sKeep-Alive: timeout=5\r\nContent-Length: %d\r\n\r\n%s", id, sealHeader, len(body), body)
 }
 
+// refusal returns the raw bytes of a refusal that says that the request hasn't run.
+func refusal(id string) (text string) {
+	if id != "" {
+		id = "Request-Id: " + id + "\r\n"
+	}
+	return "HTTP/1.1 503 Service Unavailable\r\n" + id + "Not-Executed: 1\r\nKeep-Alive: timeout=5\r\nContent-Length: 7\r\n\r\nrefused"
+}
+
 // send sends one request and reads the whole body of its response.
 func send(pool *relay.Pool, id, body string) (text string, err error) {
 	method := http.MethodGet
@@ -106,18 +114,23 @@
 		want      []string // bodies of the responses; "" for a failure
 		count     string   // number of connections opened
 	}{
-		"two requests on one connection":     {[]string{okResponse("q1", "a"), okResponse("q2", "b")}, []string{"a", "b"}, "dial 1"},
-		"extra response after the response":  {[]string{okResponse("q1", "a") + okResponse("q1", "again"), okResponse("q2", "b")}, []string{"a", "b"}, "dial 2"},
-		"extra response before the response": {[]string{okResponse("q0", "old") + okResponse("q1", "a"), okResponse("q2", "b")}, []string{"a", "b"}, "dial 1"},
-		"response to another request":        {[]string{okResponse("q9", "x") + "<close>", okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
-		"interim response":                   {[]string{"HTTP/1.1 103 Early Hints\r\n\r\n" + okResponse("q1", "a"), okResponse("q2", "b")}, []string{"a", "b"}, "dial 1"},
-		"no content length":                  {[]string{"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\n" + sealHeader + "Connection: close\r\n\r\nall<close>", okResponse("q2", "b")}, []string{"all", "b"}, "dial 2"},
-		"truncated":                          {[]string{"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\n" + sealHeader + "Content-Length: 9\r\n\r\nhalf<close>", okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
-		"truncated chunk":                    {[]string{"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n<close>", okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
-		"not an HTTP response":               {[]string{"garbage\r\n\r\n<close>", okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
-		"closed":                             {[]string{"<close>", okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
-		"no request ID":                      {[]string{"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx<close>", okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
-		"leaving":                            {[]string{strings.Replace(okResponse("q1", "a"), sealHeader, sealHeader+"Connection: close\r\n", 1), okResponse("q2", "b")}, []string{"a", "b"}, "dial 2"},
+		"two requests on one connection":                {[]string{okResponse("q1", "a"), okResponse("q2", "b")}, []string{"a", "b"}, "dial 1"},
+		"extra response after the response":             {[]string{okResponse("q1", "a") + okResponse("q1", "again"), okResponse("q2", "b")}, []string{"a", "b"}, "dial 2"},
+		"extra response before the response":            {[]string{okResponse("q0", "old") + okResponse("q1", "a"), okResponse("q2", "b")}, []string{"a", "b"}, "dial 1"},
+		"response to another request":                   {[]string{okResponse("q9", "x") + "<close>", okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
+		"interim response":                              {[]string{"HTTP/1.1 103 Early Hints\r\n\r\n" + okResponse("q1", "a"), okResponse("q2", "b")}, []string{"a", "b"}, "dial 1"},
+		"no content length":                             {[]string{"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\n" + sealHeader + "Connection: close\r\n\r\nall<close>", okResponse("q2", "b")}, []string{"all", "b"}, "dial 2"},
+		"truncated":                                     {[]string{"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\n" + sealHeader + "Content-Length: 9\r\n\r\nhalf<close>", okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
+		"truncated chunk":                               {[]string{"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n<close>", okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
+		"not an HTTP response":                          {[]string{"garbage\r\n\r\n<close>", okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
+		"closed":                                        {[]string{"<close>", okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
+		"no request ID":                                 {[]string{"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx<close>", okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
+		"refusal without an ID, first response":         {[]string{refusal(""), okResponse("q2", "b")}, []string{"refused", "b"}, "dial 1"},
+		"earlier refusal sent once more, without an ID": {[]string{okResponse("q1", "a"), refusal("") + okResponse("q2", "b")}, []string{"a", "b"}, "dial 1"},
+		"earlier refusal sent instead of a response":    {[]string{okResponse("q1", "a"), refusal("") + "<close>"}, []string{"a", ""}, "dial 1"},
+		"refusal of an earlier request":                 {[]string{okResponse("q1", "a"), refusal("q1") + okResponse("q2", "b")}, []string{"a", "b"}, "dial 1"},
+		"refusal after a stray response":                {[]string{okResponse("q0", "x") + refusal("") + "<close>", okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
+		"leaving":                                       {[]string{strings.Replace(okResponse("q1", "a"), sealHeader, sealHeader+"Connection: close\r\n", 1), okResponse("q2", "b")}, []string{"a", "b"}, "dial 2"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -290,3 +303,45 @@
 		})
 	}
 }
+
+// Guards against a request that is sent although its upstream left, or asked for a
+// pause, while the connection was being opened.
+func TestWithdrawnRequestIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := nettest.New()
+		requests := serveScript(t, network, okResponse("q1", "a"), okResponse("q3", "c"))
+		dials := 0
+		pool := relay.New(relay.Options{Network: network.Host("10.0.0.9"), Count: func(event string) {
+			if event == "dial" {
+				dials++
+			}
+		}})
+		target := relay.Target{ID: "u", Address: netip.MustParseAddrPort(upstreamAddress)}
+		withdrawn := errors.ConstError("withdrawn")
+		for _, check := range []error{nil, withdrawn} {
+			response, err := pool.Send(context.Background(), target, &relay.Request{
+				Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{"Request-Id": {"q1"}}, ID: "q1",
+				Check: func() error { return check },
+			})
+			if check == nil {
+				if err != nil {
+					t.Fatal(err)
+				}
+				response.Discard()
+				response.Close()
+				continue
+			}
+			var failure *relay.Failure
+			if !errors.Is(err, withdrawn) || !errors.As(err, &failure) || failure.MayHaveRun {
+				t.Errorf("error %v, want %v of a request that hasn't run", err, withdrawn)
+			}
+		}
+		if got, err := send(pool, "q3", ""); err != nil || got != "c" {
+			t.Errorf("got %q, %v on the connection of the request that wasn't sent", got, err)
+		}
+		if len(requests) != 2 || dials != 1 {
+			t.Errorf("%d requests on %d connections, want 2 on 1", len(requests), dials)
+		}
+		pool.Forget("u")
+	})
+}
