entry, platform: keep the calls of leaders in order without the platform's help

Cause: with require_fencing = false nobody refuses a late call of an earlier leader. A node acted as soon as it held the lease, while calls of its predecessor could be under way, and could lead again within lease_ms. Also package guard: a panic ends the request, message, call or round in which it happened, is logged with its stack and counted; loops start again.

--- a/entry/cachecontents.go
+++ b/entry/cachecontents.go
@@ -41,6 +41,7 @@
 
 // Kept returns the cache contents of engines as this node knows them.
 func (r *rpcHandler) Kept(_ CacheContentsRequest, reply *CacheContentsReply) (err error) {
+	defer r.recoverCall("Entry.Kept", &err)
 	if reply.Known = r.node.cachesKnown.Load(); reply.Known {
 		reply.Engines = r.node.dispatcher.CacheContents()
 	}
@@ -52,7 +53,7 @@
 // nodes of the domain have just started, the store reader asks the engines of the
 // domain and passes the results on to the other nodes.
 func (n *Node) bootstrapCaches() {
-	go func() {
+	n.guard.Go("bootstrap caches", func() {
 		defer n.cachesKnown.Store(true)
 		for attempt := range bootstrapAttempts {
 			n.sleep(bootstrapInterval)
@@ -73,7 +74,7 @@
 			}
 		}
 		n.logger.Info("cache contents of engines not fetched")
-	}()
+	})
 }
 
 // fetchCacheContents fetches the cache contents of engines from the node at
--- a/entry/config.go
+++ b/entry/config.go
@@ -37,7 +37,7 @@
 // configuration is older than followStaleAge and no newer one is arriving from
 // another node.
 func (n *Node) followConfig() {
-	go func() {
+	n.guard.Loop(n.ctx, "follow configuration", func() {
 		reachable := true
 		interval := min(compareInterval, n.settings.Bounds.Configuration*2/5)
 		for n.ctx.Err() == nil {
@@ -69,7 +69,7 @@
 			n.storeFailing.Store(!reachable && !errors.Is(err, store.ErrNotFound))
 			n.sleep(wait)
 		}
-	}()
+	})
 }
 
 // sleep waits for a duration, or until the node stops.
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -138,7 +138,7 @@
 // If it still accepts connections, the request didn't crash it.
 func (n *Node) probeAfterFailure(e *exchange, fingerprint string, upstream discovery.Upstream) {
 	begun := e.responseBegun
-	go func() {
+	n.guard.Go("probe upstream", func() {
 		n.sleep(crashProbeDelay)
 		ctx, cancel := context.WithTimeout(n.ctx, crashProbeDelay)
 		defer cancel()
@@ -162,7 +162,7 @@
 			}
 		}
 		n.recordCrashes(observed, true)
-	}()
+	})
 }
 
 // recordCrashes counts crashes. Those that this node observed itself are also
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,6 +44,8 @@
 //     of its prompt, see policy.Suspects.
 //   - Platform: callers are served as before. The leader repeats usage reports until
 //     Bounds.UsageLateness, and orders after orderRetryDelay.
+//   - A panic of this program: it ends the request, message or call in which it
+//     happened. Background loops start again, see package guard.
 //   - Caller: when it disconnects, the request to the upstream is canceled.
 package entry
 
@@ -66,6 +68,7 @@
 
 	"github.com/guavagauge/guavagauge/discovery"
 	"github.com/guavagauge/guavagauge/dispatch"
+	"github.com/guavagauge/guavagauge/guard"
 	"github.com/guavagauge/guavagauge/peer"
 	"github.com/guavagauge/guavagauge/platform"
 	"github.com/guavagauge/guavagauge/relay"
@@ -146,10 +149,12 @@
 		storeFailing    atomic.Bool
 		stopping        atomic.Bool
 		lastFollowed    atomic.Int64 // clock reading when the last successful Entry.Follow call began
+		lastDutyCall    atomic.Int64 // clock reading of this node's last call as the leader; 0: none
 		inFlight        atomic.Int64
 		upstreams       *discovery.UpstreamSet
 		dispatcher      *dispatch.Dispatcher
 		upstreamPool    *relay.Pool
+		guard           *guard.Guard
 		budget          *retryBudget
 		usage           *ledger
 		crashes         *crashTracker
@@ -220,6 +225,7 @@
 		network:    options.Network, budget: newRetryBudget(s.Bounds), usage: newLedger(s.Bounds.UsageWindow), crashes: newCrashTracker(),
 		malformedEntries: map[string]uint64{},
 	}
+	n.guard = guard.New(n.logger, set)
 	n.engineClient = platform.NewEngineClient(options.Network)
 	n.upstreamPool = relay.New(relay.Options{Network: options.Network, Count: func(event string) { n.count("connections", event) }})
 	n.ctx, n.cancel = context.WithCancel(ctx)
@@ -240,7 +246,7 @@
 	n.followUpstreams()
 	n.campaign()
 	n.bootstrapCaches()
-	go func() {
+	n.guard.Loop(n.ctx, "sweep", func() {
 		ticker := time.NewTicker(sweepInterval)
 		defer ticker.Stop()
 		summary := time.Now()
@@ -259,7 +265,7 @@
 				return
 			}
 		}
-	}()
+	})
 	return n, nil
 }
 
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/guavagauge/guavagauge/discovery"
 	"github.com/guavagauge/guavagauge/peer"
 	"github.com/guavagauge/guavagauge/platform"
@@ -75,6 +77,7 @@
 // Follow returns this node's configuration and upstreams where they are newer
 // than the calling node's.
 func (r *rpcHandler) Follow(request FollowRequest, reply *FollowReply) (err error) {
+	defer r.recoverCall("Entry.Follow", &err)
 	n := r.node
 	n.storeStateMu.Lock()
 	defer n.storeStateMu.Unlock()
@@ -91,10 +94,20 @@
 
 // Account merges the usage counts of another node.
 func (r *rpcHandler) Account(request AccountRequest, _ *struct{}) (err error) {
+	defer r.recoverCall("Entry.Account", &err)
 	r.node.peers.mergeCounts(request)
 	return nil
 }
 
+// recoverCall makes a call of another node fail if its method panics. net/rpc would
+// end the process.
+func (r *rpcHandler) recoverCall(method string, err *error) {
+	if value := recover(); value != nil {
+		r.node.guard.Report(method, value)
+		*err = errors.Errorf("%s panicked", method)
+	}
+}
+
 // listenPeers serves the RPCs of other nodes.
 func (n *Node) listenPeers() (err error) {
 	listener, err := n.network.Listen(n.ctx, n.settings.Listen.Peer)
@@ -162,7 +175,7 @@
 // node's configuration is stale, it follows any node that can read the store, even
 // of another domain.
 func (n *Node) followStoreReader() {
-	go func() {
+	n.guard.Loop(n.ctx, "follow store reader", func() {
 		for n.ctx.Err() == nil {
 			now := time.Now()
 			if address, other := n.peers.storeReader(now); other {
@@ -178,7 +191,7 @@
 			case <-n.ctx.Done():
 			}
 		}
-	}()
+	})
 }
 
 // storeReader returns the address of the node that reads the store for this
--- a/entry/leader.go
+++ b/entry/leader.go
@@ -44,8 +44,8 @@
 	if n.cloud == nil {
 		return
 	}
-	go func() { n.writeUsageLoop() }()
-	go func() {
+	n.guard.Loop(n.ctx, "write usage", n.writeUsageLoop)
+	n.guard.Loop(n.ctx, "lead", func() {
 		for n.ctx.Err() == nil {
 			if !n.awaitNoLeader() {
 				return
@@ -63,7 +63,11 @@
 				continue
 			}
 			n.logger.Info("leader lease acquired", "Token", held.Epoch())
-			n.lead(held)
+			if err = n.awaitTurn(held); err != nil {
+				n.logger.Info("leadership not begun", "Token", held.Epoch(), "Error", err)
+			} else {
+				n.guard.Run("lead", func() { n.lead(held) }) // the lease is released after a panic too
+			}
 			n.logger.Info("leadership ended", "Token", held.Epoch(), "Cause", context.Cause(held.Context()))
 			releaseCtx, cancel := context.WithTimeout(context.WithoutCancel(n.ctx), callTimeout)
 			if err = held.Release(releaseCtx); err != nil {
@@ -71,7 +75,7 @@
 			}
 			cancel()
 		}
-	}()
+	})
 }
 
 // awaitNoLeader waits until this node may lead and there seems to be no leader.
@@ -93,6 +97,24 @@
 	return false
 }
 
+// awaitTurn waits until the calls of the previous leader have ended, and until
+// Bounds.Lease after this node's own last call of an earlier term: calls of two
+// leaders that take turns within that time break the platform's rules, which the
+// platform itself doesn't enforce everywhere. See docs/decisions/fencing.md.
+func (n *Node) awaitTurn(held *lease.Lease) (err error) {
+	if err = held.AwaitPredecessor(n.ctx); err != nil {
+		return err
+	}
+	if last := time.Duration(n.lastDutyCall.Load()); last > 0 {
+		select {
+		case <-time.After(n.settings.Bounds.Lease - (n.clock() - last)):
+		case <-held.Context().Done():
+			return context.Cause(held.Context())
+		}
+	}
+	return held.Check()
+}
+
 // lead reports usage and orders capacity until the lease ends, the node stops or
 // the platform has seen a higher fencing token.
 func (n *Node) lead(held *lease.Lease) {
@@ -127,7 +149,12 @@
 }
 
 // fencedHolder returns the name and fencing token for the leader's calls to the
-// platform.
+// platform. Each call is checked against the lease right before it is written.
 func (n *Node) fencedHolder(held *lease.Lease) platform.FencedHolder {
-	return platform.FencedHolder{Holder: n.settings.Name, Token: held.Epoch()}
+	return platform.FencedHolder{Holder: n.settings.Name, Token: held.Epoch(), Check: func() (err error) {
+		if err = held.Check(); err == nil {
+			n.lastDutyCall.Store(int64(n.clock()))
+		}
+		return err
+	}}
 }
--- a/entry/message.go
+++ b/entry/message.go
@@ -169,8 +169,27 @@
 		p.node.logger.Warn("invalid message from peer", "From", from, "Error", err)
 		return
 	}
+	p.record(&m, from, now)
+	// The crashes of an aggregate message are also in the last of m.Relayed. Events
+	// that are already counted have no effect.
+	p.node.recordCrashes(m.Crashes, false)
+	if !m.Aggregate {
+		p.node.dispatcher.SetPeerLoads(m.Node, m.Loads, now)
+		p.node.dispatcher.ApplyCacheInserts(m.CacheInserts)
+	}
+	for _, r := range m.Relayed {
+		p.node.recordCrashes(r.Crashes, false)
+		p.node.dispatcher.SetDomainLoads(r.FailureDomain, r.Node, r.Loads, now)
+		p.node.dispatcher.ApplyCacheInserts(r.CacheInserts)
+	}
+}
+
+// record keeps what a message says of its sender. It adds the content of an
+// aggregate message to m.Relayed.
+func (p *peers) record(m *message, from net.Addr, now time.Time) {
 	offset := time.Duration(m.WallNanos - now.UnixNano())
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	peer := p.byName[m.Node]
 	if peer == nil {
 		peer = &peerNode{}
@@ -199,17 +218,4 @@
 	for _, r := range m.Relayed {
 		p.remoteClocks[r.FailureDomain] = clockOffset{offset: offset + r.Offset, at: now}
 	}
-	p.mu.Unlock()
-	// The crashes of an aggregate message are also in the last of m.Relayed. Events
-	// that are already counted have no effect.
-	p.node.recordCrashes(m.Crashes, false)
-	if !m.Aggregate {
-		p.node.dispatcher.SetPeerLoads(m.Node, m.Loads, now)
-		p.node.dispatcher.ApplyCacheInserts(m.CacheInserts)
-	}
-	for _, r := range m.Relayed {
-		p.node.recordCrashes(r.Crashes, false)
-		p.node.dispatcher.SetDomainLoads(r.FailureDomain, r.Node, r.Loads, now)
-		p.node.dispatcher.ApplyCacheInserts(r.CacheInserts)
-	}
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -99,7 +99,7 @@
 		<-n.ctx.Done()
 		p.conn.Close()
 	}()
-	go func() {
+	n.guard.Loop(n.ctx, "receive datagrams", func() {
 		buffer := make([]byte, maxDatagramBytes)
 		for {
 			size, from, err := p.conn.ReadFrom(buffer)
@@ -110,10 +110,10 @@
 				n.logger.Warn("datagram can't be read", "Error", err)
 				continue
 			}
-			p.receive(buffer[:size], from, time.Now())
+			n.guard.Run("datagram", func() { p.receive(buffer[:size], from, time.Now()) })
 		}
-	}()
-	go func() {
+	})
+	n.guard.Loop(n.ctx, "send datagrams", func() {
 		ticker := time.NewTicker(gossipTick)
 		defer ticker.Stop()
 		var lastLocal, lastRemote, lastCounts time.Time
@@ -137,8 +137,8 @@
 				return
 			}
 		}
-	}()
-	go func() { p.register() }()
+	})
+	n.guard.Loop(n.ctx, "register", p.register)
 	return p, nil
 }
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -35,6 +35,7 @@
 	reasonTimeout     reason = "Timeout"     // the request may have run, and its deadline passed
 	reasonQuarantined reason = "HeldOut"     // the request is quarantined, since it crashed upstreams
 	reasonUnreachable reason = "Unreachable" // no connection to an upstream could be made
+	reasonInternal    reason = "Internal"    // this program panicked while it handled the request
 	reasonPaused      reason = "Paused"      // all upstreams that could serve the request asked for a pause
 )
 
@@ -81,6 +82,8 @@
 		calls      int // attempts that reached an upstream, and failed prefills; once it isn't 0, the next attempt is a retry
 		runs       int // attempts that the upstream may have run; prefills don't count
 		lastReason reason
+		job        *dispatch.Job // the last one; nil before the first
+		responded  bool          // the status of a response was written to the caller
 		// responseBegun is set once an upstream has sent an event of its response, in
 		// any attempt.
 		responseBegun bool
@@ -92,6 +95,7 @@
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
 	e := &exchange{node: n, w: w, r: r, ctx: r.Context(), arrivedAt: time.Now()}
+	defer e.endPanic()
 	if n.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -109,6 +113,26 @@
 	}
 }
 
+// endPanic ends a panic of the handler. The caller gets status 502, which promises
+// nothing, or its connection is closed if a response has begun.
+func (e *exchange) endPanic() {
+	value := recover()
+	if value == nil {
+		return
+	}
+	if value == http.ErrAbortHandler { // closes the connection; see finishUnserved
+		panic(value)
+	}
+	e.node.guard.Report("request", value)
+	if e.job != nil {
+		e.job.End(time.Now(), dispatch.Abandoned)
+	}
+	if e.responded {
+		panic(http.ErrAbortHandler)
+	}
+	e.fail(http.StatusBadGateway, reasonInternal, nil)
+}
+
 // admit validates the request, reads its body and chooses its service. If it
 // refuses the request, it responds to the caller and returns false.
 func (e *exchange) admit() (ok bool) {
@@ -179,6 +203,7 @@
 	upstreamHeaders.Deadline = e.deadline.Sub(now) - upstreamMargin
 	platform.SetUpstreamHeaders(header, upstreamHeaders)
 	job = e.node.dispatcher.Begin(choice, now)
+	e.job = job
 	target := relay.Target{ID: choice.Upstream.ID, Address: choice.Upstream.Address}
 	response, err = e.node.upstreamPool.Send(e.ctx, target, &relay.Request{
 		Method: e.r.Method, URI: requestURI(e.r), Host: e.r.Host, Header: header, Body: e.body, ID: e.request.ID,
@@ -274,6 +299,7 @@
 	if e.request.ID != "" {
 		e.w.Header().Set("Request-Id", e.request.ID)
 	}
+	e.responded = true
 	e.w.WriteHeader(status)
 	io.WriteString(e.w, text)
 }
@@ -303,5 +329,6 @@
 	if e.node.stopping.Load() {
 		header.Set("Connection", "close")
 	}
+	e.responded = true
 	e.w.WriteHeader(response.Status)
 }
--- a/entry/transfer.go
+++ b/entry/transfer.go
@@ -69,6 +69,7 @@
 
 // Config returns a part of this node's compressed configuration.
 func (r *rpcHandler) Config(request ConfigRequest, reply *ConfigReply) (err error) {
+	defer r.recoverCall("Entry.Config", &err)
 	data, err := r.node.compressedConfig(request.Revision)
 	if err != nil {
 		return err
@@ -121,7 +122,7 @@
 	if !n.transferring.CompareAndSwap(false, true) {
 		return
 	}
-	go func() {
+	n.guard.Go("fetch configuration", func() {
 		defer n.transferring.Store(false)
 		if t := &n.transfer; t.from != address || t.revision != revision {
 			n.transfer = configTransfer{from: address, revision: revision}
@@ -139,7 +140,7 @@
 		if n.applyConfig(store.Entry{Key: platform.ConfigKey, Value: value, Version: revision}, address.String(), n.clock()-startedAt) {
 			n.confirmConfig(confirmedAt)
 		}
-	}()
+	})
 }
 
 // fetchConfig fetches the rest of a configuration, and returns the whole.
--- a/entry/upstreams.go
+++ b/entry/upstreams.go
@@ -37,11 +37,9 @@
 // store. The store reader of the failure domain watches them. Another node lists
 // them only while the reader doesn't respond or its upstreams are outdated.
 func (n *Node) followUpstreams() {
-	go func() {
+	n.guard.Loop(n.ctx, "follow upstreams", func() {
 		for n.ctx.Err() == nil {
-			n.storeStateMu.Lock()
-			revision, age := n.upstreamsRevision, n.clock()-n.upstreamsConfirmedAt
-			n.storeStateMu.Unlock()
+			revision, age := n.upstreamsState()
 			isReader := n.isStoreReader()
 			readerAnswers := n.clock()-time.Duration(n.lastFollowed.Load()) < followStaleAge
 			if !isReader && age < relistAge && readerAnswers {
@@ -77,7 +75,15 @@
 			n.upstreams.MarkStoreDown(time.Now())
 			n.sleep(listRetryDelay)
 		}
-	}()
+	})
+}
+
+// upstreamsState returns the store revision of the upstream set, and the time since
+// it was last known to be up to date.
+func (n *Node) upstreamsState() (revision uint64, age time.Duration) {
+	n.storeStateMu.Lock()
+	defer n.storeStateMu.Unlock()
+	return n.upstreamsRevision, n.clock() - n.upstreamsConfirmedAt
 }
 
 // setUpstreamsRevision records that the upstream set reflects the store at a
--- a/platformtest/cloud.go
+++ b/platformtest/cloud.go
@@ -2,9 +2,12 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
+	"time"
 )
 
 type (
@@ -14,11 +17,26 @@
 	// 400 if it lacks the token or the holder. All usage reports are one subject;
 	// orders have one per service and zone. It is safe for concurrent use.
 	Cloud struct {
+		// Unfenced makes it accept calls with lower tokens, and report them as
+		// violations, as well as holders that take turns within Lease. It must not
+		// change while calls are served.
+		Unfenced bool
+		Lease    time.Duration
+		// OnCall, if set, is called before a call takes effect.
+		OnCall func(holder, path string)
+
 		mu            sync.Mutex
 		highestTokens map[string]uint64
 		usage         map[int64]map[string]int64
 		violations    []string
 		orders        []Order
+		lastCalls     map[string][]holderCall // by subject, the last call of each holder, newest last
+	}
+
+	holderCall struct {
+		holder string
+		token  uint64
+		at     time.Time
 	}
 
 	// Order is an accepted order for capacity.
@@ -32,7 +50,7 @@
 
 // NewCloud returns a Cloud without reports or orders.
 func NewCloud() *Cloud {
-	return &Cloud{highestTokens: map[string]uint64{}, usage: map[int64]map[string]int64{}}
+	return &Cloud{highestTokens: map[string]uint64{}, usage: map[int64]map[string]int64{}, lastCalls: map[string][]holderCall{}}
 }
 
 // Usage returns the reported counts of a usage window.
@@ -64,7 +82,8 @@
 }
 
 // Violations describes the calls that break the platform's rules: reports of the
-// same usage window with different counts.
+// same usage window with different counts and, if Unfenced, lower tokens, two
+// holders with one token, and holders that take turns.
 func (c *Cloud) Violations() (violations []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -78,6 +97,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	holder := r.Header.Get("Duty-Holder")
+	if c.OnCall != nil {
+		c.OnCall(holder, r.URL.Path)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch r.URL.Path {
@@ -86,7 +109,7 @@
 			Window int64            `json:"window"`
 			Counts map[string]int64 `json:"counts"`
 		}
-		if json.NewDecoder(r.Body).Decode(&report) != nil || !c.acceptToken("usage", token) {
+		if json.NewDecoder(r.Body).Decode(&report) != nil || !c.acceptToken("usage", holder, token) {
 			w.WriteHeader(http.StatusConflict)
 			return
 		}
@@ -97,7 +120,7 @@
 		c.usage[report.Window] = report.Counts
 	case "/scale":
 		var order Order
-		if json.NewDecoder(r.Body).Decode(&order) != nil || !c.acceptToken(order.Service+"/"+order.Zone, token) {
+		if json.NewDecoder(r.Body).Decode(&order) != nil || !c.acceptToken(order.Service+"/"+order.Zone, holder, token) {
 			w.WriteHeader(http.StatusConflict)
 			return
 		}
@@ -108,15 +131,39 @@
 }
 
 // acceptToken reports whether the fencing token is at least as high as all
-// earlier ones for the subject, and records it if so. The caller holds mu.
-func (c *Cloud) acceptToken(subject string, token uint64) (ok bool) {
+// earlier ones for the subject, or tokens aren't checked, and records it if so.
+// The caller holds mu.
+func (c *Cloud) acceptToken(subject, holder string, token uint64) (ok bool) {
 	if token < c.highestTokens[subject] {
-		return false
+		if !c.Unfenced {
+			return false
+		}
+		c.violations = append(c.violations, fmt.Sprintf("%s: token %d of %s after %d", subject, token, holder, c.highestTokens[subject]))
+	}
+	c.highestTokens[subject] = max(c.highestTokens[subject], token)
+	if c.Unfenced {
+		c.recordTurn(subject, holder, token)
 	}
-	c.highestTokens[subject] = token
 	return true
 }
 
+// recordTurn records a call, and a violation if another holder has called since
+// the holder's last call, and that was within Lease. The caller holds mu.
+func (c *Cloud) recordTurn(subject, holder string, token uint64) {
+	now, calls := time.Now(), c.lastCalls[subject]
+	index := slices.IndexFunc(calls, func(call holderCall) bool { return call.holder == holder })
+	if index >= 0 {
+		if ago := now.Sub(calls[index].at); index < len(calls)-1 && ago < c.Lease {
+			c.violations = append(c.violations, fmt.Sprintf("%s: %s called %s ago, and %s since", subject, holder, ago, calls[len(calls)-1].holder))
+		}
+		calls = slices.Delete(calls, index, index+1)
+	}
+	if n := len(calls); n > 0 && calls[n-1].token == token {
+		c.violations = append(c.violations, fmt.Sprintf("%s: %s and %s with token %d", subject, calls[n-1].holder, holder, token))
+	}
+	c.lastCalls[subject] = append(calls, holderCall{holder, token, now})
+}
+
 func equalCounts(a, b map[string]int64) (same bool) {
 	for key, n := range a {
 		if b[key] != n {
