--- a/entry/leader.go
+++ b/entry/leader.go
@@ -152,6 +152,8 @@
 // platform. Each call is checked against the lease right before it is written.
 func (n *Node) fencedHolder(held *lease.Lease) platform.FencedHolder {
 	return platform.FencedHolder{Holder: n.settings.Name, Token: held.Epoch(), Check: func() (err error) {
+		// The HTTP client calls this in a goroutine of its own.
+		defer n.guard.Recover("lease check", func() { err = errors.New("check of the lease panicked") })
 		if err = held.Check(); err == nil {
 			n.lastDutyCall.Store(int64(n.clock()))
 		}
