entry: followers don't poll the store beside their reader

Cause: a follower's configuration gets up to 1.35 s old at the reader, 0.3 s until the next call and the way of both calls; a node read the store itself at 1.3 s. And at the start, every node took itself for the reader and competed for the leader's lease. Change: the reader compares each second, followers poll at 1.9 s (the silence of the reader still counts from 1.3 s); in the first 1.5 s a node reads the configuration and the upstreams once and leaves all else.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -568,3 +568,46 @@
 	d.Sync([]discovery.Upstream{engine("e1", "a", discovery.Decode), restarted}, []routing.Service{models, desk})
 	expect("new instance", "e2", 0, dispatch.Available)
 }
+
+// Guards against plans for engines of another speed than the default one, which a
+// deployment may have and the platform doesn't tell, and against a speed that is
+// taken from prefills that had to wait.
+func TestPlansFollowMeasuredSpeedOfEngines(t *testing.T) {
+	for name, c := range map[string]struct {
+		actual float64 // duration of a prefill, by the default costs
+		busy   bool    // the engine works for another node as well
+		want   float64
+	}{
+		"half the time":        {0.5, false, 0.5},
+		"three times the time": {3, false, 3},
+		"as expected":          {1, false, 1},
+		"busy engine":          {5, true, 1},
+		"cached unexpectedly":  {0.01, false, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDispatcher(engine("p", "a", discovery.Prefill), engine("g", "a", discovery.Decode))
+			now := start
+			planned := func(i int) dispatch.Choice {
+				plan, ok := d.PlacePrompt(dispatch.PromptRequest{Service: "models", Prompt: promptOf(fmt.Sprintf("s%d", i), 13_000, 4_000)}, now)
+				if !ok || plan.Prefill == nil {
+					t.Fatalf("plan %+v, %t, want a separate prefill", plan, ok)
+				}
+				return *plan.Prefill
+			}
+			first := planned(0).PrefillTime
+			for i := range 20 {
+				choice := planned(i)
+				if c.busy {
+					d.SetPeerLoads("n2", []dispatch.Load{{Upstream: "p", PendingPrefillMs: 100, Running: 1}}, now)
+				}
+				job := d.Begin(choice, now)
+				now = now.Add(time.Duration(float64(first) * c.actual))
+				job.End(now, dispatch.Served)
+				now = now.Add(10 * time.Second)
+			}
+			if got := float64(planned(99).PrefillTime) / float64(first); got < 0.98*c.want || got > 1.02*c.want {
+				t.Errorf("prefills are planned to take %.2f of the default, want %.2f", got, c.want)
+			}
+		})
+	}
+}
--- a/entry/config.go
+++ b/entry/config.go
@@ -16,7 +16,7 @@
 	// compareInterval is the longest time between two comparisons of the
 	// configuration with the one in the store. Two of them fit into the time
 	// within which a new configuration has to be in force.
-	compareInterval = 1200 * time.Millisecond
+	compareInterval = time.Second
 	// configReadTimeout bounds a comparison that brings a new configuration, which
 	// can be large and the link slow. A store that doesn't respond is noticed
 	// sooner, see platform.Store.
@@ -68,6 +68,9 @@
 			// ErrNotFound is an answer: the store has no configuration yet.
 			n.storeFailing.Store(!reachable && !errors.Is(err, store.ErrNotFound))
 			n.sleep(wait)
+			if err == nil {
+				n.awaitJoined()
+			}
 		}
 	})
 }
--- a/entry/config_test.go
+++ b/entry/config_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 )
@@ -186,6 +187,42 @@
 	})
 }
 
+// Guards against nodes that all read the store, and all compete for the leader's
+// lease, until they know each other. The start of a fleet costs a few calls a node,
+// of which stale reads and renewals are cheap.
+func TestStoreCallsAtStart(t *testing.T) {
+	const (
+		nodes = 40
+		// A node grants its lease, writes its entry, and reads the configuration and
+		// the upstreams once or twice. The reader and the leader have a share more.
+		limitPerNode = 6
+		storeDelay   = 30 * time.Millisecond // one way
+	)
+	runWithFleet(t, func(f *testFleet) {
+		f.network.SetDelay(func(_, _ netip.Addr) time.Duration { return storeDelay })
+		f.configure(1, key)
+		f.startDesk("d1", "10.2.0.1:80")
+		for i := range nodes {
+			f.startNode(fmt.Sprintf("n%02d", i), fmt.Sprintf("10.1.1.%d", i+1))
+			f.advance(7 * time.Millisecond)
+		}
+		f.advance(2 * time.Second)
+		for i := range nodes {
+			f.expect(f.request(fmt.Sprintf("10.1.1.%d:81", i+1), http.MethodGet, "/v1/readiness", "", nil), http.StatusOK, "")
+		}
+		f.advance(8 * time.Second)
+		full := 0
+		for kind, calls := range f.store.CallsByKind() {
+			if kind != "kv-range stale" && kind != "kv-keep" {
+				full += calls
+			}
+		}
+		if full > nodes*limitPerNode {
+			t.Errorf("%d calls at the full price by %d nodes, want at most %d a node: %v", full, nodes, limitPerNode, f.store.CallsByKind())
+		}
+	})
+}
+
 // Three seconds after an upstream starts draining or its entry disappears, no
 // node sends it requests, even if the store reader fails or stops meanwhile.
 func TestLeavingUpstreamGetsNoRequests(t *testing.T) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -139,6 +139,7 @@
 		store             ConfigStore
 		cloud             Cloud
 		clock             func() time.Duration
+		startedAt         time.Duration // clock reading
 		ctx               context.Context
 		cancel            context.CancelFunc
 		table             atomic.Pointer[routing.Table]
@@ -225,6 +226,7 @@
 		network:    options.Network, budget: newRetryBudget(s.Bounds), usage: newLedger(s.Bounds.UsageWindow), crashes: newCrashTracker(),
 		malformedEntries: map[string]uint64{},
 	}
+	n.startedAt = n.clock()
 	n.guard = guard.New(n.logger, set)
 	n.engineClient = platform.NewEngineClient(options.Network)
 	n.upstreamPool = relay.New(relay.Options{Network: options.Network, Count: func(event string) { n.count("connections", event) }})
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -89,6 +89,9 @@
 			for _, end := range cleanups {
 				end()
 			}
+			// An HTTP client goes on dialing for a call that has ended. With a delay of
+			// the network, that takes a moment.
+			<-time.After(time.Second)
 		}()
 		f.startServer(storeAddress+":80", f.store)
 		f.startServer(cloudAddress+":80", f.cloud)
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -20,16 +20,27 @@
 	followInterval = 300 * time.Millisecond
 	// followTimeout bounds an Entry.Follow or Entry.Account call.
 	followTimeout = 400 * time.Millisecond
-	// followStaleAge is the age of the configuration, or of the last successful
-	// call to the store reader, at which a node reads the store itself. A lower
-	// value adds store calls. A higher one delays updates after the reader failed.
-	followStaleAge = 1300 * time.Millisecond
+	// followStaleAge is the age of the configuration at which a node reads the store
+	// itself. It exceeds the age that a follower's configuration has while its reader
+	// works: up to compareInterval and an eighth of it, followInterval and the way of
+	// both calls. With a lower value, followers poll the store beside their reader. A
+	// higher one delays updates after the reader failed.
+	followStaleAge = 1900 * time.Millisecond
+	// readerSilence is the time since the last successful call to the store reader
+	// after which a node lists the upstreams itself.
+	readerSilence = 1300 * time.Millisecond
 	// readerTTL is how long after its last message a node may still be the store
 	// reader, and so how long its domain follows a reader that failed. It is shorter
 	// than peerTTL, which decides whether a node counts as alive. A node with a
 	// configuration older than readerMaxConfigAge can't be the reader.
 	readerTTL          = time.Second
 	readerMaxConfigAge = 2 * time.Second
+	// joinPeriod is how long after its start a node may not know the other nodes of
+	// its domain yet, so that it takes itself for the store reader. In it, a node
+	// reads the configuration and the upstreams once, which makes it ready, and
+	// leaves all else to nodes that have run for longer. A fleet that starts at once
+	// would otherwise send the store several calls a node more.
+	joinPeriod = 1500 * time.Millisecond
 	// usageRewritePeriod is how long after this node wrote the counts of a usage
 	// window it writes them again when another node's counts arrive late.
 	usageRewritePeriod = 10 * time.Second
@@ -126,6 +137,9 @@
 	return !other
 }
 
+// awaitJoined waits until joinPeriod after the start of the node.
+func (n *Node) awaitJoined() { n.sleep(joinPeriod - (n.clock() - n.startedAt)) }
+
 // follow calls the node at address and applies the configuration and upstreams
 // that it returns. It reports whether this node's configuration is recent then.
 func (n *Node) follow(address netip.AddrPort) (recent bool) {
--- a/entry/leader.go
+++ b/entry/leader.go
@@ -46,6 +46,7 @@
 	}
 	n.guard.Loop(n.ctx, "write usage", n.writeUsageLoop)
 	n.guard.Loop(n.ctx, "lead", func() {
+		n.awaitJoined()
 		for n.ctx.Err() == nil {
 			if !n.awaitNoLeader() {
 				return
--- a/entry/upstreams.go
+++ b/entry/upstreams.go
@@ -41,7 +41,7 @@
 		for n.ctx.Err() == nil {
 			revision, age := n.upstreamsState()
 			isReader := n.isStoreReader()
-			readerAnswers := n.clock()-time.Duration(n.lastFollowed.Load()) < followStaleAge
+			readerAnswers := n.clock()-time.Duration(n.lastFollowed.Load()) < readerSilence
 			if !isReader && age < relistAge && readerAnswers {
 				n.sleep(listRetryDelay)
 				continue
@@ -54,6 +54,8 @@
 			}
 			if err == nil && !isReader {
 				n.sleep(ownListInterval)
+			} else if err == nil {
+				n.awaitJoined() // the watch begins at the revision of the listing
 			}
 			// This node may have become the reader during the sleep.
 			for err == nil && n.isStoreReader() {
--- a/platformtest/store.go
+++ b/platformtest/store.go
@@ -52,6 +52,7 @@
 		refusedAddresses  map[string]bool
 		responsesToDrop   int // of the next transactions that write
 		callsByAddress    map[string]int
+		callsByKind       map[string]int
 	}
 
 	// bufferedResponse holds the status and the body of a response.
@@ -99,7 +100,7 @@
 func NewStore() *Store {
 	return &Store{
 		revision: firstRevision, compactedRevision: firstRevision, items: map[string]item{}, leases: map[uint64]*storeLease{},
-		changed: make(chan struct{}), refusedAddresses: map[string]bool{}, callsByAddress: map[string]int{},
+		changed: make(chan struct{}), refusedAddresses: map[string]bool{}, callsByAddress: map[string]int{}, callsByKind: map[string]int{},
 	}
 }
 
@@ -151,6 +152,22 @@
 	return s.callsByAddress[address]
 }
 
+// CallsByKind returns the number of calls from all addresses by kind, such as
+// "kv-txn" or "kv-range stale".
+func (s *Store) CallsByKind() (calls map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.callsByKind)
+}
+
+func callKind(r *http.Request) (kind string) {
+	kind, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/"), "/")
+	if r.URL.Query().Get("stale_ok") != "" {
+		kind += " stale"
+	}
+	return kind
+}
+
 // Keys returns the keys that begin with a prefix, sorted.
 func (s *Store) Keys(prefix string) (keys []string) {
 	s.mu.Lock()
@@ -181,6 +198,7 @@
 	}
 	s.mu.Lock()
 	s.callsByAddress[address]++
+	s.callsByKind[callKind(r)]++
 	refused := s.refusedAddresses[address]
 	s.mu.Unlock()
 	if refused {
