--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -96,7 +96,6 @@
 		cacheInserts       []CacheInsert // recent ones, to be sent to other nodes
 		// loadedBy has the upstreams whose peerLoads have an entry of a source.
 		loadedBy map[string][]*upstream
-		paces    map[string]*pace       // by service
 		leaving  map[instance]time.Time // instances that said that they leave, by the time of their last notice
 		// engineStates is reused by each placement of a prompt.
 		engineStates []engineState
@@ -120,8 +119,6 @@
 		// CachedTokens is the number of prompt tokens that are probably cached at
 		// the engine or fetched from Fetch.
 		CachedTokens int
-		// PrefillOnly means that another engine decodes.
-		PrefillOnly bool
 
 		// prompt is also set for a step that only decodes, since the engine then
 		// gets the KV cache of the prompt.
@@ -135,7 +132,6 @@
 		upstream     *upstream // nil if it was no longer registered at Begin
 		choice       Choice
 		prefillTime  time.Duration
-		undisturbed  time.Duration // see Dispatcher.undisturbedPrefill
 		startedAt    time.Time
 		prefillEnded bool // the prompt was prefilled, or never will be
 		ended        bool
@@ -179,7 +175,7 @@
 	options.Costs = options.Costs.withDefaults()
 	return &Dispatcher{
 		options: options, upstreams: map[string]*upstream{}, upstreamsByService: map[string][]*upstream{},
-		serviceConfigs: map[string]*routing.Service{}, loadedBy: map[string][]*upstream{}, leaving: map[instance]time.Time{}, paces: map[string]*pace{},
+		serviceConfigs: map[string]*routing.Service{}, loadedBy: map[string][]*upstream{}, leaving: map[instance]time.Time{},
 	}
 }
 
@@ -232,7 +228,6 @@
 		job.ended = true
 		return job
 	}
-	job.undisturbed = d.undisturbedPrefill(u, choice, now)
 	if u.pendingPrefill == 0 {
 		u.busySince = now
 	}
@@ -296,7 +291,6 @@
 	}
 	j.prefillEnded = true
 	if completed {
-		j.dispatcher.observePace(j, now)
 		u.cache.markPrefilled(j.choice.prompt)
 		j.dispatcher.recordPrefill(u, j.choice.prompt, now)
 	} else {
--- a/dispatch/prompt.go
+++ b/dispatch/prompt.go
@@ -148,12 +148,11 @@
 	}
 	engines := d.usableUpstreams(request.Service, request.Tried, now)
 	states, sources := d.inspect(engines, request.Service, request.Prompt, now)
-	costs := d.costsOf(request.Service)
 	lowest := time.Duration(math.MaxInt64)
-	decodeEngine, decodeWait := d.bestDecode(states, request.Prompt, service.Engine, &costs)
+	decodeEngine, decodeWait := d.bestDecode(states, request.Prompt, service.Engine)
 	for i := range states {
 		u := states[i].upstream
-		choice, cost := d.prefillCost(&states[i], sources, request.Prompt, service.Engine, &costs)
+		choice, cost := d.prefillCost(&states[i], sources, request.Prompt, service.Engine)
 		choice.service = request.Service
 		candidate := Plan{Decode: choice, Expected: choice.Expected}
 		if u.Stage == discovery.Prefill {
@@ -167,7 +166,6 @@
 				continue
 			}
 			prefillChoice := choice
-			prefillChoice.PrefillOnly = true
 			candidate = Plan{
 				Prefill:  &prefillChoice,
 				Decode:   Choice{Upstream: decodeEngine.Upstream, Expected: extra, prompt: request.Prompt, service: request.Service},
@@ -193,9 +191,8 @@
 	if service == nil || service.Engine == nil {
 		return Choice{}, false
 	}
-	costs := d.costsOf(planned.service)
 	states, _ := d.inspect(d.usableUpstreams(planned.service, tried, now), planned.service, planned.prompt, now)
-	decodeEngine, wait := d.bestDecode(states, planned.prompt, service.Engine, &costs)
+	decodeEngine, wait := d.bestDecode(states, planned.prompt, service.Engine)
 	if decodeEngine == nil {
 		return Choice{}, false
 	}
@@ -232,8 +229,8 @@
 
 // prefillCost returns the choice of an engine for a prefill, with the expected
 // times, and its cost: the expected time with surcharges.
-func (d *Dispatcher) prefillCost(state *engineState, sources []kvSource, prompt platform.Prompt, engine *routing.Engine, costs *Costs) (choice Choice, cost time.Duration) {
-	u, cached := state.upstream, state.cached
+func (d *Dispatcher) prefillCost(state *engineState, sources []kvSource, prompt platform.Prompt, engine *routing.Engine) (choice Choice, cost time.Duration) {
+	costs, u, cached := &d.options.Costs, state.upstream, state.cached
 	rate := costs.PrefillRate
 	running := 0
 	if u.Stage != discovery.Prefill {
@@ -294,7 +291,7 @@
 // expected wait there. Engines of the prefill stage are left out. A quarter of the
 // prefill backlog counts as wait, since engines alternate prefill chunks with
 // decoding steps.
-func (d *Dispatcher) bestDecode(states []engineState, prompt platform.Prompt, engine *routing.Engine, costs *Costs) (best *upstream, wait time.Duration) {
+func (d *Dispatcher) bestDecode(states []engineState, prompt platform.Prompt, engine *routing.Engine) (best *upstream, wait time.Duration) {
 	lowest := time.Duration(math.MaxInt64)
 	for i := range states {
 		state := &states[i]
@@ -303,7 +300,7 @@
 			continue
 		}
 		delay := state.concurrencyDelay(engine) + state.backlog/4
-		evictionCost := costs.EvictionCost * time.Duration(u.cache.evictedTokens(prompt.Tokens-state.cached))
+		evictionCost := d.options.Costs.EvictionCost * time.Duration(u.cache.evictedTokens(prompt.Tokens-state.cached))
 		if cost := delay + d.networkCost(u) + evictionCost; cost < lowest {
 			best, wait, lowest = u, delay, cost
 		}
