--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -46,12 +46,12 @@
 // and one of its own.
 func (f *testFleet) promptParts(parts ...string) (header http.Header) {
 	header = http.Header{}
-	platformtest.AddPromptParts(header, append(parts, fmt.Sprintf("own%d", f.requestCount))...)
+	platformtest.AddPromptParts(header, append(parts, fmt.Sprintf("own%d", f.requestCount.Load()))...)
 	return header
 }
 
 // ownBody returns a body that no other request has.
-func (f *testFleet) ownBody() (body string) { return fmt.Sprintf("prompt %d", f.requestCount) }
+func (f *testFleet) ownBody() (body string) { return fmt.Sprintf("prompt %d", f.requestCount.Load()) }
 
 // startPoisonedEngines starts three nodes and engines that crash when they run a
 // request with the prompt part "deadly".
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,7 +58,7 @@
 		upstreams           map[string]*platformtest.Upstream
 		nodes               map[string]*entry.Node
 		start               time.Time
-		requestCount        int
+		requestCount        atomic.Int64
 		metricsAddressTaken bool       // another listener has the metrics address of the nodes
 		cleanupsMu          sync.Mutex // upstreams that restart add to cleanups in goroutines of their own
 		cleanups            []func()
@@ -204,13 +205,13 @@
 }
 
 func (f *testFleet) requestContext(ctx context.Context, address, method, path string, body string, header http.Header) (r result) {
-	f.requestCount++
+	number := f.requestCount.Add(1)
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	request.Host = "a.example"
-	request.Header = platformtest.CallerHeader(fmt.Sprintf("q%d", f.requestCount), key, 2500*time.Millisecond)
+	request.Header = platformtest.CallerHeader(fmt.Sprintf("q%d", number), key, 2500*time.Millisecond)
 	for name, values := range header {
 		request.Header[name] = values
 	}
