dispatch: count an upstream that a message lists twice once

Loads by source were appended for each entry of a message; the former map kept the last one. A malformed or faulty message could so raise an upstream's load. The new case fails on the code before.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -69,6 +69,13 @@
 		"full by another node's jobs": {func(d *dispatch.Dispatcher) {
 			d.SetPeerLoads("n2", []dispatch.Load{{Upstream: "near", Running: 40}}, start)
 		}, nil, "far"},
+		"upstream listed twice by another node": {func(d *dispatch.Dispatcher) {
+			d.SetPeerLoads("n2", []dispatch.Load{{Upstream: "near", Running: 40}, {Upstream: "near", Running: 0}}, start)
+		}, nil, "near"},
+		"another node's load is replaced": {func(d *dispatch.Dispatcher) {
+			d.SetPeerLoads("n2", []dispatch.Load{{Upstream: "near", Running: 40}}, start)
+			d.SetPeerLoads("n2", []dispatch.Load{{Upstream: "far", Running: 1}}, start)
+		}, nil, "near"},
 		"another node's load has expired": {func(d *dispatch.Dispatcher) {
 			d.SetPeerLoads("n2", []dispatch.Load{{Upstream: "near", Running: 40}}, at(-10*time.Second))
 		}, nil, "near"},
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -149,7 +149,7 @@
 	// many and list few of the upstreams.
 	listed := d.loadedBy[source]
 	for _, u := range listed {
-		u.peerLoads = slices.DeleteFunc(u.peerLoads, func(l peerLoad) bool { return l.source == source })
+		u.peerLoads = slices.DeleteFunc(u.peerLoads, func(l peerLoad) bool { return l.source == source || now.Sub(l.receivedAt) >= peerLoadTTL })
 	}
 	listed = listed[:0]
 	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
@@ -158,11 +158,16 @@
 		if u == nil {
 			continue
 		}
-		u.peerLoads = append(u.peerLoads, peerLoad{
+		load := peerLoad{
 			source: source, pendingPrefill: time.Duration(l.PendingPrefillMs) * time.Millisecond, busySince: ago(l.BusyMs),
 			running: l.Running, receivedAt: now,
-		})
-		listed = append(listed, u)
+		}
+		if last := len(u.peerLoads) - 1; last >= 0 && u.peerLoads[last].source == source { // listed twice
+			u.peerLoads[last] = load
+		} else {
+			u.peerLoads = append(u.peerLoads, load)
+			listed = append(listed, u)
+		}
 		// The first count of a reporter only sets the base for the next ones, and so
 		// does a smaller one than before, which means that the reporter has restarted.
 		if last, known := u.peerUnsharedTokens[reporter]; known && l.UnsharedTokens > last {
