--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,22 +26,21 @@
 		g, log, set := newGuard()
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		rounds := 0
+		var rounds atomic.Int64
 		g.Loop(ctx, "loop", func() {
-			rounds++
-			if rounds <= 3 {
+			if rounds.Add(1) <= 3 {
 				panic("unexpected")
 			}
 			<-ctx.Done()
 		})
 		synctest.Wait()
-		if rounds != 1 {
-			t.Errorf("%d rounds at once, want a delay after a panic", rounds)
+		if n := rounds.Load(); n != 1 {
+			t.Errorf("%d rounds at once, want a delay after a panic", n)
 		}
 		<-time.After(time.Second)
 		synctest.Wait()
-		if count := set.GetOrCreateCounter(`guavagauge_panics_total{where="loop"}`).Get(); rounds != 4 || count != 3 {
-			t.Errorf("%d rounds and %d counted panics, want 4 and 3", rounds, count)
+		if count := set.GetOrCreateCounter(`guavagauge_panics_total{where="loop"}`).Get(); rounds.Load() != 4 || count != 3 {
+			t.Errorf("%d rounds and %d counted panics, want 4 and 3", rounds.Load(), count)
 		}
 		if text := log.String(); !strings.Contains(text, "unexpected") || !strings.Contains(text, "guard_test.go") {
 			t.Errorf("log has %q, want the value and the stack", text)
