entry, relay, platformtest: keep the platform's names and one way to start a node

Cause: entry/bench_test.go, entry/reports_test.go and relay/relay_test.go wrote headers of the platform's wire themselves; panic_test.go had a second copy of startNode, and recoverCall one of guard.Recover. Change: platformtest.DescribePrompt (which AddPrompt and AddPromptParts now use), BeginResponse and RawNotRun; testFleet.clock; the four RPC methods use guard.Recover. No behaviour of the product changes.

--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -123,13 +123,12 @@
 				}
 				r.Host = "a.example"
 				r.Header = platformtest.CallerHeader(fmt.Sprintf("q%d-%d", i, request), key, 2500*time.Millisecond)
-				r.Header.Set("Model", "m")
 				own, subject := 300, random.IntN(60)
 				if random.IntN(8) == 0 {
 					own = 3720
 				}
-				r.Header.Set("Token-Usage", fmt.Sprintf("%d,10", 13_300+own))
-				r.Header.Set("Prompt-Prefix", fmt.Sprintf("s%d:13300,o%d-%d:%d", subject, i, request, own))
+				platformtest.DescribePrompt(r.Header, platformtest.PromptPart{ID: fmt.Sprintf("s%d", subject), Tokens: 13_300},
+					platformtest.PromptPart{ID: fmt.Sprintf("o%d-%d", i, request), Tokens: own})
 				running.Go(func() {
 					response, err := client.Do(r)
 					if err != nil {
--- a/entry/cachecontents.go
+++ b/entry/cachecontents.go
@@ -41,7 +41,7 @@
 
 // Kept returns the cache contents of engines as this node knows them.
 func (r *rpcHandler) Kept(_ CacheContentsRequest, reply *CacheContentsReply) (err error) {
-	defer r.recoverCall("Entry.Kept", &err)
+	defer r.node.guard.Recover("Entry.Kept", func() { err = errCallPanicked })
 	if reply.Known = r.node.cachesKnown.Load(); reply.Known {
 		reply.Engines = r.node.dispatcher.CacheContents()
 	}
--- a/entry/condition_test.go
+++ b/entry/condition_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/guavagauge/guavagauge/platform"
 	"github.com/guavagauge/guavagauge/platformtest"
 )
 
@@ -41,14 +42,14 @@
 		f.advance(3 * time.Second)
 		ask("store is down")
 		f.store.Refuse("10.1.0.1", false)
-		f.store.Delete("servers/d1")
+		f.store.Delete(platform.UpstreamPrefix + "d1")
 		f.advance(4 * time.Second)
 		f.registerUpstreamStartedAt("d1", "desk", "", "10.2.0.1:80", "ready", f.start)
 		f.advance(2 * time.Second)
 		ask("entry was removed and written again")
 		leaving.SetLeaving(false)
 		f.registerUpstream("d1", "desk", "", "10.2.0.1:80", "ready")
-		f.store.Delete("servers/d2")
+		f.store.Delete(platform.UpstreamPrefix + "d2")
 		f.advance(4 * time.Second)
 		f.expect(f.request("10.1.0.1", http.MethodGet, "/draws/3", "", nil), http.StatusOK, "answer of d1")
 	})
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -59,8 +59,9 @@
 		nodes               map[string]*entry.Node
 		start               time.Time
 		requestCount        atomic.Int64
-		metricsAddressTaken bool       // another listener has the metrics address of the nodes
-		cleanupsMu          sync.Mutex // upstreams that restart add to cleanups in goroutines of their own
+		clock               func() time.Duration // of the nodes; the time since start by default
+		metricsAddressTaken bool                 // another listener has the metrics address of the nodes
+		cleanupsMu          sync.Mutex           // upstreams that restart add to cleanups in goroutines of their own
 		cleanups            []func()
 	}
 
@@ -83,6 +84,7 @@
 			cloud: platformtest.NewCloud(), upstreams: map[string]*platformtest.Upstream{}, nodes: map[string]*entry.Node{},
 			start: time.Now(),
 		}
+		f.clock = func() time.Duration { return time.Since(f.start) }
 		defer func() {
 			f.cleanupsMu.Lock()
 			cleanups := f.cleanups
@@ -182,7 +184,7 @@
 	s.Store.Address, s.Cloud.Address = netip.MustParseAddrPort(storeAddress+":80"), netip.MustParseAddrPort(cloudAddress+":80")
 	n, err := entry.New(context.Background(), entry.Options{
 		Settings: s, Logger: slog.New(slog.DiscardHandler), Network: f.network.Host(address), Packets: f.packets.Listen,
-		Clock: func() time.Duration { return time.Since(f.start) },
+		Clock: f.clock,
 	})
 	if err != nil {
 		f.t.Fatal(err)
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -44,6 +44,9 @@
 	// usageRewritePeriod is how long after this node wrote the counts of a usage
 	// window it writes them again when another node's counts arrive late.
 	usageRewritePeriod = 10 * time.Second
+	// errCallPanicked is the result of a call of another node whose method panicked.
+	// net/rpc would end the process.
+	errCallPanicked = errors.ConstError("method panicked")
 )
 
 type (
@@ -88,7 +91,7 @@
 // Follow returns this node's configuration and upstreams where they are newer
 // than the calling node's.
 func (r *rpcHandler) Follow(request FollowRequest, reply *FollowReply) (err error) {
-	defer r.recoverCall("Entry.Follow", &err)
+	defer r.node.guard.Recover("Entry.Follow", func() { err = errCallPanicked })
 	n := r.node
 	n.storeStateMu.Lock()
 	defer n.storeStateMu.Unlock()
@@ -105,20 +108,11 @@
 
 // Account merges the usage counts of another node.
 func (r *rpcHandler) Account(request AccountRequest, _ *struct{}) (err error) {
-	defer r.recoverCall("Entry.Account", &err)
+	defer r.node.guard.Recover("Entry.Account", func() { err = errCallPanicked })
 	r.node.peers.mergeCounts(request)
 	return nil
 }
 
-// recoverCall makes a call of another node fail if its method panics. net/rpc would
-// end the process.
-func (r *rpcHandler) recoverCall(method string, err *error) {
-	if value := recover(); value != nil {
-		r.node.guard.Report(method, value)
-		*err = errors.Errorf("%s panicked", method)
-	}
-}
-
 // listenPeers serves the RPCs of other nodes.
 func (n *Node) listenPeers() (err error) {
 	listener, err := n.network.Listen(n.ctx, n.settings.Listen.Peer)
--- a/entry/panic_test.go
+++ b/entry/panic_test.go
@@ -1,19 +1,15 @@
 package entry_test
 
 import (
-	"context"
-	"log/slog"
 	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/guavagauge/guavagauge/entry"
-	"github.com/guavagauge/guavagauge/settings"
+	"github.com/guavagauge/guavagauge/platform"
 )
 
 // Guards against an unexpected error in any goroutine of a node that ends the
@@ -24,38 +20,24 @@
 		f.startDesk("d1", "10.2.0.1:80")
 		f.configure(1, key)
 		var panics atomic.Bool // one call in seven panics
-		start := func(name, address string) (n *entry.Node) {
-			at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(netip.MustParseAddr(address), port) }
-			s, _ := settings.ParseEntry("entry.toml", nil)
-			s.Name, s.FailureDomain, s.Regions = name, "a", map[string]string{"a": "r"}
-			s.Listen = settings.EntryListen{Caller: at(80), Ready: at(81), Peer: at(82)}
-			s.Store.Address, s.Cloud.Address = netip.MustParseAddrPort(storeAddress+":80"), netip.MustParseAddrPort(cloudAddress+":80")
-			n, err := entry.New(context.Background(), entry.Options{
-				Settings: s, Logger: slog.New(slog.DiscardHandler), Network: f.network.Host(address), Packets: f.packets.Listen,
-				Clock: func() time.Duration {
-					// By chance, since a regular period can miss one goroutine for ever.
-					if panics.Load() && rand.IntN(7) == 0 {
-						panic("unexpected")
-					}
-					return time.Since(f.start)
-				},
-			})
-			if err != nil {
-				f.t.Fatal(err)
+		f.clock = func() time.Duration {
+			// By chance, since a regular period can miss one goroutine for ever.
+			if panics.Load() && rand.IntN(7) == 0 {
+				panic("unexpected")
 			}
-			f.cleanups = append(f.cleanups, func() { n.Stop(context.Background()) })
-			return n
+			return time.Since(f.start)
 		}
-		nodes := []*entry.Node{start("n1", "10.1.0.1"), start("n2", "10.1.0.2")}
+		f.startNode("n1", n1)
+		f.startNode("n2", n2)
 		f.advance(3 * time.Second)
 		panics.Store(true)
 		missing := []string{"request", "Entry.Follow", "follow configuration", "follow upstreams", "follow store reader", "send datagrams"}
 		for round := 0; round < 200 || len(missing) > 0 && round < 5000; round++ {
-			f.request("10.1.0.1", http.MethodGet, "/draws/1", "", nil)
-			f.request("10.1.0.2", http.MethodGet, "/draws/1", "", nil)
+			f.request(n1, http.MethodGet, "/draws/1", "", nil)
+			f.request(n2, http.MethodGet, "/draws/1", "", nil)
 			f.advance(100 * time.Millisecond)
 			var text strings.Builder
-			for _, n := range nodes {
+			for _, n := range f.nodes {
 				n.Metrics.WritePrometheus(&text)
 			}
 			missing = slices.DeleteFunc(missing, func(where string) bool {
@@ -70,9 +52,9 @@
 		// Each background loop still works: the configuration, the upstreams.
 		f.configure(2, "key-two")
 		f.startDesk("d2", "10.2.0.2:80")
-		f.store.Delete("servers/d1")
+		f.store.Delete(platform.UpstreamPrefix + "d1")
 		f.advance(5 * time.Second)
-		for _, node := range []string{"10.1.0.1", "10.1.0.2"} {
+		for _, node := range []string{n1, n2} {
 			f.expect(f.request(node, http.MethodGet, "/draws/2", "", keyHeader("key-two")), http.StatusOK, "answer of d2")
 			f.expect(f.request(node, http.MethodGet, "/draws/3", "", nil), http.StatusUnauthorized, "Key")
 		}
--- a/entry/reports_test.go
+++ b/entry/reports_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/guavagauge/guavagauge/platform"
 	"github.com/guavagauge/guavagauge/platformtest"
 )
 
@@ -22,8 +23,7 @@
 		f.expect(f.request(n1, http.MethodPost, "/rulings/1", "prompt", promptHeaders(100)), http.StatusOK, "id: 3\ndata: piece 3\n\n")
 
 		f.startServer("10.2.0.9:80", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-			w.Header().Set("Response-Seal", "seal")
+			platformtest.BeginResponse(w, r)
 			for r.Context().Err() == nil {
 				<-time.After(200 * time.Millisecond)
 				if _, err := io.WriteString(w, ":"); err != nil {
@@ -33,7 +33,7 @@
 			}
 		}))
 		f.registerUpstream("g2", "models", "decode", "10.2.0.9:80", "ready")
-		f.store.Delete("servers/g1")
+		f.store.Delete(platform.UpstreamPrefix + "g1")
 		f.advance(4 * time.Second)
 		begun := time.Now()
 		r := f.request(n1, http.MethodPost, "/rulings/2", "prompt", promptHeaders(100))
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -247,9 +247,7 @@
 					if r.URL.Path != "/rulings/1" {
 						return
 					}
-					w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-					name, value, _ := strings.Cut(strings.TrimSpace(platformtest.RawSeal), ": ")
-					w.Header().Set(name, value)
+					platformtest.BeginResponse(w, r)
 					sent, data := 0, []byte(strings.Repeat(block, 1024))
 					for sent < sentAtMost {
 						n, err := w.Write(data)
--- a/entry/transfer.go
+++ b/entry/transfer.go
@@ -69,7 +69,7 @@
 
 // Config returns a part of this node's compressed configuration.
 func (r *rpcHandler) Config(request ConfigRequest, reply *ConfigReply) (err error) {
-	defer r.recoverCall("Entry.Config", &err)
+	defer r.node.guard.Recover("Entry.Config", func() { err = errCallPanicked })
 	data, err := r.node.compressedConfig(request.Revision)
 	if err != nil {
 		return err
--- a/platformtest/caller.go
+++ b/platformtest/caller.go
@@ -8,9 +8,24 @@
 	"time"
 )
 
-// RawSeal is a Response-Seal header line, for tests that write an upstream's
-// response as raw bytes.
-const RawSeal = "Response-Seal: s\r\n"
+// Header lines for tests that write an upstream's response as raw bytes.
+const (
+	RawSeal   = "Response-Seal: s\r\n"
+	RawNotRun = "Not-Executed: 1\r\n" // the request hasn't run
+)
+
+// PromptPart is a part of a prompt, with its size.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// BeginResponse sets the headers of a valid response to a request, for handlers
+// that write an upstream's response themselves.
+func BeginResponse(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Response-Seal", "s")
+}
 
 // CallerHeader returns the headers of a caller's request: its ID, API key and
 // deadline.
@@ -26,21 +41,30 @@
 // prefix and a part that is unique to the request. Both are sizes in tokens. The
 // expected output has 10 tokens.
 func AddPrompt(header http.Header, shared, unique int) {
-	header.Set("Model", "m")
-	header.Set("Token-Usage", fmt.Sprintf("%d,10", shared+unique))
-	header.Set("Prompt-Prefix", fmt.Sprintf("aa:%d,bb:%d", shared, unique))
+	DescribePrompt(header, PromptPart{"aa", shared}, PromptPart{"bb", unique})
 }
 
 // AddPromptParts adds the headers that describe a prompt of the given parts, each
 // of 20 tokens.
 func AddPromptParts(header http.Header, parts ...string) {
 	const tokensEach = 20
-	header.Set("Model", "m")
-	header.Set("Token-Usage", fmt.Sprintf("%d,10", tokensEach*len(parts)))
-	var fields []string
+	var sized []PromptPart
 	for _, part := range parts {
-		fields = append(fields, fmt.Sprintf("%s:%d", part, tokensEach))
+		sized = append(sized, PromptPart{part, tokensEach})
 	}
+	DescribePrompt(header, sized...)
+}
+
+// DescribePrompt adds the headers that describe a prompt of the given parts. The
+// expected output has 10 tokens.
+func DescribePrompt(header http.Header, parts ...PromptPart) {
+	tokens, fields := 0, []string{}
+	for _, part := range parts {
+		tokens += part.Tokens
+		fields = append(fields, fmt.Sprintf("%s:%d", part.ID, part.Tokens))
+	}
+	header.Set("Model", "m")
+	header.Set("Token-Usage", fmt.Sprintf("%d,10", tokens))
 	header.Set("Prompt-Prefix", strings.Join(fields, ","))
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -84,7 +84,7 @@
 	if id != "" {
 		id = "Request-Id: " + id + "\r\n"
 	}
-	return "HTTP/1.1 503 Service Unavailable\r\n" + id + "Not-Executed: 1\r\nKeep-Alive: timeout=5\r\nContent-Length: 7\r\n\r\nrefused"
+	return "HTTP/1.1 503 Service Unavailable\r\n" + id + platformtest.RawNotRun + "Keep-Alive: timeout=5\r\nContent-Length: 7\r\n\r\nrefused"
 }
 
 // send sends one request and reads the whole body of its response.
