lease: a panic of the store's client is a failed call

Change: a renewal that panics counts as failed, so the lease is lost in time; a revocation that panics is told by Release; the check of the clock starts again. package guard takes no metrics set as 'don't count'.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -42,13 +42,15 @@
 	set    *metrics.Set
 }
 
-// New returns a guard that logs and counts panics.
+// New returns a guard that logs panics, and counts them unless set is nil.
 func New(logger *slog.Logger, set *metrics.Set) *Guard { return &Guard{logger: logger, set: set} }
 
 // Report logs and counts a panic. It must be called in the goroutine that
 // panicked, while its stack is still there.
 func (g *Guard) Report(where string, value any) {
-	g.set.GetOrCreateCounter(fmt.Sprintf("guavagauge_panics_total{where=%q}", where)).Inc()
+	if g.set != nil {
+		g.set.GetOrCreateCounter(fmt.Sprintf("guavagauge_panics_total{where=%q}", where)).Inc()
+	}
 	g.logger.Error("panic", "Where", where, "Value", fmt.Sprint(value), "Stack", string(debug.Stack()))
 }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -42,6 +42,7 @@
 // holder whose renewal fails keeps the lease and tries again after a quarter of
 // the usual interval. If none succeeds until the safety margin before the end of
 // the TTL, the lease is lost: Check returns ErrLost and Lease.Context ends.
+// A panic of the store's client counts as a failed call.
 // If the store fails during Release, the key may stay until the store lease
 // expires.
 package lease
@@ -54,6 +55,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/guavagauge/guavagauge/guard"
 	"github.com/guavagauge/guavagauge/store"
 )
 
@@ -72,6 +74,8 @@
 	// renewal has confirmed the lease since. The operation must be dropped; later
 	// operations may succeed.
 	ErrSuspended = errors.ConstError("lease suspended")
+
+	errPanicked = errors.ConstError("call of the store's client panicked")
 )
 
 type (
@@ -157,7 +161,8 @@
 	}
 	l.lastReading = l.acquiredAt
 	l.ctx, l.cancel = context.WithCancelCause(ctx)
-	go func() {
+	panics := guard.New(options.Logger, options.Metrics)
+	panics.Loop(l.ctx, "lease check", func() {
 		for l.ctx.Err() == nil {
 			select {
 			case <-time.After(l.nextCheck()):
@@ -165,7 +170,7 @@
 			}
 			l.Check()
 		}
-	}()
+	})
 	go func() {
 		defer close(l.done)
 		for wait := l.options.renewDelay(); ; {
@@ -173,10 +178,14 @@
 			case <-time.After(wait):
 			case <-l.renewNow:
 			case <-l.ctx.Done():
-				l.revoke()
+				if !panics.Run("lease revocation", l.revoke) {
+					l.setRevokeError(errPanicked)
+				}
 				return
 			}
-			if wait = l.options.renewDelay(); !l.renew() {
+			renewed := false
+			panics.Run("lease renewal", func() { renewed = l.renew() }) // a panic is a failed attempt
+			if wait = l.options.renewDelay(); !renewed {
 				wait /= 4 // so that several attempts fit into the TTL
 			}
 		}
@@ -318,12 +327,16 @@
 func (l *Lease) revoke() {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(l.ctx), l.options.CallTimeout)
 	defer cancel()
-	err := l.client.Revoke(ctx, l.id)
+	if err := l.client.Revoke(ctx, l.id); err != nil && !errors.Is(err, store.ErrLeaseExpired) {
+		l.setRevokeError(err)
+	}
+}
+
+// setRevokeError sets the error that Release returns.
+func (l *Lease) setRevokeError(err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if err != nil && !errors.Is(err, store.ErrLeaseExpired) {
-		l.revokeErr = err
-	}
+	l.revokeErr = err
 }
 
 // nextCheck returns the time until the next check of the clock: one check
