--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -177,7 +177,7 @@
 	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(netip.MustParseAddr(address), port) }
 	s, _ := settings.ParseEntry("entry.toml", nil)
 	s.Name, s.FailureDomain, s.Regions = name, "a", map[string]string{"a": "r"}
-	s.Listen = settings.EntryListen{Caller: at(80), Ready: at(81), Peer: at(82)}
+	s.Listen = settings.EntryListen{Caller: at(80), Ready: at(81), Peer: at(82), Profile: at(83)}
 	if f.metricsAddressTaken {
 		s.Listen.Metrics = s.Listen.Ready
 	}
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -65,6 +65,16 @@
 	f.advance(3 * time.Second)
 }
 
+// Guards against a node whose processor time can't be attributed where it runs, and
+// against profiles at an address that serves callers.
+func TestProfileListener(t *testing.T) {
+	runWithFleet(t, func(f *testFleet) {
+		f.startFleet()
+		f.expect(f.request(n1+":83", http.MethodGet, "/debug/pprof/", "", nil), http.StatusOK, "goroutine")
+		f.expect(f.request(n1+":80", http.MethodGet, "/debug/pprof/", "", nil), http.StatusNotFound, "NoRoute")
+	})
+}
+
 // Guards against nodes that don't start because another listener has their metrics
 // port.
 func TestMetricsAddressTaken(t *testing.T) {
