--- a/entry/entry.go
+++ b/entry/entry.go
@@ -314,6 +314,7 @@
 		n.logger.Error("can't listen", "Listener", name, "Address", address, "Error", err)
 		return
 	}
+	context.AfterFunc(n.ctx, func() { listener.Close() })
 	go func() { n.logListenerError(name, http.Serve(listener, handler)) }()
 }
 
