--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -179,4 +179,3 @@
 		os.Exit(CouldNot)
 	}
 }
-
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// Heartbeat is the time between two writes of a worker's entry.
+	// Heartbeat is heartbeat_ms.
 	Heartbeat = 1200 * time.Millisecond
 	// silentHeartbeats is the number of intervals after which the entry of a worker
 	// that is silent is removed.
@@ -35,16 +35,18 @@
 		Store  *Store
 		Record *Record
 
-		address string
-		mu      sync.Mutex
-		id      string
-		born    time.Time
-		starts  int
-		queued  int
-		slots   chan struct{}
-		up      bool
-		server  *http.Server
-		conns   map[net.Conn]bool
+		address  string
+		mu       sync.Mutex
+		id       string
+		born     time.Time
+		starts   int
+		state    string
+		sequence int
+		queued   int
+		slots    chan struct{}
+		up       bool
+		server   *http.Server
+		conns    map[net.Conn]bool
 	}
 
 	entry struct {
@@ -84,7 +86,8 @@
 	defer w.mu.Unlock()
 	w.starts++
 	w.id = fmt.Sprintf("i-%s-%d", strings.NewReplacer(".", "-", ":", "-").Replace(w.address), w.starts)
-	w.born, w.up, w.queued = time.Now(), true, 0
+	w.born, w.up, w.queued, w.state = time.Now(), true, 0, "ready"
+	w.sequence = 0
 	w.slots, w.conns = make(chan struct{}, w.Slots), map[net.Conn]bool{}
 	id, slots := w.id, w.slots
 	w.server = &http.Server{
@@ -99,28 +102,37 @@
 	}
 	server := w.server
 	go func() { _ = server.Serve(listener) }()
-	go w.register(id)
+	w.write()
 	w.Record.Add("worker %s of %s starts at %s", id, w.Service, w.address)
 }
 
-// register writes the entry of an incarnation while it lives. After its crash, the
-// store removes the entry when three heartbeats are missing.
-func (w *Worker) register(id string) {
-	key := "servers/" + id
-	for sequence := 1; ; sequence++ {
-		w.mu.Lock()
-		lives, born := w.up && w.id == id, w.born
-		w.mu.Unlock()
-		if !lives {
-			time.Sleep((silentHeartbeats - 1) * Heartbeat)
-			w.Store.Delete(key)
-			return
-		}
-		w.Store.Set(key, entry{
-			Service: w.Service, Address: w.address, Zone: w.Zone, Version: "v1", Slots: w.Slots, State: "ready", Sequence: sequence, Born: born.UnixMilli(),
-		})
-		time.Sleep(Heartbeat)
-	}
+// write writes the worker's entry. The entry doesn't change with the heartbeats, in
+// which only the sequence differs. The caller holds mu.
+func (w *Worker) write() {
+	w.sequence++
+	w.Store.Set("servers/"+w.id, entry{
+		Service: w.Service, Address: w.address, Zone: w.Zone, Version: "v1", Slots: w.Slots, State: w.state, Sequence: w.sequence, Born: w.born.UnixMilli(),
+	})
+}
+
+// Drain makes the worker report that it leaves. It serves on.
+func (w *Worker) Drain() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.state = "draining"
+	w.write()
+	w.Record.Add("worker %s has reported draining", w.id)
+}
+
+// Exit ends the worker for good, with the requests that it still runs. Its entry is
+// removed.
+func (w *Worker) Exit() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.up = false
+	_ = w.server.Close()
+	w.Store.Delete("servers/" + w.id)
+	w.Record.Add("worker %s exits", w.id)
 }
 
 // crash ends the incarnation: its connections are reset, and nobody listens until
@@ -139,6 +151,7 @@
 	}
 	_ = w.server.Close()
 	w.Record.Add("worker %s crashes", id)
+	time.AfterFunc(silentHeartbeats*Heartbeat, func() { w.Store.Delete("servers/" + id) })
 	time.AfterFunc(w.Down, func() {
 		for {
 			listener, err := net.Listen("tcp", w.address)
