--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -124,6 +124,15 @@
 	w.Record.Add("worker %s has reported draining", w.id)
 }
 
+// Unregister removes the entry of a worker that leaves without a report. It serves
+// on.
+func (w *Worker) Unregister() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Store.Delete("servers/" + w.id)
+	w.Record.Add("the entry of worker %s is removed", w.id)
+}
+
 // Exit ends the worker for good, with the requests that it still runs. Its entry is
 // removed.
 func (w *Worker) Exit() {
