--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	// Host, Key and Tenant are those of the deployment's configuration.
-	Host   = "desk.example"
-	Key    = "2b9wu3fexd9dnn2ctnfz"
+	// Host is the host of all routes.
+	Host = "desk.example"
+	// Key is an API key of the tenant.
+	Key = "2b9wu3fexd9dnn2ctnfz"
+	// Tenant is the name of the only tenant.
 	Tenant = "huka270"
 	// Service is the plain service behind the machines.
 	Service = "entry-desk"
