entry: keep the quarantine of requests over restarts of nodes

What callers saw: after a request had crashed three upstreams and was refused by all nodes, each node that was restarted let it through again until it had seen three crashes of its own. Every such crash cost the requests of other callers that ran at the upstream (status 502 after a run).

Cause: the crashes of a request were known only to processes that were running when they were reported: other nodes got them in messages for one second, and nothing told a node that started. The same holds for quarantined prompt parts when all nodes start, or more than 200 s after the first crash. A quarantine also ended a minute after the crash that began it, although the request still came, at the cost of three more upstreams a minute.

On the code before, TestQuarantineOutlivesRestarts fails in its four cases (the request ran 6 times, 3 before the restarts), TestPartQuarantineOutlivesRestartOfAllNodes (6 runs), TestQuarantineLastsWhileRequestComes (6 runs) and TestServedRequestIsNotQuarantined.

Change: the store readers write quarantines to one key of the store, and only when one is new or was prolonged by more than five minutes. A node that starts reads it, or asks another node if the store doesn't answer, and refuses requests until then. Quarantined requests are announced once a second like prompt parts. A refused retry prolongs the quarantine, which lasts ten minutes after the last one. Since it may now last long, a request must be the cause more surely: a crash counts once, however many requests with the fingerprint ran at the upstream, and a complete response clears the crashes before, which policy.Suspects already does for parts; it takes the place of policy.Crashes here.

A node of the version before ignores the new messages; it counts them under fingerprints that no request has.

--- a/entry/call.go
+++ b/entry/call.go
@@ -31,6 +31,11 @@
 			return
 		}
 		mayHaveRun := e.lastReason != reasonUnreachable && e.lastReason != reasonRejected
+		if e.quarantined() { // since it was admitted
+			e.lastReason = reasonQuarantined
+			e.finishUnserved(quarantineRetryAfter)
+			return
+		}
 		if !e.allowRetry(mayHaveRun) {
 			e.finishUnserved(defaultRetryAfter)
 			return
@@ -114,6 +119,7 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+	e.clearRequest()
 	job.End(time.Now(), dispatch.Served)
 }
 
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,15 +20,19 @@
 	// crash counts against every request that was running at the upstream, so a lower
 	// limit would quarantine more requests that caused none.
 	crashLimit = 3
-	// quarantineTTL is how long the crashes of a request count after the last of
-	// them, and so how long a quarantine lasts from the crash that reached the limit.
-	quarantineTTL = time.Minute
+	// crashTTL is how long the crashes of a request or a prompt part below the limit
+	// count after the last of them.
+	crashTTL = time.Minute
+	// requestQuarantineTTL is how long a request stays quarantined after its last
+	// crash or retry. As retries prolong it, one that keeps coming crashes no further
+	// upstream.
+	requestQuarantineTTL = 10 * time.Minute
 	// crashProbeDelay is the time from a broken response to the probe of its
 	// upstream, and the timeout of the probe. An upstream that crashed takes
 	// seconds to restart.
 	crashProbeDelay = 100 * time.Millisecond
 	// quarantineRetryAfter is the Retry-After value for quarantined requests. It is
-	// shorter than the quarantine, so a retry may be refused again.
+	// shorter than the quarantine, so a retry is refused again.
 	quarantineRetryAfter = 10 * time.Second
 	// partCrashLimit is the number of upstream crashes after which every node
 	// quarantines a part of prompts.
@@ -39,12 +42,17 @@
 	// still crashes them.
 	partQuarantineTTL = 10 * time.Minute
 	// accusedPartPrefix and clearedPartPrefix begin the Fingerprint of a crash that
-	// counts against a prompt part, or that a later response cleared. Nodes that
-	// don't know them count them as fingerprints that no request has.
-	accusedPartPrefix = "part:"
-	clearedPartPrefix = "cleared:"
-	// crashAnnounceInterval is the time between messages with the crashes of all
-	// quarantined parts, for nodes that have missed earlier ones.
+	// counts against a prompt part, or that a later response cleared. With
+	// clearedRequestPrefix, a complete response to the request cleared the crash. With
+	// heldRequestPrefix, the request is quarantined for the time that Event holds in
+	// milliseconds. Nodes that don't know a prefix count it as a fingerprint that no
+	// request has.
+	accusedPartPrefix    = "part:"
+	clearedPartPrefix    = "cleared:"
+	clearedRequestPrefix = "served:"
+	heldRequestPrefix    = "held:"
+	// crashAnnounceInterval is the time between messages with all quarantined requests
+	// and the crashes of all quarantined parts, for nodes that have missed earlier ones.
 	crashAnnounceInterval = time.Second
 	// maxAnnouncedCrashes bounds the size of such a message.
 	maxAnnouncedCrashes = 256
@@ -57,27 +65,26 @@
 	// crashTracker counts the upstream crashes by the fingerprint of the request
 	// that was running, and by the parts of its prompt.
 	crashTracker struct {
-		lastEvent atomic.Int64 // makes the events of this node unique
-		mu        sync.Mutex
-		counts    *policy.Crashes // its upstream IDs are crash.Event here, so that each crash of an upstream counts
-		parts     *policy.Suspects
-		recent    []crash // observed by this node, to be sent to the others
+		mu       sync.Mutex
+		requests *policy.Suspects // by fingerprint
+		parts    *policy.Suspects
+		recent   []crash // observed by this node, to be sent to the others
 	}
 
-	// crash reports that an upstream crashed while it ran a request, or with
-	// clearedPartPrefix that the crash doesn't count against a part.
+	// crash reports that an upstream crashed while it ran a request, or what else a
+	// prefix of Fingerprint says.
 	crash struct {
 		_           struct{} `cbor:",toarray"`
 		Fingerprint string
-		Event       string // unique to the crash; of a part, the same at all nodes
+		Event       string // ID of the crash, the same at all nodes
 		at          time.Time
 	}
 )
 
 func newCrashTracker() (c *crashTracker) {
 	return &crashTracker{
-		counts: policy.NewCrashes(policy.CrashOptions{Limit: crashLimit, TTL: quarantineTTL}),
-		parts:  policy.NewSuspects(policy.SuspectOptions{Limit: partCrashLimit, TTL: quarantineTTL, QuarantineTTL: partQuarantineTTL}),
+		requests: policy.NewSuspects(policy.SuspectOptions{Limit: crashLimit, TTL: crashTTL, QuarantineTTL: requestQuarantineTTL}),
+		parts:    policy.NewSuspects(policy.SuspectOptions{Limit: partCrashLimit, TTL: crashTTL, QuarantineTTL: partQuarantineTTL}),
 	}
 }
 
@@ -104,6 +111,23 @@
 	}
 }
 
+// clearRequest records that an upstream has completed the request, so it isn't the
+// cause of the crashes before. Otherwise the crashes of unrelated causes would add up
+// to a quarantine of a request that many callers send.
+func (e *exchange) clearRequest() {
+	c, now := e.node.crashes, time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.requests.Len() == 0 {
+		return
+	}
+	fingerprint := e.fingerprint()
+	for _, event := range c.requests.Open(fingerprint, now) {
+		c.requests.Report(policy.Accusation{Part: fingerprint, Crash: event, Cleared: true}, now)
+		c.recent = append(c.recent, crash{Fingerprint: clearedRequestPrefix + fingerprint, Event: event, at: now})
+	}
+}
+
 // fingerprint returns a hash of the workspace, method, URI and body of the
 // request.
 func (e *exchange) fingerprint() (text string) {
@@ -117,7 +141,8 @@
 }
 
 // quarantined reports whether the request, or requests with the same part of
-// their prompts, have crashed too many upstreams.
+// their prompts, have crashed too many upstreams. It prolongs the quarantine of the
+// request.
 func (e *exchange) quarantined() (ok bool) {
 	c, now := e.node.crashes, time.Now()
 	c.mu.Lock()
@@ -127,10 +152,13 @@
 			return true
 		}
 	}
-	if c.counts.Len() == 0 {
+	if c.requests.Len() == 0 {
 		return false
 	}
-	_, ok = c.counts.Quarantined(e.fingerprint(), now)
+	fingerprint := e.fingerprint()
+	if _, ok = c.requests.Held(fingerprint, now); ok {
+		c.requests.Extend(fingerprint, now)
+	}
 	return ok
 }
 
@@ -150,15 +178,14 @@
 		if n.ctx.Err() != nil {
 			return
 		}
+		// A crash counts once, however many nodes and requests observe it.
+		event := fmt.Sprintf("%s/%d", upstream.ID, upstream.StartedAt.UnixMilli())
 		n.logger.Info("upstream crashed while running a request", "Upstream", upstream.ID, "Request", e.request.ID,
-			"Parts", e.request.Prompt.Parts, "ResponseBegun", begun, "Error", err)
-		// Unique, so that a second crash of the same upstream counts.
-		event := fmt.Sprintf("%s/%s/%d", upstream.ID, n.settings.Name, n.crashes.lastEvent.Add(1))
+			"Fingerprint", fingerprint, "Crash", event, "Parts", e.request.Prompt.Parts, "ResponseBegun", begun, "Error", err)
 		observed := []crash{{Fingerprint: fingerprint, Event: event}}
 		if !begun {
-			sameCrash := fmt.Sprintf("%s/%d", upstream.ID, upstream.StartedAt.UnixMilli())
 			for _, part := range e.sharedParts() {
-				observed = append(observed, crash{Fingerprint: accusedPartPrefix + part, Event: sameCrash})
+				observed = append(observed, crash{Fingerprint: accusedPartPrefix + part, Event: event})
 			}
 		}
 		n.recordCrashes(observed, true)
@@ -177,28 +204,73 @@
 			seen.at = now
 			c.recent = append(c.recent, seen)
 		}
-		if part, ok := strings.CutPrefix(seen.Fingerprint, accusedPartPrefix); ok {
-			if c.parts.Report(policy.Accusation{Part: part, Crash: seen.Event}, now) {
-				n.logger.Warn("prompt part quarantined", "Part", part, "Crashes", c.parts.Open(part, now))
+		switch kind, name := cutCrashPrefix(seen.Fingerprint); kind {
+		case accusedPartPrefix:
+			if c.parts.Report(policy.Accusation{Part: name, Crash: seen.Event}, now) {
+				n.logger.Warn("prompt part quarantined", "Part", name, "Crashes", c.parts.Open(name, now))
 				n.count("held_out", "PartCrashes")
 			}
-			continue
-		}
-		if part, ok := strings.CutPrefix(seen.Fingerprint, clearedPartPrefix); ok {
-			c.parts.Report(policy.Accusation{Part: part, Crash: seen.Event, Cleared: true}, now)
-			continue
+		case clearedPartPrefix:
+			c.parts.Report(policy.Accusation{Part: name, Crash: seen.Event, Cleared: true}, now)
+		case clearedRequestPrefix:
+			c.requests.Report(policy.Accusation{Part: name, Crash: seen.Event, Cleared: true}, now)
+		case heldRequestPrefix:
+			remainingMs, err := strconv.ParseInt(seen.Event, 10, 64)
+			if err != nil {
+				n.logger.Warn("quarantine from another node can't be decoded", "Fingerprint", name, "Error", err)
+				continue
+			}
+			if remaining := time.Duration(remainingMs) * time.Millisecond; c.requests.Hold(name, remaining, now) {
+				n.logger.Warn("request quarantined by another node", "Fingerprint", name, "Remaining", remaining)
+				n.count("held_out", "Reported")
+			}
+		default:
+			if c.requests.Report(policy.Accusation{Part: name, Crash: seen.Event}, now) {
+				n.logger.Warn("request quarantined", "Fingerprint", name, "Crashes", c.requests.Open(name, now))
+				n.count("held_out", "Crashes")
+			}
 		}
-		before := c.counts.Count(seen.Fingerprint, now)
-		if after := c.counts.Report(seen.Fingerprint, seen.Event, now); before < crashLimit && after >= crashLimit {
-			n.logger.Warn("request quarantined", "Crashes", after)
-			n.count("held_out", "Crashes")
+	}
+}
+
+// cutCrashPrefix splits the Fingerprint of a crash into its prefix, which is empty
+// for the crash of a request, and the rest.
+func cutCrashPrefix(text string) (prefix, rest string) {
+	for _, prefix = range []string{accusedPartPrefix, clearedPartPrefix, clearedRequestPrefix, heldRequestPrefix} {
+		if rest, ok := strings.CutPrefix(text, prefix); ok {
+			return prefix, rest
 		}
 	}
+	return "", text
+}
+
+// heldRequests returns the quarantined requests in the form in which nodes send them.
+// The caller holds mu.
+func (c *crashTracker) heldRequests(now time.Time) (held []crash) {
+	for _, h := range c.requests.HeldParts(now) {
+		held = append(held, heldRequest(heldRequestPrefix+h.Part, h.Remaining))
+	}
+	return held
+}
+
+// heldRequest returns a quarantine in the form in which nodes send it. fingerprint
+// includes heldRequestPrefix.
+func heldRequest(fingerprint string, remaining time.Duration) crash {
+	return crash{Fingerprint: fingerprint, Event: strconv.FormatInt(remaining.Milliseconds(), 10)}
+}
+
+// partCrash returns an accusation of a prompt part in the form in which nodes send it.
+func partCrash(a policy.Accusation) crash {
+	if a.Cleared {
+		return crash{Fingerprint: clearedPartPrefix + a.Part, Event: a.Crash}
+	}
+	return crash{Fingerprint: accusedPartPrefix + a.Part, Event: a.Crash}
 }
 
 // recentCrashes returns the crashes to send to other nodes, and drops older ones.
-// Every crashAnnounceInterval they include those of all quarantined parts;
-// announced holds the time of the last such message to the same nodes.
+// Every crashAnnounceInterval they include all quarantined requests and the crashes
+// of all quarantined parts; announced holds the time of the last such message to the
+// same nodes.
 func (c *crashTracker) recentCrashes(now time.Time, announced *time.Time) (recent []crash) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -212,15 +284,9 @@
 		return recent
 	}
 	*announced = now
-	for i, a := range c.parts.Announcements(now) {
-		if i == maxAnnouncedCrashes {
-			break
-		}
-		prefix := accusedPartPrefix
-		if a.Cleared {
-			prefix = clearedPartPrefix
-		}
-		recent = append(recent, crash{Fingerprint: prefix + a.Part, Event: a.Crash})
+	announcements := c.heldRequests(now)
+	for _, a := range c.parts.Announcements(now) {
+		announcements = append(announcements, partCrash(a))
 	}
-	return recent
+	return append(recent, announcements[:min(len(announcements), maxAnnouncedCrashes)]...)
 }
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -141,6 +142,169 @@
 	})
 }
 
+// quarantinePoison makes the body "poison" crash upstreams until all nodes refuse it,
+// and returns how often it ran.
+func (f *testFleet) quarantinePoison() (runs int) {
+	f.startNode("n2", n2)
+	f.startNode("n3", n3)
+	f.configure(1, key)
+	for i := range 4 {
+		f.startUpstream(fmt.Sprintf("d%d", i), "desk", "", fmt.Sprintf("10.2.0.%d:80", i+1), &platformtest.Upstream{Poison: "poison"})
+	}
+	f.startNodeAndWait("n1", n1)
+	for i := range 8 {
+		f.request(f.nodeAddresses()[i%3]+":80", http.MethodPost, "/entries/1", "poison", nil)
+		f.advance(time.Second)
+	}
+	return f.poisonRuns()
+}
+
+// poisonRuns returns how often upstreams ran the body "poison".
+func (f *testFleet) poisonRuns() (runs int) {
+	for id := range f.upstreams {
+		for _, run := range f.runs(id) {
+			if run.Body == "poison" {
+				runs++
+			}
+		}
+	}
+	return runs
+}
+
+// expectQuarantined checks that all nodes refuse the body "poison" without a run, and
+// serve another one.
+func (f *testFleet) expectQuarantined(runs int) {
+	f.t.Helper()
+	for _, address := range f.nodeAddresses() {
+		f.expect(f.request(address+":80", http.MethodPost, "/entries/1", "poison", nil), http.StatusServiceUnavailable, "HeldOut")
+		f.expect(f.request(address+":80", http.MethodPost, "/entries/1", "sound", nil), http.StatusOK, "answer")
+	}
+	if after := f.poisonRuns(); after != runs {
+		f.t.Errorf("the request ran %d times, want none after the %d before", after, runs)
+	}
+	f.advance(4 * time.Second) // crashed upstreams start again
+}
+
+// restartNode stops a node and starts it again under its name and address.
+func (f *testFleet) restartNode(name, address string) {
+	f.nodes[name].Stop(context.Background())
+	f.advance(300 * time.Millisecond)
+	f.startNode(name, address)
+}
+
+// Guards against nodes that forget, when they start, which requests crash upstreams.
+// Each restart then let such a request through again.
+func TestQuarantineOutlivesRestarts(t *testing.T) {
+	nodes := map[string]string{"n1": n1, "n2": n2, "n3": n3}
+	restartAll := func(f *testFleet) {
+		for name := range nodes {
+			go f.nodes[name].Stop(context.Background())
+		}
+		f.advance(4 * time.Second)
+		for name, address := range nodes {
+			f.startNode(name, address)
+		}
+		f.advance(2 * time.Second)
+	}
+	for name, restart := range map[string]func(f *testFleet){
+		"in turn": func(f *testFleet) {
+			for name, address := range nodes {
+				f.restartNode(name, address)
+				f.advance(5 * time.Second)
+			}
+		},
+		"in turn, store refuses the new processes": func(f *testFleet) {
+			for name, address := range nodes {
+				f.store.Refuse(address, true)
+				f.restartNode(name, address)
+				f.advance(5 * time.Second)
+				f.store.Refuse(address, false)
+				f.advance(5 * time.Second)
+			}
+		},
+		"all at once": restartAll,
+		"all at once, twice": func(f *testFleet) {
+			restartAll(f)
+			restartAll(f)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithFleet(t, func(f *testFleet) {
+				runs := f.quarantinePoison()
+				restart(f)
+				f.expectQuarantined(runs)
+			})
+		})
+	}
+}
+
+// Guards against nodes that forget quarantined prompt parts when all of them start.
+func TestPartQuarantineOutlivesRestartOfAllNodes(t *testing.T) {
+	runWithFleet(t, func(f *testFleet) {
+		f.startPoisonedEngines()
+		for i := range 20 {
+			f.request(f.nodeAddresses()[i%3]+":80", http.MethodPost, "/models/1", f.ownBody(), f.promptParts("subject", "deadly"))
+			f.advance(300 * time.Millisecond)
+		}
+		before := f.runsWithPart("deadly")
+		for _, name := range []string{"n1", "n2", "n3"} {
+			go f.nodes[name].Stop(context.Background())
+		}
+		f.advance(4 * time.Second)
+		f.startNode("n1", n1)
+		f.startNode("n2", n2)
+		f.startNode("n3", n3)
+		f.advance(2 * time.Second)
+		for _, address := range f.nodeAddresses() {
+			f.expect(f.request(address+":80", http.MethodPost, "/models/1", f.ownBody(), f.promptParts("subject", "deadly")), http.StatusServiceUnavailable, "HeldOut")
+			f.expect(f.request(address+":80", http.MethodPost, "/models/1", f.ownBody(), f.promptParts("subject")), http.StatusOK, "piece 2")
+		}
+		if after := f.runsWithPart("deadly"); after != before {
+			t.Errorf("%d requests with the part reached upstreams after the restart", after-before)
+		}
+		f.advance(4 * time.Second) // crashed upstreams start again
+	})
+}
+
+// Guards against a quarantine that ends while the request still comes, at any node:
+// each end cost three more upstreams a minute.
+func TestQuarantineLastsWhileRequestComes(t *testing.T) {
+	runWithFleet(t, func(f *testFleet) {
+		runs := f.quarantinePoison()
+		for range 10 {
+			f.expect(f.request(n1+":80", http.MethodPost, "/entries/1", "poison", nil), http.StatusServiceUnavailable, "HeldOut")
+			f.advance(9 * time.Second)
+		}
+		f.expectQuarantined(runs)
+	})
+}
+
+// Guards against the quarantine of a request that many callers send: it is running at
+// each upstream that crashes because of another one.
+func TestServedRequestIsNotQuarantined(t *testing.T) {
+	runWithFleet(t, func(f *testFleet) {
+		f.startNode("n2", n2)
+		f.startNode("n3", n3)
+		f.configure(1, key)
+		for i := range 4 {
+			id := fmt.Sprintf("d%d", i)
+			address := fmt.Sprintf("10.2.0.%d:80", i+1)
+			f.startUpstream(id, "desk", "", address, &platformtest.Upstream{Script: &f.script})
+		}
+		f.startNodeAndWait("n1", n1)
+		for i := range 5 {
+			// The upstream that gets the request crashes in the middle of it.
+			f.script.Add(platformtest.CrashRun)
+			f.expect(f.request(f.nodeAddresses()[i%3]+":80", http.MethodPost, "/entries/1", "common", nil), http.StatusBadGateway, "Broken")
+			f.advance(4 * time.Second)
+			for _, address := range f.nodeAddresses() {
+				f.expect(f.request(address+":80", http.MethodPost, "/entries/1", "common", nil), http.StatusOK, "answer")
+			}
+			f.advance(time.Second)
+		}
+	})
+}
+
 // Broken responses of an upstream that hasn't crashed don't quarantine a request.
 func TestBrokenResponsesQuarantineNothing(t *testing.T) {
 	runWithFleet(t, func(f *testFleet) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,8 +7,8 @@
 //
 // Nodes keep no state on disk. They send each other the loads, cache inserts,
 // crashes and usage counts that their requests cause. In the store they write only
-// their own entries (nodeKeyPrefix), usage counts (usageKeyPrefix) and the leader's
-// lease (leaderKey).
+// their own entries (nodeKeyPrefix), usage counts (usageKeyPrefix), the leader's
+// lease (leaderKey) and the quarantines (quarantineKey).
 //
 // One node per failure domain, the store reader, follows the store; the other
 // nodes of the domain follow the store reader. One node of the fleet, the leader,
@@ -167,6 +167,7 @@
 		peerPool        *peer.Pool
 		engineClient    *platform.EngineClient
 		cachesKnown     atomic.Bool // bootstrapCaches has ended, successfully or not
+		crashesKnown    atomic.Bool // learnQuarantines has ended, successfully or not
 		configArchive   configArchive
 		// transferring is set while a configuration is fetched from another node. The
 		// goroutine that sets it owns transfer.
@@ -246,6 +247,8 @@
 	n.followConfig()
 	n.followStoreReader()
 	n.followUpstreams()
+	n.learnQuarantines()
+	n.storeQuarantines()
 	n.campaign()
 	n.bootstrapCaches()
 	n.guard.Loop(n.ctx, "sweep", func() {
@@ -343,7 +346,7 @@
 
 // Ready reports whether the load balancer should send requests to this node.
 func (n *Node) Ready() bool {
-	return !n.stopping.Load() && n.table.Load() != nil && n.upstreamsListed.Load() && n.configFresh()
+	return !n.stopping.Load() && n.table.Load() != nil && n.upstreamsListed.Load() && n.crashesKnown.Load() && n.configFresh()
 }
 
 // Stop shuts the node down gracefully. The node reports that it isn't ready,
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -22,6 +22,7 @@
 // its own counter.
 const (
 	reasonNoConfig    reason = "NoConfig"    // the node has no configuration yet
+	reasonStarting    reason = "Starting"    // the node doesn't know the quarantines from before its start yet
 	reasonStaleConfig reason = "Stale"       // the configuration may be outdated, so keys can't be checked
 	reasonNoRoute     reason = "NoRoute"     // no route matches
 	reasonUnknownKey  reason = "Key"         // the API key is unknown
@@ -143,6 +144,10 @@
 		return false
 	}
 	e.version = table.Version
+	if !n.crashesKnown.Load() {
+		e.refuse(reasonStarting, defaultRetryAfter)
+		return false
+	}
 	var err error
 	if e.request, err = platform.ParseRequestHeaders(e.r.Header); err != nil || e.request.ID == "" {
 		e.fail(http.StatusBadRequest, reasonMalformed, err)
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -196,6 +196,7 @@
 		s.handleBrokenResponse(job, err)
 		return false
 	}
+	s.clearRequest()
 	job.End(time.Now(), dispatch.Served)
 	s.logServed()
 	return true
--- a/platformtest/upstream.go
+++ b/platformtest/upstream.go
@@ -29,7 +29,7 @@
 		// has it, other than as its last part, calls Crash.
 		PoisonPart string
 		// Crash closes the upstream's connections and listener. It must be set if
-		// Poison or PoisonPart is.
+		// Poison or PoisonPart is, or Script has a CrashRun.
 		Crash func()
 		// Script holds the faults of the next requests. Several upstreams may share
 		// it, and it may be nil.
@@ -85,6 +85,8 @@
 	Fail
 	// RejectWithPause is Reject with a Retry-After header.
 	RejectWithPause
+	// CrashRun runs the request and calls Crash.
+	CrashRun
 )
 
 // Add appends the faults of the next requests.
@@ -172,6 +174,10 @@
 		u.Crash()
 		panic(http.ErrAbortHandler)
 	}
+	if fault == CrashRun {
+		u.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	if fault == Reset {
 		panic(http.ErrAbortHandler)
 	}
--- a/policy/suspects.go
+++ b/policy/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -31,7 +32,8 @@
 		MaxEntries int
 	}
 
-	// Suspects finds the part of prompts that crashes upstreams. A crash is counted
+	// Suspects finds the part of prompts that crashes upstreams. A whole request can
+	// take the place of a part. A crash is counted
 	// against the parts of all requests whose responses hadn't begun, and cleared
 	// again for a part on which a later response began. Crashes and clearances can be
 	// reported in any order and repeatedly, so nodes can exchange them with messages
@@ -49,11 +51,18 @@
 		Cleared bool
 	}
 
+	// HeldPart is a part at the limit, and for how long it stays there.
+	HeldPart struct {
+		Part      string
+		Remaining time.Duration
+	}
+
 	suspectRecord struct {
 		crashes map[string]bool // by ID; false once it was cleared
 		open    int             // crashes that weren't cleared
 		since   time.Time       // of the first crash
 		expires time.Time
+		held    bool // at the limit by a report of Hold, whatever its crashes are
 	}
 )
 
@@ -80,9 +89,7 @@
 	s.sweep(now)
 	record := s.record(a.Part, now)
 	if record == nil {
-		s.evictIfFull()
-		record = &suspectRecord{crashes: map[string]bool{}, since: now, expires: now.Add(s.options.TTL)}
-		s.records[a.Part] = record
+		record = s.newRecord(a.Part, now)
 	}
 	open, known := record.crashes[a.Crash]
 	switch {
@@ -95,11 +102,11 @@
 		record.crashes[a.Crash] = true
 		record.open++
 		ttl := s.options.TTL
-		if record.open >= s.options.Limit {
+		if s.atLimit(record) {
 			ttl = s.options.QuarantineTTL
 		}
 		record.expires = now.Add(ttl)
-		return record.open == s.options.Limit
+		return record.open == s.options.Limit && !record.held
 	}
 	return false
 }
@@ -118,6 +125,72 @@
 	return crashes
 }
 
+// Held reports whether a part is at the limit, and for how long. Unlike Quarantined,
+// it doesn't consider that another part may be the cause.
+func (s *Suspects) Held(part string, now time.Time) (remaining time.Duration, ok bool) {
+	record := s.record(part, now)
+	if record == nil || !s.atLimit(record) {
+		return 0, false
+	}
+	return record.expires.Sub(now), true
+}
+
+// Hold puts a part at the limit for at least the given time, at most QuarantineTTL,
+// as another node reports it. It reports whether the part wasn't at the limit before.
+func (s *Suspects) Hold(part string, remaining time.Duration, now time.Time) (begun bool) {
+	if remaining <= 0 {
+		return false
+	}
+	s.sweep(now)
+	record := s.record(part, now)
+	if record == nil {
+		record = s.newRecord(part, now)
+	}
+	begun = !s.atLimit(record)
+	record.held = true
+	if until := now.Add(min(remaining, s.options.QuarantineTTL)); until.After(record.expires) {
+		record.expires = until
+	}
+	return begun
+}
+
+// Extend begins the quarantine of a part at the limit anew.
+func (s *Suspects) Extend(part string, now time.Time) {
+	if record := s.record(part, now); record != nil && s.atLimit(record) {
+		record.expires = now.Add(s.options.QuarantineTTL)
+	}
+}
+
+// HeldParts returns the parts at the limit, sorted by part.
+func (s *Suspects) HeldParts(now time.Time) (parts []HeldPart) {
+	s.sweep(now)
+	for part := range s.records {
+		if remaining, ok := s.Held(part, now); ok {
+			parts = append(parts, HeldPart{part, remaining})
+		}
+	}
+	slices.SortFunc(parts, func(a, b HeldPart) int { return strings.Compare(a.Part, b.Part) })
+	return parts
+}
+
+// Accusations returns all that is known of a part, for another node.
+func (s *Suspects) Accusations(part string, now time.Time) (accusations []Accusation) {
+	record := s.record(part, now)
+	if record == nil {
+		return nil
+	}
+	for crash, open := range record.crashes {
+		accusations = append(accusations, Accusation{Part: part, Crash: crash, Cleared: !open})
+	}
+	return accusations
+}
+
+// Parts returns the parts with records.
+func (s *Suspects) Parts(now time.Time) (parts []string) {
+	s.sweep(now)
+	return slices.Collect(maps.Keys(s.records))
+}
+
 // Quarantined returns the part because of which a request with the given parts is
 // to be refused, and for how long. If another part was in nearly all crashes of
 // that one, either can be the cause, and only requests with both are refused.
@@ -172,9 +245,7 @@
 		if record.open < s.options.Limit || now.Sub(record.since) > s.options.QuarantineTTL/3 {
 			continue
 		}
-		for crash, open := range record.crashes {
-			accusations = append(accusations, Accusation{Part: part, Crash: crash, Cleared: !open})
-		}
+		accusations = append(accusations, s.Accusations(part, now)...)
 	}
 	return accusations
 }
@@ -191,6 +262,18 @@
 	return record
 }
 
+// newRecord adds a record of a part without crashes.
+func (s *Suspects) newRecord(part string, now time.Time) *suspectRecord {
+	s.evictIfFull()
+	record := &suspectRecord{crashes: map[string]bool{}, since: now, expires: now.Add(s.options.TTL)}
+	s.records[part] = record
+	return record
+}
+
+func (s *Suspects) atLimit(record *suspectRecord) bool {
+	return record.held || record.open >= s.options.Limit
+}
+
 // sweep removes the expired records, at most once a second.
 func (s *Suspects) sweep(now time.Time) {
 	if now.Sub(s.swept) < suspectSweepInterval {
--- a/policy/suspects_test.go
+++ b/policy/suspects_test.go
@@ -133,3 +133,52 @@
 		}
 	})
 }
+
+// Guards against a quarantine that ends although requests still come, that a node
+// which learnt of it late keeps for longer than it lasts, or that has no end.
+func TestHeldPartsExpire(t *testing.T) {
+	const quarantine = 10 * time.Minute
+	now := time.Unix(0, 0)
+	options := policy.SuspectOptions{TTL: time.Minute, QuarantineTTL: quarantine}
+	s, late := policy.NewSuspects(options), policy.NewSuspects(options)
+	for i := range 3 {
+		s.Report(policy.Accusation{Part: "x", Crash: fmt.Sprint(i)}, now)
+	}
+	s.Report(policy.Accusation{Part: "below", Crash: "0"}, now)
+	s.Extend("below", now)
+	s.Extend("unknown", now)
+	for range 4 { // the request comes each five minutes
+		now = now.Add(quarantine / 2)
+		if _, ok := s.Held("x", now); !ok {
+			t.Fatal("x isn't held though it was extended")
+		}
+		s.Extend("x", now)
+	}
+	now = now.Add(quarantine / 4)
+	if held := s.HeldParts(now); len(held) != 1 || held[0] != (policy.HeldPart{Part: "x", Remaining: quarantine * 3 / 4}) {
+		t.Fatalf("held: %v, want x alone for %s", held, quarantine*3/4)
+	}
+	for i, remaining := range []time.Duration{quarantine * 3 / 4, time.Minute, 0, -time.Minute} {
+		if begun := late.Hold("x", remaining, now); begun != (i == 0) {
+			t.Errorf("report %d: began a quarantine: %t", i, begun)
+		}
+	}
+	late.Hold("odd", 1000*quarantine, now)
+	late.Hold("odd2", -time.Second, now)
+	for _, c := range []struct {
+		after       time.Duration
+		x, odd      bool
+		description string
+	}{
+		{quarantine*3/4 - time.Second, true, true, "before the end"},
+		{quarantine * 3 / 4, false, true, "at the end of the reported time"},
+		{quarantine, false, false, "after the longest time"},
+	} {
+		_, x := late.Held("x", now.Add(c.after))
+		_, odd := late.Held("odd", now.Add(c.after))
+		_, odd2 := late.Held("odd2", now.Add(c.after))
+		if x != c.x || odd != c.odd || odd2 {
+			t.Errorf("%s: held %t, %t and %t, want %t, %t and false", c.description, x, odd, odd2, c.x, c.odd)
+		}
+	}
+}
