entry: notice silent connections before an upstream's drain time ends

What callers saw: after open connections had gone silent without a reset, nodes sent requests to an upstream later than 3 s after it had left.

Cause: the age of a node's upstreams had no bound under the drain time. - A watch waited for 4 s on a connection that had gone silent, and 0.55 s more passed before the next attempt, which could take an idle connection that was silent as well. - A failed watch counted as an outage of the store, so an upstream that was removed after it stayed in use for two more seconds. Other nodes took that grace period over, even for an upstream that they had removed themselves. - The store reader was chosen by the age of its configuration alone, so the nodes of its domain followed one whose upstreams were outdated for up to 5 s. A silent connection between nodes was kept for 4 s.

Ruled out: the comparison of the configuration (it succeeded on other connections), the check right before a request is written (it sees the outdated set too).

Change: a watch of the upstreams waits 0.8 s and is given up 0.7 s later. It is repeated at once on a new connection (a failed call of the store's client closes the idle ones), and until the answer the node doesn't count as a store reader. Only if that fails too, and no other node can read the store, the store counts as down. Restore honours a grace period only at a node that marked an outage itself and hasn't removed the upstream. A connection between nodes is replaced with the first call that times out. The upstreams' age counts from when the store's response was certainly made; 2.5 s make a node read them itself.

Cost: a store reader watches once a second in place of once in 3.25 s; the other nodes make no more calls. TestStoreCallsAtRest and TestStoreCallsAtStart keep their bounds: a node that starts reads its configuration and the quarantines in one call.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -16,7 +16,7 @@
 //	set.Put(upstream)           // one change
 //	set.Remove(id, now)
 //	set.Restore(entries, now)   // the snapshot of another node
-//	set.MarkStoreDown(now)      // the store can't be reached
+//	set.MarkStoreDown(now)      // no node can reach the store
 //	view := set.View(now)
 package discovery
 
@@ -92,7 +92,7 @@
 	return &UpstreamSet{grace: grace, entries: map[string]*entry{}}
 }
 
-// MarkStoreDown records that the store can't be reached now.
+// MarkStoreDown records that no node can reach the store now.
 func (s *UpstreamSet) MarkStoreDown(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -155,22 +155,38 @@
 
 // Restore replaces the set with the snapshot of another node, which can reach the
 // store. Upstreams that aren't in the snapshot are removed at once, even if this
-// node marked an outage.
+// node marked an outage. An upstream in its grace period at the other node has one
+// here only if this node marked an outage itself and hasn't removed the upstream:
+// the outage may have been the other node's alone. An empty set takes it over.
 func (s *UpstreamSet) Restore(entries []SnapshotEntry, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := s.entries
 	s.entries = make(map[string]*entry, len(entries))
 	for _, e := range entries {
 		restored := &entry{upstream: e.Upstream}
 		if e.GraceLeft > 0 {
+			known := before[e.Upstream.ID]
+			if len(before) > 0 && (known == nil || !s.inOutage(now)) {
+				continue
+			}
 			// Ends the grace period after GraceLeft, whatever the sender's grace is.
 			restored.missingSince = now.Add(e.GraceLeft - s.grace)
+			if known != nil && !known.missingSince.IsZero() && known.missingSince.Before(restored.missingSince) {
+				restored.missingSince = known.missingSince
+			}
 		}
 		s.entries[e.Upstream.ID] = restored
 	}
 	s.viewOutdated = true
 }
 
+// inOutage reports whether entries that are removed now get a grace period. It is
+// called with mu held.
+func (s *UpstreamSet) inOutage(now time.Time) (ok bool) {
+	return !s.storeDownAt.IsZero() && now.Sub(s.storeDownAt) <= s.grace
+}
+
 // remove deletes an entry, or starts its grace period if the store had an
 // outage. A draining upstream gets no grace period. It is called with mu held.
 func (s *UpstreamSet) remove(id string, now time.Time) {
@@ -179,7 +195,7 @@
 		return
 	}
 	s.viewOutdated = true
-	if e.upstream.Draining || s.storeDownAt.IsZero() || now.Sub(s.storeDownAt) > s.grace {
+	if e.upstream.Draining || !s.inOutage(now) {
 		delete(s.entries, id)
 		return
 	}
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -49,6 +49,18 @@
 			set.Restore(sender.Snapshot(now), now)
 		}
 	}
+	// restoreInGrace restores the snapshot of a node that had an outage of its own, in
+	// which the entry was removed.
+	restoreInGrace := func(id string) func(*discovery.UpstreamSet, time.Time) {
+		return func(set *discovery.UpstreamSet, now time.Time) {
+			sender := discovery.New(grace)
+			sender.Put(discovery.Upstream{ID: id})
+			sender.Put(discovery.Upstream{ID: "z"})
+			sender.MarkStoreDown(now)
+			sender.Remove(id, now)
+			set.Restore(sender.Snapshot(now), now)
+		}
+	}
 	noChange := func(*discovery.UpstreamSet, time.Time) {}
 	for name, steps := range map[string][]step{
 		"removed without outage":                {{0, put("a"), "a"}, {1, remove("a"), ""}},
@@ -59,11 +71,17 @@
 		// node couldn't reach the store, though the restored snapshot of another
 		// node lacks them. A node that the store rejected for seconds sent requests
 		// to such an upstream for 3 s.
-		"not in the restored snapshot":         {{0, put("a"), "a"}, {5, storeDown, "a"}, {5.5, restore(), ""}},
-		"in the restored snapshot":             {{0, put("a"), "a"}, {5, storeDown, "a"}, {5.5, restore("a"), "a"}, {9, noChange, "a"}},
-		"not in a listing after an outage":     {{0, replace("a", "b"), "ab"}, {5, storeDown, "ab"}, {6, replace("b"), "ab"}, {8, replace("b"), "b"}},
-		"draining and removed after an outage": {{0, func(set *discovery.UpstreamSet, _ time.Time) { set.Put(discovery.Upstream{ID: "a", Draining: true}) }, "a"}, {5, storeDown, "a"}, {6, remove("a"), ""}},
-		"removed long after an outage":         {{0, put("a"), "a"}, {5, storeDown, "a"}, {8, remove("a"), ""}},
+		"not in the restored snapshot": {{0, put("a"), "a"}, {5, storeDown, "a"}, {5.5, restore(), ""}},
+		"in the restored snapshot":     {{0, put("a"), "a"}, {5, storeDown, "a"}, {5.5, restore("a"), "a"}, {9, noChange, "a"}},
+		// Guards against another node's outage that brings an upstream back, or keeps it,
+		// at a node that had none.
+		"in the sender's grace period, removed here":         {{0, replace("a", "z"), "az"}, {1, remove("a"), "z"}, {2, restoreInGrace("a"), "z"}},
+		"in the sender's grace period, registered here":      {{0, replace("a", "z"), "az"}, {2, restoreInGrace("a"), "z"}},
+		"in the sender's grace period, outage here too":      {{0, replace("a", "z"), "az"}, {1, storeDown, "az"}, {2, restoreInGrace("a"), "az"}, {4, noChange, "z"}},
+		"in the sender's grace period, in an older one here": {{0, replace("a", "z"), "az"}, {1, storeDown, "az"}, {1.5, remove("a"), "az"}, {2, restoreInGrace("a"), "az"}, {3.5, noChange, "z"}},
+		"not in a listing after an outage":                   {{0, replace("a", "b"), "ab"}, {5, storeDown, "ab"}, {6, replace("b"), "ab"}, {8, replace("b"), "b"}},
+		"draining and removed after an outage":               {{0, func(set *discovery.UpstreamSet, _ time.Time) { set.Put(discovery.Upstream{ID: "a", Draining: true}) }, "a"}, {5, storeDown, "a"}, {6, remove("a"), ""}},
+		"removed long after an outage":                       {{0, put("a"), "a"}, {5, storeDown, "a"}, {8, remove("a"), ""}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			set := discovery.New(grace)
--- a/entry/config.go
+++ b/entry/config.go
@@ -41,7 +41,7 @@
 		reachable := true
 		interval := min(compareInterval, n.settings.Bounds.Configuration*2/5)
 		for n.ctx.Err() == nil {
-			if !n.isStoreReader() && !n.storeFailing.Load() && (n.configAge() < followStaleAge || n.transferAdvancing()) {
+			if !n.isStoreReader() && !n.configFailing.Load() && (n.configAge() < followStaleAge || n.transferAdvancing()) {
 				n.sleep(compareRetryDelay)
 				continue
 			}
@@ -55,9 +55,11 @@
 					n.logger.Warn("configuration check against store failed", "Took", n.clock()-askedAt, "Error", err)
 				}
 				wait = compareRetryDelay
-				// The upstreams are registered in the same store, so entries that expire
-				// now may still be usable; see upstreamGrace.
-				n.upstreams.MarkStoreDown(time.Now())
+				if reachable {
+					wait = 0 // the connection may have gone silent; the next call opens another one
+				} else {
+					n.markStoreDown()
+				}
 			case !changed || n.applyConfig(entry, fromStore, n.clock()-askedAt):
 				n.confirmConfig(askedAt)
 			}
@@ -66,7 +68,7 @@
 			}
 			reachable = err == nil
 			// ErrNotFound is an answer: the store has no configuration yet.
-			n.storeFailing.Store(!reachable && !errors.Is(err, store.ErrNotFound))
+			n.configFailing.Store(!reachable && !errors.Is(err, store.ErrNotFound))
 			n.sleep(wait)
 			if err == nil {
 				n.awaitJoined()
@@ -92,8 +94,7 @@
 	ctx, cancel := context.WithTimeout(n.ctx, configReadTimeout)
 	defer cancel()
 	if version == 0 {
-		entry, err = n.store.Get(ctx, platform.ConfigKey)
-		return entry, err == nil, err
+		return n.readFirstConfig(ctx)
 	}
 	entry, err = n.store.Compare(ctx, platform.ConfigKey, version)
 	if !errors.Is(err, store.ErrConflict) {
@@ -107,6 +108,23 @@
 	return entry, err == nil, err
 }
 
+// readFirstConfig reads the configuration, and in the same call the quarantines from
+// before the start of this node.
+func (n *Node) readFirstConfig(ctx context.Context) (entry store.Entry, found bool, err error) {
+	entries, err := n.store.GetAll(ctx, platform.ConfigKey, quarantineKey)
+	if err != nil {
+		return store.Entry{}, false, err
+	}
+	if !n.crashesKnown.Load() {
+		n.applyQuarantines(entries[quarantineKey])
+		n.crashesKnown.Store(true)
+	}
+	if entry, found = entries[platform.ConfigKey]; !found {
+		return store.Entry{}, false, store.ErrNotFound
+	}
+	return entry, true, nil
+}
+
 // applyConfig puts a configuration in force unless a newer one already is. It
 // reports whether the entry is in force afterwards. source says where the entry
 // came from, and took how long the call that brought it lasted.
@@ -157,7 +175,7 @@
 	switch {
 	case outdated && !wasOutdated:
 		reader, _ := n.peers.storeReader(time.Now())
-		n.logger.Warn("configuration outdated", "ConfigAge", age, "StoreFailing", n.storeFailing.Load(), "Reader", reader)
+		n.logger.Warn("configuration outdated", "ConfigAge", age, "StoreFailing", n.storeFailing(), "Reader", reader)
 	case wasOutdated && !outdated:
 		n.logger.Info("configuration no longer outdated", "ConfigAge", age)
 	}
--- a/entry/config_test.go
+++ b/entry/config_test.go
@@ -161,7 +161,7 @@
 	const (
 		idleTime = 60 * time.Second
 		// The store reader compares the configuration every 1.2 s, watches upstreams
-		// every 3.25 s, renews its entry and lists the nodes every 6 s. It is also the
+		// every second, renews its entry and lists the nodes every 6 s. It is also the
 		// leader, which renews its lease and stores the totals of each usage window.
 		readerLimit = 250
 		// Another node renews its entry and lists the nodes every 6 s.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,7 +32,8 @@
 //   - Store: the node keeps its configuration and upstreams, and follows any node
 //     that can read the store. Without one, it isn't ready once the configuration is
 //     too old, and serves only anonymous routes. Upstreams whose entries expired
-//     during the outage stay in use for upstreamGrace.
+//     during an outage for all nodes stay in use for upstreamGrace. A failed call is
+//     first repeated on a new connection, since open ones may go silent.
 //   - Other nodes: one that is silent for readerTTL can't be the store reader, and
 //     each node of its domain follows the next one by name. One that is silent for
 //     peerTTL doesn't count as alive.
@@ -108,6 +109,8 @@
 		// Range returns the entries whose keys begin with prefix, and the store's
 		// revision before the read. A stale read is cheaper and may be seconds old.
 		Range(ctx context.Context, prefix string, stale bool) (entries []store.Entry, revision uint64, err error)
+		// GetAll returns those of the keys that exist, in one call.
+		GetAll(ctx context.Context, keys ...string) (entries map[string]store.Entry, err error)
 		// Compare returns nil if the key still has the version. Otherwise it returns
 		// store.ErrConflict, with the current entry if the store sent it.
 		Compare(ctx context.Context, key string, version uint64) (current store.Entry, err error)
@@ -145,30 +148,31 @@
 		table             atomic.Pointer[routing.Table]
 		configConfirmedAt atomic.Int64 // clock reading at which the configuration was last known to be the newest
 		upstreamsListed   atomic.Bool  // upstreams was filled at least once, from the store or by another node
-		// storeFailing is set while this node fails to compare its configuration
-		// with the store.
-		storeFailing    atomic.Bool
-		stopping        atomic.Bool
-		lastFollowed    atomic.Int64 // clock reading when the last successful Entry.Follow call began
-		lastDutyCall    atomic.Int64 // clock reading of this node's last call as the leader; 0: none
-		inFlight        atomic.Int64
-		upstreams       *discovery.UpstreamSet
-		dispatcher      *dispatch.Dispatcher
-		upstreamPool    *relay.Pool
-		guard           *guard.Guard
-		budget          *retryBudget
-		usage           *ledger
-		crashes         *crashTracker
-		peers           *peers
-		callerServer    *http.Server
-		readinessServer *http.Server
-		addresses       Addresses
-		network         transport.Network
-		peerPool        *peer.Pool
-		engineClient    *platform.EngineClient
-		cachesKnown     atomic.Bool // bootstrapCaches has ended, successfully or not
-		crashesKnown    atomic.Bool // learnQuarantines has ended, successfully or not
-		configArchive   configArchive
+		// configFailing is set while this node fails to compare its configuration with
+		// the store, and upstreamsFailing while it fails to read the upstreams there.
+		configFailing    atomic.Bool
+		upstreamsFailing atomic.Bool
+		stopping         atomic.Bool
+		lastFollowed     atomic.Int64 // clock reading when the last successful Entry.Follow call began
+		lastDutyCall     atomic.Int64 // clock reading of this node's last call as the leader; 0: none
+		inFlight         atomic.Int64
+		upstreams        *discovery.UpstreamSet
+		dispatcher       *dispatch.Dispatcher
+		upstreamPool     *relay.Pool
+		guard            *guard.Guard
+		budget           *retryBudget
+		usage            *ledger
+		crashes          *crashTracker
+		peers            *peers
+		callerServer     *http.Server
+		readinessServer  *http.Server
+		addresses        Addresses
+		network          transport.Network
+		peerPool         *peer.Pool
+		engineClient     *platform.EngineClient
+		cachesKnown      atomic.Bool // bootstrapCaches has ended, successfully or not
+		crashesKnown     atomic.Bool // learnQuarantines has ended, successfully or not
+		configArchive    configArchive
 		// transferring is set while a configuration is fetched from another node. The
 		// goroutine that sets it owns transfer.
 		transferring       atomic.Bool
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -20,6 +20,10 @@
 	followInterval = 300 * time.Millisecond
 	// followTimeout bounds an Entry.Follow or Entry.Account call.
 	followTimeout = 400 * time.Millisecond
+	// peerSilenceLimit is how long a connection to another node may be silent when a
+	// call times out. It is shorter than the timeout, a part of which is spent on
+	// opening a connection.
+	peerSilenceLimit = followTimeout / 2
 	// followStaleAge is the age of the configuration at which a node reads the store
 	// itself. It exceeds the age that a follower's configuration has while its reader
 	// works: up to compareInterval and an eighth of it, followInterval and the way of
@@ -120,7 +124,7 @@
 		return err
 	}
 	server := peer.NewServer(n.ctx, listener, peer.Options{Metrics: n.Metrics})
-	n.peerPool = peer.NewPool(n.ctx, n.network, peer.Control, peer.Options{Metrics: n.Metrics})
+	n.peerPool = peer.NewPool(n.ctx, n.network, peer.Control, peer.Options{Metrics: n.Metrics, SilenceLimit: peerSilenceLimit})
 	return server.Register("Entry", &rpcHandler{node: n})
 }
 
@@ -135,8 +139,8 @@
 func (n *Node) awaitJoined() { n.sleep(joinPeriod - (n.clock() - n.startedAt)) }
 
 // follow calls the node at address and applies the configuration and upstreams
-// that it returns. It reports whether this node's configuration is recent then.
-func (n *Node) follow(address netip.AddrPort) (recent bool) {
+// that it returns. It reports whether the node answered.
+func (n *Node) follow(address netip.AddrPort) (answered bool) {
 	n.storeStateMu.Lock()
 	request := FollowRequest{ConfigRevision: n.configEntry.Version, UpstreamsRevision: n.upstreamsRevision, InlineBytes: inlineConfigBytes}
 	n.storeStateMu.Unlock()
@@ -175,7 +179,7 @@
 	if reply.UpstreamsSent {
 		n.syncDispatcher()
 	}
-	return sameConfig && n.configAge() < followStaleAge
+	return true
 }
 
 // followStoreReader keeps this node up to date from the store reader of its
@@ -184,10 +188,15 @@
 // of another domain.
 func (n *Node) followStoreReader() {
 	n.guard.Loop(n.ctx, "follow store reader", func() {
+		answered := true
 		for n.ctx.Err() == nil {
 			now := time.Now()
 			if address, other := n.peers.storeReader(now); other {
-				n.follow(address)
+				again := answered
+				if answered = n.follow(address); !answered && again {
+					// The connection may have gone silent. The next call opens another one.
+					continue
+				}
 			} else if n.configAge() > followStaleAge {
 				// This node can't reach the store, but another one may.
 				if address, ok := n.peers.anyHealthy(now); ok {
@@ -208,7 +217,7 @@
 // aren't stopping.
 func (p *peers) storeReader(now time.Time) (address netip.AddrPort, other bool) {
 	own := p.node.settings.Name
-	if p.node.storeFailing.Load() || p.node.configAge() > readerMaxConfigAge || p.node.stopping.Load() {
+	if p.node.storeFailing() || p.node.configAge() > readerMaxConfigAge || p.node.stopping.Load() {
 		own = "" // this node is the reader only if no other qualifies
 	}
 	p.mu.Lock()
--- a/entry/message.go
+++ b/entry/message.go
@@ -143,7 +143,7 @@
 func (p *peers) newMessage(now time.Time) (m message) {
 	return message{
 		Node: p.node.settings.Name, FailureDomain: p.node.settings.FailureDomain, WallNanos: now.UnixNano(),
-		ConfigAgeMs: p.node.configAge().Milliseconds(), CannotReadStore: p.node.storeFailing.Load() || p.node.stopping.Load(),
+		ConfigAgeMs: p.node.configAge().Milliseconds(), CannotReadStore: p.node.storeFailing() || p.node.stopping.Load(),
 	}
 }
 
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"maps"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -18,9 +17,13 @@
 	// quarantined. Store readers write it, and nodes read it when they start.
 	quarantineKey = "guavagauge/quarantine"
 	// quarantineStoreInterval is the time between checks of a store reader whether
-	// the entry in the store lacks a quarantine, and between attempts of a new node to
-	// read it.
+	// the entry in the store lacks a quarantine.
 	quarantineStoreInterval = 250 * time.Millisecond
+	// quarantineLearnInterval is the time between attempts of a new node to learn the
+	// quarantines from another node, if it didn't read them with its first
+	// configuration. From quarantineStoreAttempt on, it also reads the store.
+	quarantineLearnInterval = 100 * time.Millisecond
+	quarantineStoreAttempt  = 6
 	// maxStoredQuarantines bounds the entry in the store to about 100 KB. Those that
 	// end first are left out.
 	maxStoredQuarantines = 1000
@@ -96,10 +99,10 @@
 	return known
 }
 
-// learnQuarantines fetches the quarantines from before the start of this node, from
-// the store or from another node. Until then the node refuses all requests, since any
-// of them may crash upstreams. Crashes below the limit aren't in the store, so they are
-// fetched from another node afterwards.
+// learnQuarantines learns the quarantines from before the start of this node, unless
+// readFirstConfig does. Until then the node refuses all requests, since any of them may
+// crash upstreams. Crashes below the limit aren't in the store, so they are fetched from
+// another node afterwards.
 func (n *Node) learnQuarantines() {
 	if n.settings.FirstStart {
 		n.crashesKnown.Store(true)
@@ -107,12 +110,15 @@
 	}
 	n.guard.Go("learn quarantines", func() {
 		defer n.crashesKnown.Store(true)
-		for n.ctx.Err() == nil && !n.readQuarantines() && !n.fetchCrashes() {
+		for attempt := 0; n.ctx.Err() == nil && !n.crashesKnown.Load(); attempt++ {
+			if n.fetchCrashes() || attempt >= quarantineStoreAttempt && n.readQuarantines() {
+				break
+			}
 			if n.clock()-n.startedAt > quarantineLearnPeriod {
 				n.logger.Warn("quarantines from before the start are unknown")
 				return
 			}
-			n.sleep(quarantineStoreInterval)
+			n.sleep(quarantineLearnInterval)
 		}
 		n.crashesKnown.Store(true)
 		n.awaitJoined()
@@ -125,12 +131,20 @@
 func (n *Node) readQuarantines() (ok bool) {
 	ctx, cancel := context.WithTimeout(n.ctx, callTimeout)
 	defer cancel()
-	stored, _, err := n.getQuarantines(ctx)
-	if err != nil {
+	entry, err := n.store.Get(ctx, quarantineKey)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		n.count("quarantine_reads", "Failed")
 		n.logger.Info("quarantines not read from store", "Error", err)
 		return false
 	}
+	n.applyQuarantines(entry)
+	return true
+}
+
+// applyQuarantines applies the quarantines of an entry in the store. The zero Entry
+// holds none.
+func (n *Node) applyQuarantines(entry store.Entry) {
+	stored := n.decodeQuarantines(entry)
 	now := n.medianNow()
 	var reports []crash
 	for key, until := range stored {
@@ -147,19 +161,14 @@
 	n.recordCrashes(reports, false)
 	n.count("quarantine_reads", "Store")
 	n.logger.Info("quarantines read from store", "Stored", len(stored), "Applied", len(reports))
-	return true
 }
 
-// getQuarantines reads the entry in the store. An entry that can't be decoded counts
-// as empty, so that the next write replaces it.
-func (n *Node) getQuarantines(ctx context.Context) (stored map[storedQuarantineKey]time.Time, version uint64, err error) {
+// decodeQuarantines decodes the entry in the store. The zero Entry is empty. One that
+// can't be decoded counts as empty, so that the next write replaces it.
+func (n *Node) decodeQuarantines(entry store.Entry) (stored map[storedQuarantineKey]time.Time) {
 	stored = map[storedQuarantineKey]time.Time{}
-	entry, err := n.store.Get(ctx, quarantineKey)
-	if errors.Is(err, store.ErrNotFound) {
-		return stored, 0, nil
-	}
-	if err != nil {
-		return nil, 0, err
+	if len(entry.Value) == 0 {
+		return stored
 	}
 	var list []storedQuarantine
 	if err := json.Unmarshal(entry.Value, &list); err != nil {
@@ -168,25 +177,19 @@
 	for _, q := range list {
 		stored[storedQuarantineKey{q.Fingerprint, q.Event}] = q.Until
 	}
-	return stored, entry.Version, nil
+	return stored
 }
 
-// fetchCrashes fetches the crashes that another node knows. It prefers nodes of this
-// failure domain.
+// fetchCrashes fetches the crashes that the store reader of the failure domain knows,
+// or any node that can read the store if no other node of the domain can.
 func (n *Node) fetchCrashes() (ok bool) {
-	addresses := n.peers.localAddresses(time.Now())
-	if address, found := n.peers.anyHealthy(time.Now()); found {
-		addresses = append(addresses, address)
-	}
-	for _, address := range addresses {
-		if n.fetchCrashesFrom(address) {
-			return true
+	now := time.Now()
+	address, found := n.peers.storeReader(now)
+	if !found {
+		if address, found = n.peers.anyHealthy(now); !found {
+			return false
 		}
 	}
-	return false
-}
-
-func (n *Node) fetchCrashesFrom(address netip.AddrPort) (ok bool) {
 	ctx, cancel := context.WithTimeout(n.ctx, followTimeout)
 	defer cancel()
 	var reply CrashesReply
@@ -276,10 +279,11 @@
 	ctx, cancel := context.WithTimeout(n.ctx, quarantineWriteAttempts*callTimeout)
 	defer cancel()
 	for range quarantineWriteAttempts {
-		var version uint64
-		if stored, version, err = n.getQuarantines(ctx); err != nil {
+		entry, err := n.store.Get(ctx, quarantineKey)
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
 			return nil, err
 		}
+		stored = n.decodeQuarantines(entry)
 		now := n.medianNow()
 		current, cleared := n.crashes.quarantines(now)
 		if !outdatedQuarantines(stored, current) {
@@ -289,7 +293,7 @@
 		if err != nil {
 			return nil, err
 		}
-		_, err = n.store.Put(ctx, store.PutRequest{Key: quarantineKey, Value: value, IfVersion: version})
+		_, err = n.store.Put(ctx, store.PutRequest{Key: quarantineKey, Value: value, IfVersion: entry.Version})
 		if err == nil {
 			n.count("quarantine_writes", "Written")
 			n.logger.Info("quarantines written to store", "Quarantines", len(stored), "Bytes", len(value))
--- a/entry/upstreams.go
+++ b/entry/upstreams.go
@@ -21,13 +21,18 @@
 	// ownListInterval is the time between listings by a node whose store reader
 	// doesn't respond.
 	ownListInterval = time.Second
+	// upstreamWatchWait is the time after which the store ends a watch without events.
+	upstreamWatchWait = 800 * time.Millisecond
+	// upstreamPollWait is the wait of a watch that only asks for the changes so far.
+	upstreamPollWait = time.Millisecond
 	// watchBatchDelay is the pause after each watch, so that changes in quick
 	// succession share a call.
-	watchBatchDelay = 250 * time.Millisecond
+	watchBatchDelay = 200 * time.Millisecond
 	// relistAge is the age of the upstream set above which a new store reader lists
 	// the entries before it watches them, and another node stops relying on the
-	// reader. It exceeds the three seconds of a watch without events.
-	relistAge = 5 * time.Second
+	// reader. It exceeds the age that the set has at the end of the second of two
+	// watches, the first of which had an event at its end.
+	relistAge = 2500 * time.Millisecond
 	// maxMalformedEntries bounds the memory for entries that were logged as
 	// malformed. Beyond it, they are logged again.
 	maxMalformedEntries = 1000
@@ -40,18 +45,22 @@
 	n.guard.Loop(n.ctx, "follow upstreams", func() {
 		for n.ctx.Err() == nil {
 			revision, age := n.upstreamsState()
-			isReader := n.isStoreReader()
+			isReader, failing := n.isStoreReader(), n.upstreamsFailing.Load()
 			readerAnswers := n.clock()-time.Duration(n.lastFollowed.Load()) < readerSilence
-			if !isReader && age < relistAge && readerAnswers {
+			if !isReader && !failing && age < relistAge && readerAnswers {
 				n.sleep(listRetryDelay)
 				continue
 			}
 			var err error
+			switch {
+			case revision == 0 || age > relistAge || !isReader && !failing:
+				err = n.listUpstreams()
+			case failing:
+				err = n.watchUpstreams(upstreamPollWait)
+			}
 			// A node that becomes the reader continues from the revision that it has,
 			// unless its set is too old.
-			if !isReader || revision == 0 || age > relistAge {
-				revision, err = n.listUpstreams()
-			}
+			n.upstreamsFailing.Store(isStoreFailure(err))
 			if err == nil && !isReader {
 				n.sleep(ownListInterval)
 			} else if err == nil {
@@ -59,7 +68,9 @@
 			}
 			// This node may have become the reader during the sleep.
 			for err == nil && n.isStoreReader() {
-				revision, err = n.watchUpstreams(revision)
+				if err = n.watchUpstreams(upstreamWatchWait); isStoreFailure(err) {
+					err = n.retryWatch(err)
+				}
 				n.sleep(watchBatchDelay)
 			}
 			switch {
@@ -67,19 +78,58 @@
 				return
 			case errors.Is(err, store.ErrCompacted):
 				n.logger.Info("watch history compacted; listing upstreams again", "Error", err)
-				if _, err = n.listUpstreams(); err == nil {
+				if err = n.listUpstreams(); err == nil {
 					continue
 				}
 			case err == nil:
 				continue
 			}
-			n.logger.Warn("upstreams not updated from store", "Error", err)
-			n.upstreams.MarkStoreDown(time.Now())
+			n.upstreamsFailing.Store(true)
+			n.logger.Warn("upstreams not updated from store", "Age", n.clock()-n.upstreamsConfirmed(), "Error", err)
+			n.markStoreDown()
 			n.sleep(listRetryDelay)
 		}
 	})
 }
 
+// isStoreFailure reports whether an error of a watch or a listing means that the
+// store gave no answer.
+func isStoreFailure(err error) (ok bool) { return err != nil && !errors.Is(err, store.ErrCompacted) }
+
+// retryWatch asks for the changes again after a watch failed, on a new connection,
+// since that of the watch may have gone silent while the store is sound. Until the
+// answer, this node doesn't count as a store reader.
+func (n *Node) retryWatch(cause error) (err error) {
+	n.upstreamsFailing.Store(true)
+	age := n.clock() - n.upstreamsConfirmed()
+	if err = n.watchUpstreams(upstreamPollWait); isStoreFailure(err) {
+		return err
+	}
+	n.upstreamsFailing.Store(false)
+	n.count("upstream_watches", "Retried")
+	n.logger.Warn("watch of upstreams failed, and the store answers on a new connection", "Age", age, "Error", cause)
+	return err
+}
+
+// storeFailing reports whether this node fails to read the configuration or the
+// upstreams from the store.
+func (n *Node) storeFailing() (ok bool) { return n.configFailing.Load() || n.upstreamsFailing.Load() }
+
+// markStoreDown records that the store doesn't answer this node, not even on a new
+// connection, so that upstreams whose entries are removed because of the outage stay
+// usable for upstreamGrace. If another node can read the store, only this one is cut
+// off: upstreams can reach the store, and removed entries are gone for good.
+func (n *Node) markStoreDown() {
+	now := time.Now()
+	if address, ok := n.peers.anyHealthy(now); ok {
+		n.count("store_outages", "OnlyHere")
+		n.logger.Debug("store doesn't answer this node, but another one", "Other", address)
+		return
+	}
+	n.count("store_outages", "Fleet")
+	n.upstreams.MarkStoreDown(now)
+}
+
 // upstreamsState returns the store revision of the upstream set, and the time since
 // it was last known to be up to date.
 func (n *Node) upstreamsState() (revision uint64, age time.Duration) {
@@ -88,6 +138,14 @@
 	return n.upstreamsRevision, n.clock() - n.upstreamsConfirmedAt
 }
 
+// upstreamsConfirmed returns the clock reading at which the upstream set was last
+// known to be up to date.
+func (n *Node) upstreamsConfirmed() (at time.Duration) {
+	n.storeStateMu.Lock()
+	defer n.storeStateMu.Unlock()
+	return n.upstreamsConfirmedAt
+}
+
 // setUpstreamsRevision records that the upstream set reflects the store at a
 // revision, which was the newest at the clock reading at.
 func (n *Node) setUpstreamsRevision(revision uint64, at time.Duration) {
@@ -96,15 +154,14 @@
 	n.upstreamsRevision, n.upstreamsConfirmedAt = max(n.upstreamsRevision, revision), max(n.upstreamsConfirmedAt, at)
 }
 
-// listUpstreams replaces the upstream set by the entries in the store, and returns
-// the store's revision.
-func (n *Node) listUpstreams() (revision uint64, err error) {
+// listUpstreams replaces the upstream set by the entries in the store.
+func (n *Node) listUpstreams() (err error) {
 	ctx, cancel := context.WithTimeout(n.ctx, listTimeout)
 	defer cancel()
 	askedAt := n.clock()
 	entries, revision, err := n.store.Range(ctx, platform.UpstreamPrefix, false)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	var upstreams []discovery.Upstream
 	for _, entry := range entries {
@@ -116,16 +173,18 @@
 	n.setUpstreamsRevision(revision, askedAt)
 	n.upstreamsListed.Store(true)
 	n.syncDispatcher()
-	return revision, nil
+	return nil
 }
 
-// watchUpstreams waits for changes of the entries after a revision and applies
-// them. It returns the revision to continue from. The store ends a watch without
-// events after three seconds, and the client gives up soon after that.
-func (n *Node) watchUpstreams(after uint64) (revision uint64, err error) {
-	events, revision, err := n.store.Watch(n.ctx, store.WatchRequest{Prefix: platform.UpstreamPrefix, After: after})
+// watchUpstreams waits for changes of the entries after the revision of the upstream
+// set and applies them. The store ends a watch without events after wait, and the
+// client gives up soon after that.
+func (n *Node) watchUpstreams(wait time.Duration) (err error) {
+	after, _ := n.upstreamsState()
+	askedAt := n.clock()
+	events, revision, err := n.store.Watch(n.ctx, store.WatchRequest{Prefix: platform.UpstreamPrefix, After: after, Wait: wait})
 	if err != nil {
-		return 0, err
+		return err
 	}
 	for _, event := range events {
 		upstream, ok := discovery.Upstream{}, false
@@ -141,12 +200,17 @@
 			n.logger.Info("upstream removed", "Key", event.Entry.Key, "Deleted", event.Deleted)
 		}
 	}
-	// If the watch ends without events, there was no change until now.
-	n.setUpstreamsRevision(revision, n.clock())
+	// The response of a watch without events is as of the end of the wait. One with
+	// events is as of an unknown time after the request.
+	confirmedAt := askedAt
+	if len(events) == 0 {
+		confirmedAt += wait
+	}
+	n.setUpstreamsRevision(revision, confirmedAt)
 	if len(events) > 0 {
 		n.syncDispatcher()
 	}
-	return revision, nil
+	return nil
 }
 
 // decodeUpstream decodes the entry of an upstream. It returns false for a malformed
--- a/nettest/conn.go
+++ b/nettest/conn.go
@@ -42,6 +42,7 @@
 		changed       chan struct{} // closed and replaced on each change
 		chunks        []chunk
 		bufferedBytes int
+		silent        bool  // bytes and the end of the connection no longer arrive
 		readErr       error // returned to the reader after the last chunk
 		writeErr      error
 		readDeadline  time.Time
@@ -131,6 +132,12 @@
 	return nil
 }
 
+// silence makes the stream lose all bytes that haven't been read, and what is sent on
+// it from now on.
+func (s *stream) silence() {
+	s.update(func() { s.silent, s.chunks, s.bufferedBytes = true, nil, 0 })
+}
+
 // update changes the stream and wakes the reads and writes that wait on it.
 func (s *stream) update(change func()) {
 	s.mu.Lock()
@@ -144,7 +151,7 @@
 // the bytes already sent.
 func (s *stream) closeWith(readErr, writeErr error) {
 	s.update(func() {
-		if s.readErr == nil {
+		if s.readErr == nil && !s.silent {
 			s.readErr = readErr
 		}
 		if s.writeErr == nil {
@@ -153,9 +160,13 @@
 	})
 }
 
-// abort discards the unread bytes and makes further reads fail with err.
+// abort discards the unread bytes and makes further reads fail with err. Only the
+// reader's own end can abort a silent stream.
 func (s *stream) abort(err error) {
 	s.update(func() {
+		if s.silent && err != net.ErrClosed {
+			return
+		}
 		s.chunks, s.bufferedBytes = nil, 0
 		if s.readErr == nil || s.readErr == io.EOF {
 			s.readErr = err
@@ -221,6 +232,9 @@
 		case expired(s.writeDeadline, now):
 			s.mu.Unlock()
 			return 0, os.ErrDeadlineExceeded
+		case s.silent:
+			s.mu.Unlock()
+			return len(b), nil
 		case s.bufferedBytes < s.network.bufferLimit():
 			for segment := range slices.Chunk(b, segmentBytes) {
 				due := s.network.transmit(s.from, s.to, len(segment), now)
--- a/nettest/nettest.go
+++ b/nettest/nettest.go
@@ -7,6 +7,7 @@
 //	a, b := net.Host("10.0.0.1"), net.Host("10.0.0.2") // each a transport.Network
 //	net.Cut("10.0.0.1", "10.0.0.2")                    // a's bytes no longer reach b
 //	net.Heal("10.0.0.1", "10.0.0.2")                   // the bytes held back arrive now
+//	net.Silence("10.0.0.1", "10.0.0.2")                // their open connections lose all bytes
 //	net.Crash("10.0.0.2")                              // as if b's process were killed
 //
 // It works inside a testing/synctest bubble, where delays take no real time.
@@ -127,6 +128,24 @@
 // Heal ends a Cut. The bytes that it held back arrive.
 func (n *Network) Heal(from, to string) { n.setCut(from, to, false) }
 
+// Silence makes the open connections between two addresses go silent for good: they
+// stay open, and nothing that is sent on them arrives. New connections work.
+func (n *Network) Silence(a, b string) {
+	hostA, hostB := netip.MustParseAddr(a), netip.MustParseAddr(b)
+	n.mu.Lock()
+	var open []*conn
+	for c := range n.conns {
+		if local, remote := c.local.Addr(), c.remote.Addr(); local == hostA && remote == hostB || local == hostB && remote == hostA {
+			open = append(open, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range open {
+		c.in.silence()
+		c.out.silence()
+	}
+}
+
 // Crash resets all connections of an address and closes its listeners, as when
 // its process is killed. Writes and dials by the address fail from before the
 // first reset until it listens again.
--- a/nettest/nettest_test.go
+++ b/nettest/nettest_test.go
@@ -1,8 +1,11 @@
 package nettest_test
 
 import (
+	"errors"
 	"io"
+	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -73,3 +76,44 @@
 		}
 	})
 }
+
+// Guards against a silent connection that shows its end or loses its own side, and
+// against silence that reaches connections opened later.
+func TestSilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := nettest.New()
+		address := netip.MustParseAddrPort("10.0.0.2:80")
+		listener, err := network.Host("10.0.0.2").Listen(t.Context(), address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		for _, silent := range []bool{true, false} {
+			dialed, err := network.Host("10.0.0.1").Dial(t.Context(), address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			accepted, err := listener.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if silent {
+				network.Silence("10.0.0.1", "10.0.0.2")
+			}
+			if _, err = accepted.Write([]byte("x")); err != nil {
+				t.Errorf("silent %t: write: %v", silent, err)
+			}
+			accepted.Close()
+			dialed.SetReadDeadline(time.Now().Add(time.Hour))
+			n, err := dialed.Read(make([]byte, 1))
+			if timedOut := errors.Is(err, os.ErrDeadlineExceeded); timedOut != silent || (n == 1) == silent {
+				t.Errorf("silent %t: %d bytes read, error %v", silent, n, err)
+			}
+			dialed.SetReadDeadline(time.Time{})
+			dialed.Close()
+			if _, err = dialed.Read(make([]byte, 1)); !errors.Is(err, net.ErrClosed) {
+				t.Errorf("silent %t: read after the own end was closed: %v", silent, err)
+			}
+		}
+	})
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -19,8 +19,8 @@
 //
 // A call to a peer that can't be reached fails with ErrNotSent. If the connection is
 // lost, its calls fail and the next one dials again. While a peer is silent, calls
-// end with their contexts; a control connection is closed after silenceLimit, a data
-// connection stays open.
+// end with their contexts; a control connection is closed after Options.SilenceLimit, a
+// data connection stays open.
 package peer
 
 import (
@@ -54,11 +54,8 @@
 	firstByteTimeout = 5 * time.Second // for the first byte of an accepted connection
 	idleTimeout      = 5 * time.Minute // since the last call started; the connection is then closed
 	idleCheckPeriod  = time.Minute
-	// silenceLimit is how long a control connection may receive nothing after a
-	// call: a call that times out after that closes it. Otherwise the peer would receive and answer all
-	// calls of a long network partition at once when it heals. The limit is twice
-	// the longest call timeout of package membership.
-	silenceLimit = 4 * time.Second
+	// defaultSilenceLimit is twice the longest call timeout of package membership.
+	defaultSilenceLimit = 4 * time.Second
 )
 
 type (
@@ -72,6 +69,11 @@
 	Options struct {
 		Metrics *metrics.Set
 		TLS     *tls.Config
+		// SilenceLimit is how long a control connection may receive nothing after a
+		// call: a call that times out after that closes it, so that the next one opens
+		// another. Otherwise the peer would also receive and answer all calls of a long
+		// network partition at once when it heals. The default is 4 s.
+		SilenceLimit time.Duration
 		// Local is the server in the pool's own process. Calls to LocalAddress
 		// invoke its methods without a connection.
 		Local        *Server
@@ -179,6 +181,9 @@
 
 // NewPool returns a Pool whose connections close when ctx ends.
 func NewPool(ctx context.Context, network transport.Network, class Class, options Options) *Pool {
+	if options.SilenceLimit == 0 {
+		options.SilenceLimit = defaultSilenceLimit
+	}
 	p := &Pool{
 		ctx: ctx, network: network, class: class, options: options,
 		peers: make(map[netip.AddrPort]*peerConnection),
@@ -218,7 +223,7 @@
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
-		if p.class == Control && rawConn.silence() >= silenceLimit {
+		if p.class == Control && rawConn.silence() >= p.options.SilenceLimit {
 			rawConn.discardUnsent()
 			p.removeClient(address, client)
 		}
--- a/store/store.go
+++ b/store/store.go
@@ -109,10 +109,12 @@
 	}
 
 	// WatchRequest selects the changes of keys that begin with Prefix, with a
-	// version above After.
+	// version above After. Wait is the longest time to wait for a change, for clients
+	// of services that take one; 0 means the client's default.
 	WatchRequest struct {
 		Prefix string
 		After  uint64
+		Wait   time.Duration
 	}
 
 	// Event is one change returned by a watch. If Deleted, Entry.Value is nil and
