entry: bound the memory of the bodies that a node holds in all

What callers saw, by the report of another operator: a faulty upstream sent bytes without end, the node that had called it kept them and ran out of memory, and the requests of all other callers on that node ended with it.

Cause: each body has a limit, but nothing bounded their sum. Uploads of 4 MiB (the limit of the sites) that arrive at once, or responses of which a node reads up to 1 MiB ahead, add up beyond the VM's memory.

Ruled out by TestEndlessBytesAreCutOff, which has the shapes now: interim responses, chunk sizes, chunk extensions, chunks of one byte with long extensions, trailers, and a body that only the end of the connection ends. They were cut off before.

Change: the buffers of requests, of responses that are read ahead and of events count against a budget of a quarter of the VM's memory; buffers above 256 KiB may use three quarters of that, so that large bodies don't keep out small ones. A request whose body doesn't fit is refused with status 503 and Retry-After at once, without reading the rest of it. A response is read ahead less far instead. The gauge guavagauge_entry_held_body_bytes has the sum.

Found on the way: a failed response of more than 1 MiB to a request that may run again was cut at 1 MiB and sent as complete if the retry failed too. Only a response that was read whole is kept for that.

--- a/entry/call.go
+++ b/entry/call.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"time"
@@ -62,11 +61,7 @@
 	e.calls++
 	e.runs++
 	n.usage.record(e.workspace, n.medianNow())
-	var content bytes.Buffer
-	_, err = io.CopyN(&content, response, readAheadBytes)
-	if errors.Is(err, io.EOF) {
-		err = nil
-	}
+	content, err := e.readAhead(response)
 	if err == nil && response.Status/100 == 2 && !response.Reply.Sealed {
 		err = errors.New("successful response has no seal header")
 	}
@@ -74,14 +69,14 @@
 		e.handleBrokenResponse(job, err)
 		return false
 	}
-	if response.Status >= http.StatusInternalServerError && e.route.RetryClass == routing.Idempotent && e.allowRetry(true) {
+	if response.Status >= http.StatusInternalServerError && response.Complete() && e.route.RetryClass == routing.Idempotent && e.allowRetry(true) {
 		// The upstream itself is healthy, since it responded. Another one may
 		// succeed.
 		job.End(time.Now(), dispatch.Served)
 		e.calls-- // retryServerError counts the next attempt, and handleResult counts it again if it reaches the upstream
-		return e.retryServerError(response, content.Bytes())
+		return e.retryServerError(response, content)
 	}
-	e.forwardResponse(response, job, content.Bytes())
+	e.forwardResponse(response, job, content)
 	return true
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -161,6 +161,7 @@
 		upstreamPool     *relay.Pool
 		guard            *guard.Guard
 		budget           *retryBudget
+		memory           *memoryBudget
 		usage            *ledger
 		crashes          *crashTracker
 		peers            *peers
@@ -228,10 +229,11 @@
 		Metrics: set, settings: s, logger: options.Logger.With("Node", s.Name), store: options.Store,
 		cloud: options.Cloud, clock: options.Clock, upstreams: discovery.New(upstreamGrace),
 		dispatcher: dispatch.New(dispatch.Options{FailureDomain: s.FailureDomain, Regions: s.Regions}),
-		network:    options.Network, budget: newRetryBudget(s.Bounds), usage: newLedger(s.Bounds.UsageWindow), crashes: newCrashTracker(),
+		network:    options.Network, budget: newRetryBudget(s.Bounds), memory: newMemoryBudget(s.Limits.MemoryMB), usage: newLedger(s.Bounds.UsageWindow), crashes: newCrashTracker(),
 		malformedEntries: map[string]uint64{},
 	}
 	n.startedAt = n.clock()
+	set.NewGauge("guavagauge_entry_held_body_bytes", func() float64 { return float64(n.memory.held.Load()) })
 	n.guard = guard.New(n.logger, set)
 	n.engineClient = platform.NewEngineClient(options.Network)
 	n.upstreamPool = relay.New(relay.Options{Network: options.Network, Count: func(event string) { n.count("connections", event) }})
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -60,6 +60,7 @@
 		start               time.Time
 		requestCount        atomic.Int64
 		clock               func() time.Duration // of the nodes; the time since start by default
+		memoryMB            int                  // of the nodes' VMs; 0: the default
 		metricsAddressTaken bool                 // another listener has the metrics address of the nodes
 		cleanupsMu          sync.Mutex           // upstreams that restart add to cleanups in goroutines of their own
 		cleanups            []func()
@@ -178,6 +179,9 @@
 	s, _ := settings.ParseEntry("entry.toml", nil)
 	s.Name, s.FailureDomain, s.Regions = name, "a", map[string]string{"a": "r"}
 	s.Listen = settings.EntryListen{Caller: at(80), Ready: at(81), Peer: at(82), Profile: at(83)}
+	if f.memoryMB > 0 {
+		s.Limits.MemoryMB = f.memoryMB
+	}
 	if f.metricsAddressTaken {
 		s.Listen.Metrics = s.Listen.Ready
 	}
--- /dev/null
+++ b/entry/memory_test.go
@@ -0,0 +1,173 @@
+package entry_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/platformtest"
+)
+
+const (
+	smallMemoryMB = 32
+	// heldLimit is the part of the memory that bodies may occupy.
+	heldLimit = smallMemoryMB << 20 / 4
+	mebibyte  = 1 << 20
+)
+
+var heldBytesPattern = regexp.MustCompile(`guavagauge_entry_held_body_bytes (\S+)`)
+
+// startSmallNode starts one plain upstream and a node with little memory that accepts
+// bodies of 4 MiB.
+func (f *testFleet) startSmallNode(upstream http.Handler) {
+	f.memoryMB = smallMemoryMB
+	text := strings.Replace(fmt.Sprintf(configText, 1, `"`+key+`"`), `"max_body_bytes":1000`, `"max_body_bytes":4194304`, 1)
+	f.store.Set(platform.ConfigKey, []byte(text))
+	f.startServer("10.2.0.1:80", upstream)
+	f.registerUpstream("d1", "desk", "", "10.2.0.1:80", "ready")
+	f.startNodeAndWait("n1", n1)
+}
+
+// heldBytes returns the bytes of bodies that node n1 holds.
+func (f *testFleet) heldBytes() (n int) {
+	var text strings.Builder
+	f.nodes["n1"].Metrics.WritePrometheus(&text)
+	match := heldBytesPattern.FindStringSubmatch(text.String())
+	if match == nil {
+		f.t.Fatal("the metric of the held bytes is missing")
+	}
+	value, err := strconv.ParseFloat(match[1], 64)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return int(value)
+}
+
+// Guards against a node that holds the bodies of all requests that arrive at once, and
+// is killed when it runs out of memory, with the requests of all other callers. What
+// it can't hold is refused before the rest of it is sent.
+func TestUploadsAreBoundedInAll(t *testing.T) {
+	const (
+		uploads   = 8
+		bodyBytes = 2 * mebibyte
+	)
+	runWithFleet(t, func(f *testFleet) {
+		f.startSmallNode(&platformtest.Upstream{ID: "d1"})
+		rest := make(chan struct{})
+		var wait sync.WaitGroup
+		results := make([]result, uploads)
+		for i := range uploads {
+			wait.Go(func() {
+				body := io.MultiReader(bytes.NewReader(make([]byte, bodyBytes-1)), channelReader(rest))
+				results[i] = f.upload(n1+":80", body)
+			})
+		}
+		f.advance(time.Second)
+		if held := f.heldBytes(); held > heldLimit || held < heldLimit/4 {
+			t.Errorf("%d bytes are held, want at most %d and at least a quarter of that", held, heldLimit)
+		}
+		f.expect(f.request(n1+":80", http.MethodPost, "/entries/1", "small", nil), http.StatusOK, "answer")
+		close(rest)
+		wait.Wait()
+		served, refused := 0, 0
+		for _, r := range results {
+			switch {
+			case r.err == nil && r.status == http.StatusOK:
+				served++
+			case r.err == nil && r.status == http.StatusServiceUnavailable && strings.Contains(r.body, "Memory") && r.header.Get("Retry-After") != "":
+				refused++
+			default:
+				t.Errorf("an upload ended with %v", r)
+			}
+		}
+		if served == 0 || refused == 0 {
+			t.Errorf("%d uploads served and %d refused, want some of both", served, refused)
+		}
+		if held := f.heldBytes(); held != 0 {
+			t.Errorf("%d bytes are held after all uploads have ended", held)
+		}
+	})
+}
+
+// Guards against responses without end that a node reads ahead for many callers at
+// once.
+func TestLongResponsesAreBoundedInAll(t *testing.T) {
+	const (
+		callers       = 24
+		responseBytes = 3 * mebibyte
+	)
+	runWithFleet(t, func(f *testFleet) {
+		rest := make(chan struct{})
+		f.startSmallNode(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			platformtest.BeginResponse(w, r)
+			w.Header().Set("Content-Length", strconv.Itoa(responseBytes))
+			w.Write(make([]byte, mebibyte-1))
+			http.NewResponseController(w).Flush()
+			<-rest
+			w.Write(make([]byte, responseBytes-mebibyte+1))
+		}))
+		var wait sync.WaitGroup
+		for range callers {
+			wait.Go(func() {
+				r := f.request(n1+":80", http.MethodGet, "/draws/1", "", nil)
+				if r.err != nil || r.status != http.StatusOK || len(r.body) != responseBytes {
+					t.Errorf("status %d with %d bytes (%v), want all %d bytes", r.status, len(r.body), r.err, responseBytes)
+				}
+			})
+		}
+		f.advance(time.Second)
+		if held := f.heldBytes(); held > heldLimit || held < heldLimit/4 {
+			t.Errorf("%d bytes are held, want at most %d and at least a quarter of that", held, heldLimit)
+		}
+		close(rest)
+		wait.Wait()
+		if held := f.heldBytes(); held != 0 {
+			t.Errorf("%d bytes are held after all responses have ended", held)
+		}
+	})
+}
+
+// channelReader returns one byte after the channel is closed.
+func channelReader(ready <-chan struct{}) io.Reader { return &delayedByte{ready: ready} }
+
+type delayedByte struct {
+	ready <-chan struct{}
+	sent  bool
+}
+
+// Read implements io.Reader.
+func (d *delayedByte) Read(b []byte) (n int, err error) {
+	if d.sent {
+		return 0, io.EOF
+	}
+	<-d.ready
+	d.sent, b[0] = true, 'x'
+	return 1, nil
+}
+
+// upload sends a request to a node whose body has no known length.
+func (f *testFleet) upload(address string, body io.Reader) (r result) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/entries/1", body)
+	if err != nil {
+		f.t.Error(err)
+		return result{err: err}
+	}
+	request.Host = "a.example"
+	request.Header = platformtest.CallerHeader(fmt.Sprintf("u%d", f.requestCount.Add(1)), key, 2500*time.Millisecond)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer(f.network.Host(callerHost))}}
+	response, err := client.Do(request)
+	if err != nil {
+		return result{err: err}
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return result{status: response.StatusCode, header: response.Header, body: string(text), err: err}
+}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -28,6 +28,7 @@
 	reasonUnknownKey  reason = "Key"         // the API key is unknown
 	reasonMalformed   reason = "Malformed"   // the request can't be parsed or read
 	reasonTooLarge    reason = "TooLarge"    // the body exceeds the limit
+	reasonMemory      reason = "Memory"      // the node holds too many bodies
 	reasonNoUpstream  reason = "NoUpstream"  // no upstream is available
 	reasonOverload    reason = "Overload"    // the request would wait for too long
 	reasonRejected    reason = "Rejected"    // an upstream rejected the request without running it
@@ -45,8 +46,8 @@
 	// at present. It is short, since another node probably can.
 	defaultRetryAfter = 300 * time.Millisecond
 	// readAheadBytes is the size of the part of a plain response that is read
-	// before the caller receives any of it. If it breaks off within that part, the
-	// request can be retried.
+	// before the caller receives any of it, if the node has memory for it. If the
+	// response breaks off within that part, the request can be retried.
 	readAheadBytes = 1 << 20
 	// responseMargin is the time reserved for responding to the caller, so that a
 	// timeout is reported before the route's timeout rather than after it.
@@ -76,7 +77,8 @@
 		workspace  string
 		priority   int
 		body       []byte
-		header     http.Header // end-to-end headers of the request
+		buffers    []*heldBuffer // those that count against the node's memory budget
+		header     http.Header   // end-to-end headers of the request
 		arrivedAt  time.Time
 		deadline   time.Time
 		tried      []string
@@ -96,6 +98,7 @@
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
 	e := &exchange{node: n, w: w, r: r, ctx: r.Context(), arrivedAt: time.Now()}
+	defer e.releaseBuffers()
 	defer e.endPanic()
 	if n.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -177,13 +180,8 @@
 	if limit <= 0 {
 		limit = maxHeaderBytes
 	}
-	if e.body, err = io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, limit)); err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			e.fail(http.StatusRequestEntityTooLarge, reasonTooLarge, err)
-		} else {
-			e.fail(http.StatusBadRequest, reasonMalformed, err)
-		}
+	if err = e.readBody(limit); err != nil {
+		e.failBody(err)
 		return false
 	}
 	if e.quarantined() {
@@ -199,6 +197,21 @@
 	return true
 }
 
+// failBody responds to a request whose body can't be read. The rest of the body isn't
+// read if the node has no memory for it.
+func (e *exchange) failBody(err error) {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.Is(err, errMemoryExhausted):
+		e.w.Header().Set("Connection", "close")
+		e.refuse(reasonMemory, defaultRetryAfter)
+	case errors.As(err, &tooLarge):
+		e.fail(http.StatusRequestEntityTooLarge, reasonTooLarge, err)
+	default:
+		e.fail(http.StatusBadRequest, reasonMalformed, err)
+	}
+}
+
 // send makes one attempt to send the request to the chosen upstream. The job is
 // valid even if err isn't nil, and must be ended.
 func (e *exchange) send(choice dispatch.Choice, upstreamHeaders platform.UpstreamHeaders) (response *relay.Response, job *dispatch.Job, err error) {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -21,8 +21,8 @@
 	// eventBufferBytes is the size of the buffer for reading events. An event may be
 	// larger.
 	eventBufferBytes = 4 << 10
-	// maxEventBytes bounds the memory for an event. A faulty upstream may send
-	// bytes without end.
+	// maxEventBytes bounds the memory for an event, beside the node's memory budget. A
+	// faulty upstream may send bytes without end.
 	maxEventBytes = 1 << 20
 	// waitLimitPercent is the longest expected wait for an engine, as a percentage
 	// of the route's objective, with which a request is still accepted. It exceeds
@@ -179,7 +179,7 @@
 	}
 	s.runs++
 	if response.Status/100 != 2 {
-		content, err := io.ReadAll(io.LimitReader(response, readAheadBytes))
+		content, err := s.readAhead(response)
 		if err != nil || s.headSent {
 			s.handleBrokenResponse(job, errors.Errorf("upstream responded with status %d", response.Status))
 			return false
@@ -219,18 +219,19 @@
 func (s *stream) copyEvents(response *relay.Response, job *dispatch.Job) (err error) {
 	reader := bufio.NewReaderSize(response, eventBufferBytes)
 	controller := http.NewResponseController(s.w)
-	var event []byte
+	event := s.newBuffer()
+	defer event.release()
 	eventID := s.lastEventID // of the event that is being read
 	first := true
 	for {
 		line, err := reader.ReadSlice('\n')
-		event = append(event, line...)
+		if !event.append(line, maxEventBytes) {
+			return errors.Errorf("event after %q exceeds %d bytes or the node's memory", s.lastEventID, maxEventBytes)
+		}
 		switch {
-		case len(event) > maxEventBytes:
-			return errors.Errorf("event after %q exceeds %d bytes", s.lastEventID, maxEventBytes)
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && len(event) == 0:
+		case errors.Is(err, io.EOF) && len(event.data) == 0:
 			if !s.headSent {
 				s.sendHead(response)
 			}
@@ -255,13 +256,13 @@
 		if !s.headSent {
 			s.sendHead(response)
 		}
-		if _, err = s.w.Write(event); err != nil {
+		if _, err = s.w.Write(event.data); err != nil {
 			return err
 		}
 		if err = controller.Flush(); err != nil {
 			return err
 		}
-		event = event[:0]
+		event.data = event.data[:0]
 		s.lastEventID = eventID
 	}
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -262,6 +262,12 @@
 		"interim head":       {"HTTP/1.1 103 Early Hints\r\n", "X-Y: z\r\n"},
 		"stray body":         {"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
 		"stray body, length": {"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 9000000000\r\n\r\n", "x"},
+		"interim responses":  {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"chunk size":         {"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+		"chunk extension":    {"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n4;", "x"},
+		"chunk overhead":     {"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n", "1;xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\na\r\n"},
+		"trailer":            {"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Y: z\r\n"},
+		"body until close":   {"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n", "x"},
 		"unwanted body":      {"HTTP/1.1 503 No\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
