entry: answer requests that come late in a planned stop

What callers saw, by the report of another operator: requests that came late in the grace period were taken and passed on, and were cut with no answer at its end, also those that may not run again.

Cause here: 2.5 s after the signal the server began its shutdown, which closes idle connections. A connection that was open but had no request yet, or an upload that had begun, could still bring a request: net/http reads a new one and closes its connection without an answer, and a slow upload was passed on whatever time was left. At the end of the grace period the requests in flight were taken for those of callers that had left, so they got no answer either.

Change: a stopping node closes its listener and idle connections, and goes on serving the others. A request whose deadline is after the end of the stop is refused with status 503, which promises that it hasn't run, and one that ends before it is finished. Requests that still run at the end are canceled and get 502 (503 if they haven't run) before the process ends; a stream that has begun is cut.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -96,6 +96,12 @@
 	// sweepInterval is the time between closing idle connections to upstreams, and
 	// between updates of the dispatcher for upstreams whose grace has ended.
 	sweepInterval = 250 * time.Millisecond
+	// idlePollInterval is the time between checks whether a stopping node has finished
+	// all requests.
+	idlePollInterval = 10 * time.Millisecond
+	// stopAnswerTime is how long a stopping node waits until the last responses are
+	// written, those to requests that it cuts off included.
+	stopAnswerTime = 200 * time.Millisecond
 	// withdrawDelay is how long a stopping node accepts new requests. The load
 	// balancer checks readiness once a second and removes a node after two failed
 	// checks.
@@ -152,28 +158,35 @@
 		// the store, and upstreamsFailing while it fails to read the upstreams there.
 		configFailing    atomic.Bool
 		upstreamsFailing atomic.Bool
-		stopping         atomic.Bool
-		lastFollowed     atomic.Int64 // clock reading when the last successful Entry.Follow call began
-		lastDutyCall     atomic.Int64 // clock reading of this node's last call as the leader; 0: none
-		inFlight         atomic.Int64
-		upstreams        *discovery.UpstreamSet
-		dispatcher       *dispatch.Dispatcher
-		upstreamPool     *relay.Pool
-		guard            *guard.Guard
-		budget           *retryBudget
-		memory           *memoryBudget
-		usage            *ledger
-		crashes          *crashTracker
-		peers            *peers
-		callerServer     *http.Server
-		readinessServer  *http.Server
-		addresses        Addresses
-		network          transport.Network
-		peerPool         *peer.Pool
-		engineClient     *platform.EngineClient
-		cachesKnown      atomic.Bool // bootstrapCaches has ended, successfully or not
-		crashesKnown     atomic.Bool // learnQuarantines has ended, successfully or not
-		configArchive    configArchive
+		// requestCtx is the context of callers' requests. Stop ends it before ctx, so that
+		// requests that are cut off still get an answer.
+		requestCtx     context.Context
+		cancelRequests context.CancelFunc
+		// stopWindow is set once Stop closes the listeners for callers.
+		stopWindow      atomic.Pointer[stopWindow]
+		stopping        atomic.Bool
+		lastFollowed    atomic.Int64 // clock reading when the last successful Entry.Follow call began
+		lastDutyCall    atomic.Int64 // clock reading of this node's last call as the leader; 0: none
+		inFlight        atomic.Int64
+		upstreams       *discovery.UpstreamSet
+		dispatcher      *dispatch.Dispatcher
+		upstreamPool    *relay.Pool
+		guard           *guard.Guard
+		budget          *retryBudget
+		memory          *memoryBudget
+		usage           *ledger
+		crashes         *crashTracker
+		peers           *peers
+		callerServer    *http.Server
+		callerListener  net.Listener
+		readinessServer *http.Server
+		addresses       Addresses
+		network         transport.Network
+		peerPool        *peer.Pool
+		engineClient    *platform.EngineClient
+		cachesKnown     atomic.Bool // bootstrapCaches has ended, successfully or not
+		crashesKnown    atomic.Bool // learnQuarantines has ended, successfully or not
+		configArchive   configArchive
 		// transferring is set while a configuration is fetched from another node. The
 		// goroutine that sets it owns transfer.
 		transferring       atomic.Bool
@@ -196,6 +209,9 @@
 		upstreamsConfirmedAt time.Duration // clock reading at which upstreams were last known to be up to date
 	}
 
+	// stopWindow is the time for which a stopping node finishes requests.
+	stopWindow struct{ end time.Time } // zero: without limit
+
 	// Addresses holds the addresses of a node's listeners for callers and for
 	// readiness checks, with their actual ports.
 	Addresses struct{ Caller, Ready netip.AddrPort }
@@ -238,6 +254,7 @@
 	n.engineClient = platform.NewEngineClient(options.Network)
 	n.upstreamPool = relay.New(relay.Options{Network: options.Network, Count: func(event string) { n.count("connections", event) }})
 	n.ctx, n.cancel = context.WithCancel(ctx)
+	n.requestCtx, n.cancelRequests = context.WithCancel(n.ctx)
 	if err = n.listen(); err != nil {
 		n.cancel()
 		return nil, err
@@ -290,10 +307,11 @@
 	if err != nil {
 		return err
 	}
+	n.callerListener = listener
 	n.addresses = Addresses{Caller: addressOf(listener), Ready: addressOf(readyListener)}
 	n.callerServer = &http.Server{
 		Handler: http.HandlerFunc(n.serve), IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		BaseContext: func(net.Listener) context.Context { return n.ctx },
+		BaseContext: func(net.Listener) context.Context { return n.requestCtx },
 		ErrorLog:    slog.NewLogLogger(n.logger.Handler(), slog.LevelDebug),
 	}
 	router := chi.NewRouter()
@@ -342,7 +360,7 @@
 
 // logListenerError logs the end of a listener unless the node is stopping.
 func (n *Node) logListenerError(listener string, err error) {
-	if !errors.Is(err, http.ErrServerClosed) && n.ctx.Err() == nil {
+	if !errors.Is(err, http.ErrServerClosed) && !n.stopping.Load() && n.ctx.Err() == nil {
 		n.logger.Error("listener failed", "Listener", listener, "Error", err)
 	}
 }
@@ -357,7 +375,9 @@
 
 // Stop shuts the node down gracefully. The node reports that it isn't ready,
 // accepts requests until the load balancer has removed it, and finishes the
-// requests in flight. When ctx ends first, the remaining ones are cut off.
+// requests in flight. It refuses those that come on open connections later, unless
+// their deadline is before that of ctx. When ctx ends first, the remaining ones are cut
+// off: callers that have received nothing get an error.
 func (n *Node) Stop(ctx context.Context) {
 	n.stopping.Store(true)
 	n.logger.Info("stopping", "InFlight", n.inFlight.Load())
@@ -365,15 +385,49 @@
 	case <-time.After(withdrawDelay):
 	case <-ctx.Done():
 	}
-	if err := n.callerServer.Shutdown(ctx); err != nil {
-		n.logger.Warn("requests cut off at shutdown", "InFlight", n.inFlight.Load(), "Error", err)
+	end, _ := ctx.Deadline()
+	n.stopWindow.Store(&stopWindow{end: end})
+	if err := n.callerListener.Close(); err != nil {
+		n.logger.Warn("caller listener not closed", "Error", err)
+	}
+	n.callerServer.SetKeepAlivesEnabled(false) // closes idle connections
+	n.awaitIdle(ctx)
+	if inFlight := n.inFlight.Load(); inFlight > 0 {
+		n.logger.Warn("requests cut off at shutdown", "InFlight", inFlight)
+		n.cancelRequests()
 	}
+	n.closeCallerServer()
 	n.flushUsage(ctx)
 	n.cancel()
 	n.readinessServer.Close()
 	n.logger.Info("stopped")
 }
 
+// closeCallerServer waits until the responses of the requests that have ended are
+// written, and closes all connections of callers. In that time, the server reads a
+// request on a connection that had none before and closes it without an answer.
+func (n *Node) closeCallerServer() {
+	ctx, cancel := context.WithTimeout(n.ctx, stopAnswerTime)
+	defer cancel()
+	if err := n.callerServer.Shutdown(ctx); err == nil {
+		return
+	}
+	n.logger.Info("closing open connections of callers", "InFlight", n.inFlight.Load())
+	if err := n.callerServer.Close(); err != nil {
+		n.logger.Warn("caller server not closed", "Error", err)
+	}
+}
+
+// awaitIdle waits until no request is in flight or ctx ends.
+func (n *Node) awaitIdle(ctx context.Context) {
+	for n.inFlight.Load() > 0 && ctx.Err() == nil {
+		select {
+		case <-time.After(idlePollInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
 // logCounters logs all counters, for operators who can't reach the metrics
 // address.
 func (n *Node) logCounters() {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -37,6 +37,7 @@
 	reasonTimeout     reason = "Timeout"     // the request may have run, and its deadline passed
 	reasonQuarantined reason = "HeldOut"     // the request is quarantined, since it crashed upstreams
 	reasonUnreachable reason = "Unreachable" // no connection to an upstream could be made
+	reasonStopping    reason = "Stopping"    // the node stops before it could finish the request
 	reasonInternal    reason = "Internal"    // this program panicked while it handled the request
 	reasonPaused      reason = "Paused"      // all upstreams that could serve the request asked for a pause
 )
@@ -192,6 +193,11 @@
 	if d := e.request.Deadline; d > 0 && d < e.route.Timeout {
 		e.deadline = e.arrivedAt.Add(d - responseMargin)
 	}
+	if window := n.stopWindow.Load(); window != nil && !window.end.IsZero() && e.deadline.After(window.end) {
+		e.w.Header().Set("Connection", "close")
+		e.refuse(reasonStopping, defaultRetryAfter)
+		return false
+	}
 	e.service = e.route.PickService(rand.Float64())
 	e.header = platform.EndToEndHeaders(e.r.Header)
 	return true
@@ -284,6 +290,10 @@
 // the handler.
 func (e *exchange) finishUnserved(retryAfter time.Duration) {
 	switch {
+	case e.node.requestCtx.Err() != nil && e.runs > 0:
+		e.fail(http.StatusBadGateway, reasonStopping, nil)
+	case e.node.requestCtx.Err() != nil:
+		e.refuse(reasonStopping, retryAfter)
 	case e.r.Context().Err() != nil: // the caller left
 		e.node.count("left", string(e.lastReason))
 		panic(http.ErrAbortHandler)
