entry: continue a broken stream only with its rest

What callers saw, by the report of another operator: a stream had begun and broke off, the next upstream answered with an error, and callers found its text in the middle of their stream, or a stream that ended as if it were complete.

Here the text of an answer with another status than 2xx was dropped already. But any sealed 2xx response was joined to what the caller had: also one of another type, such as an error as JSON with status 200, and one whose upstream ignored Last-Event-Id and began with the first event again.

Change: a response that continues a stream must have the media type of the one that began it, and the ID of each event must be higher than that of the event before, if both are numbers.

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -38,6 +40,7 @@
 	*exchange
 	lastEventID      string        // ID of the last event that was sent to the caller
 	headSent         bool          // status and headers were sent to the caller
+	mediaType        string        // of the response, once headSent
 	prefillDoneAfter time.Duration // from the request's arrival to the end of a separate prefill
 	firstEventAfter  time.Duration // from the request's arrival to the first event
 	plan             dispatch.Plan
@@ -192,6 +195,10 @@
 		s.handleBrokenResponse(job, errors.New("successful response has no seal header"))
 		return false
 	}
+	if s.headSent && mediaType(response) != s.mediaType {
+		s.handleBrokenResponse(job, errors.Errorf("upstream continued a response of type %q with %q", s.mediaType, mediaType(response)))
+		return false
+	}
 	if err = s.copyEvents(response, job); err != nil {
 		s.handleBrokenResponse(job, err)
 		return false
@@ -222,6 +229,7 @@
 	event := s.newBuffer()
 	defer event.release()
 	eventID := s.lastEventID // of the event that is being read
+	hasID := false           // the event that is being read has an ID
 	first := true
 	for {
 		line, err := reader.ReadSlice('\n')
@@ -240,11 +248,14 @@
 			return errors.Annotatef(err, "read after event %q", s.lastEventID)
 		}
 		if value, ok := bytes.CutPrefix(line, eventIDPrefix); ok {
-			eventID = string(bytes.TrimSpace(value))
+			eventID, hasID = string(bytes.TrimSpace(value)), true
 		}
 		if len(bytes.TrimRight(line, "\r\n")) > 0 {
 			continue
 		}
+		if hasID && !follows(eventID, s.lastEventID) {
+			return errors.Errorf("event %q came after event %q", eventID, s.lastEventID)
+		}
 		if first {
 			first = false
 			s.responseBegun = true
@@ -262,14 +273,28 @@
 		if err = controller.Flush(); err != nil {
 			return err
 		}
-		event.data = event.data[:0]
+		event.data, hasID = event.data[:0], false
 		s.lastEventID = eventID
 	}
 }
 
+// follows reports whether an event may be sent after the last one: its ID, if both are
+// numbers, is higher. A continued stream may begin with events that the caller has.
+func follows(eventID, lastEventID string) (ok bool) {
+	id, err := strconv.ParseUint(eventID, 10, 64)
+	last, lastErr := strconv.ParseUint(lastEventID, 10, 64)
+	return err != nil || lastErr != nil || id > last
+}
+
+// mediaType returns the type of the response's body without its parameters.
+func mediaType(response *relay.Response) (name string) {
+	name, _, _ = strings.Cut(response.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // sendHead sends the status and headers to the caller.
 func (s *stream) sendHead(response *relay.Response) {
-	s.headSent = true
+	s.headSent, s.mediaType = true, mediaType(response)
 	s.writeHead(response, response.Length)
 }
 
