command: handle SIGHUP before the entry node starts

A SIGHUP ends a Go process that has no handler for it. The entry command set its handler only after the node had started, so a change of the settings during a start could end the process. The handler is now the first thing that the command sets.

--- a/command/entry.go
+++ b/command/entry.go
@@ -40,6 +40,10 @@
 // runEntry runs an entry node until env.ctx ends. Unlike in runNode, requests that
 // the stop cuts off don't change the exit status.
 func runEntry(env environment, file string) (err error) {
+	// Without a handler, SIGHUP ends the process, also while it starts.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return err
@@ -63,9 +67,6 @@
 	if err != nil {
 		return err
 	}
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	go func() {
 		for {
 			select {
