entry: don't undo later changes of the upstreams by a late answer

What callers would see: requests at an upstream that has left, from one node, for as long as the node's set isn't listed again.

Cause: the answers of a watch or a listing were applied to the set as it was when they arrived. If they are held up while another node brings a newer set, an older change undoes a later one.

Change: the changes of a watch are dropped if the set's revision isn't the one that the watch began after, and a listing if it is older than the set.

--- a/entry/stale_test.go
+++ b/entry/stale_test.go
@@ -120,6 +120,28 @@
 	}
 }
 
+// Guards against the changes of a watch whose answer is held up on its way, which undo
+// later ones that the node has learnt from another one meanwhile.
+func TestLateWatchDoesntUndoLaterChanges(t *testing.T) {
+	runWithFleet(t, func(f *testFleet) {
+		f.startDesks()
+		for i := range 12 {
+			f.advance(3*time.Second + time.Duration(i)*110*time.Millisecond)
+			f.network.Cut(storeAddress, n1) // calls of n1 arrive, and their answers don't
+			f.advance(100 * time.Millisecond)
+			f.registerUpstream("d0", "desk", "", "10.2.0.1:80", "ready") // the watch of n1 is answered
+			f.advance(50 * time.Millisecond)
+			f.leave("d0", "10.2.0.1:80", false)
+			removedAt := time.Now()
+			f.advance(1300 * time.Millisecond)
+			f.network.Heal(storeAddress, n1)
+			f.advance(drainTime - time.Since(removedAt))
+			f.expectNoRunsAt("d0", f.nodeAddresses()...)
+			f.registerUpstream("d0", "desk", "", "10.2.0.1:80", "ready")
+		}
+	})
+}
+
 // Guards against the removal of upstreams whose entries expire in an outage of the
 // store, as all of them would at once. They register again after it.
 func TestUpstreamsOutliveStoreOutage(t *testing.T) {
--- a/entry/upstreams.go
+++ b/entry/upstreams.go
@@ -146,15 +146,14 @@
 	return n.upstreamsConfirmedAt
 }
 
-// setUpstreamsRevision records that the upstream set reflects the store at a
-// revision, which was the newest at the clock reading at.
-func (n *Node) setUpstreamsRevision(revision uint64, at time.Duration) {
-	n.storeStateMu.Lock()
-	defer n.storeStateMu.Unlock()
+// confirmUpstreams records that the upstream set reflects the store at a revision,
+// which was the newest at the clock reading at. The caller holds storeStateMu.
+func (n *Node) confirmUpstreams(revision uint64, at time.Duration) {
 	n.upstreamsRevision, n.upstreamsConfirmedAt = max(n.upstreamsRevision, revision), max(n.upstreamsConfirmedAt, at)
 }
 
-// listUpstreams replaces the upstream set by the entries in the store.
+// listUpstreams replaces the upstream set by the entries in the store, unless another
+// node has brought a newer set meanwhile.
 func (n *Node) listUpstreams() (err error) {
 	ctx, cancel := context.WithTimeout(n.ctx, listTimeout)
 	defer cancel()
@@ -169,8 +168,12 @@
 			upstreams = append(upstreams, upstream)
 		}
 	}
-	n.upstreams.Replace(upstreams, time.Now())
-	n.setUpstreamsRevision(revision, askedAt)
+	n.storeStateMu.Lock()
+	if revision >= n.upstreamsRevision {
+		n.upstreams.Replace(upstreams, time.Now())
+		n.confirmUpstreams(revision, askedAt)
+	}
+	n.storeStateMu.Unlock()
 	n.upstreamsListed.Store(true)
 	n.syncDispatcher()
 	return nil
@@ -178,7 +181,8 @@
 
 // watchUpstreams waits for changes of the entries after the revision of the upstream
 // set and applies them. The store ends a watch without events after wait, and the
-// client gives up soon after that.
+// client gives up soon after that. The changes are dropped if another node has brought
+// a newer set meanwhile, since they could undo later ones.
 func (n *Node) watchUpstreams(wait time.Duration) (err error) {
 	after, _ := n.upstreamsState()
 	askedAt := n.clock()
@@ -186,6 +190,26 @@
 	if err != nil {
 		return err
 	}
+	// The response of a watch without events is as of the end of the wait. One with
+	// events is as of an unknown time after the request.
+	confirmedAt := askedAt
+	if len(events) == 0 {
+		confirmedAt += wait
+	}
+	n.storeStateMu.Lock()
+	if n.upstreamsRevision == after {
+		n.applyUpstreamEvents(events)
+		n.confirmUpstreams(revision, confirmedAt)
+	}
+	n.storeStateMu.Unlock()
+	if len(events) > 0 {
+		n.syncDispatcher()
+	}
+	return nil
+}
+
+// applyUpstreamEvents applies the events of a watch to the upstream set.
+func (n *Node) applyUpstreamEvents(events []store.Event) {
 	for _, event := range events {
 		upstream, ok := discovery.Upstream{}, false
 		if !event.Deleted {
@@ -200,17 +224,6 @@
 			n.logger.Info("upstream removed", "Key", event.Entry.Key, "Deleted", event.Deleted)
 		}
 	}
-	// The response of a watch without events is as of the end of the wait. One with
-	// events is as of an unknown time after the request.
-	confirmedAt := askedAt
-	if len(events) == 0 {
-		confirmedAt += wait
-	}
-	n.setUpstreamsRevision(revision, confirmedAt)
-	if len(events) > 0 {
-		n.syncDispatcher()
-	}
-	return nil
 }
 
 // decodeUpstream decodes the entry of an upstream. It returns false for a malformed
