entry: no retry slack before the number of nodes is known

What callers would see: more retries at a service than the fleet's budget allows, after nodes started while the store refused them.

Cause, the one of the quarantines that were lost at restarts: a node that starts knows nothing of the fleet. Until its first listing of the nodes it took itself for the only one, and the whole slack for its own share.

Evidence: TestRetrySlackNeedsKnownFleet fails on the code before (46 retries without any request, 0 wanted).

Change: a node uses none of the slack before it has listed the nodes; the part of the budget that its own requests give stays.

--- a/entry/budget.go
+++ b/entry/budget.go
@@ -18,14 +18,15 @@
 type (
 	// retryBudget bounds the retries to each service: the calls beyond the first
 	// of a request. In each window the fleet may make ratio retries per request
-	// plus slack retries. Each node may use an equal share of the slack.
+	// plus slack retries. Each node may use an equal share of the slack, and none of it
+	// before it knows how many nodes there are.
 	retryBudget struct {
 		ratio, slack float64
 		slotLength   time.Duration
 		start        time.Time // only its monotonic reading is used
 
 		mu       sync.Mutex
-		nodes    int
+		nodes    int // 0: unknown
 		services map[string]*retryWindow
 	}
 
@@ -39,7 +40,7 @@
 func newRetryBudget(bounds settings.EntryBounds) *retryBudget {
 	return &retryBudget{
 		// The newest slot has only begun, so the others alone cover the window.
-		ratio: bounds.RetryRatio, slack: bounds.RetrySlack, slotLength: bounds.RetryWindow / (budgetSlots - 1), nodes: 1,
+		ratio: bounds.RetryRatio, slack: bounds.RetrySlack, slotLength: bounds.RetryWindow / (budgetSlots - 1),
 		start: time.Now(), services: map[string]*retryWindow{},
 	}
 }
@@ -69,7 +70,11 @@
 		requests += w.requests[i]
 		retries += w.retries[i]
 	}
-	if float64(retries+1) > budgetSafetyFactor*(b.ratio*float64(requests)+b.slack/float64(b.nodes)) {
+	share := 0.0
+	if b.nodes > 0 {
+		share = b.slack / float64(b.nodes)
+	}
+	if float64(retries+1) > budgetSafetyFactor*(b.ratio*float64(requests)+share) {
 		return false
 	}
 	w.retries[w.newestSlot%budgetSlots]++
