--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -211,8 +211,13 @@
 }
 
 func (f *testFleet) requestContext(ctx context.Context, address, method, path string, body string, header http.Header) (r result) {
+	return f.send(ctx, address, method, path, strings.NewReader(body), header)
+}
+
+// send sends a request whose body may be of unknown length, or end late.
+func (f *testFleet) send(ctx context.Context, address, method, path string, body io.Reader, header http.Header) (r result) {
 	number := f.requestCount.Add(1)
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -67,7 +68,7 @@
 		for i := range uploads {
 			wait.Go(func() {
 				body := io.MultiReader(bytes.NewReader(make([]byte, bodyBytes-1)), channelReader(rest))
-				results[i] = f.upload(n1+":80", body)
+				results[i] = f.send(context.Background(), n1+":80", http.MethodPost, "/entries/1", body, nil)
 			})
 		}
 		f.advance(time.Second)
@@ -152,22 +153,3 @@
 	d.sent, b[0] = true, 'x'
 	return 1, nil
 }
-
-// upload sends a request to a node whose body has no known length.
-func (f *testFleet) upload(address string, body io.Reader) (r result) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/entries/1", body)
-	if err != nil {
-		f.t.Error(err)
-		return result{err: err}
-	}
-	request.Host = "a.example"
-	request.Header = platformtest.CallerHeader(fmt.Sprintf("u%d", f.requestCount.Add(1)), key, 2500*time.Millisecond)
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer(f.network.Host(callerHost))}}
-	response, err := client.Do(request)
-	if err != nil {
-		return result{err: err}
-	}
-	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
-	return result{status: response.StatusCode, header: response.Header, body: string(text), err: err}
-}
--- a/nettest/nettest_test.go
+++ b/nettest/nettest_test.go
@@ -14,16 +14,23 @@
 	"github.com/guavagauge/guavagauge/nettest"
 )
 
+// listen returns a listener at an address of the network.
+func listen(t *testing.T, network *nettest.Network, address netip.AddrPort) (listener net.Listener) {
+	t.Helper()
+	listener, err := network.Host(address.Addr().String()).Listen(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
 // Guards against a dialer that waits forever on a connection that was still in
 // the accept queue of a listener when the listener was closed.
 func TestClosedListenerResetsUnacceptedConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network := nettest.New()
 		address := netip.MustParseAddrPort("10.0.0.2:80")
-		listener, err := network.Host("10.0.0.2").Listen(t.Context(), address)
-		if err != nil {
-			t.Fatal(err)
-		}
+		listener := listen(t, network, address)
 		conn, err := network.Host("10.0.0.1").Dial(t.Context(), address)
 		if err != nil {
 			t.Fatal(err)
@@ -46,10 +53,7 @@
 		network := nettest.New()
 		network.SetRate("10.0.0.2", rate)
 		address := netip.MustParseAddrPort("10.0.0.2:80")
-		listener, err := network.Host("10.0.0.2").Listen(t.Context(), address)
-		if err != nil {
-			t.Fatal(err)
-		}
+		listener := listen(t, network, address)
 		var received sync.WaitGroup
 		start := time.Now()
 		for range 2 {
@@ -83,10 +87,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		network := nettest.New()
 		address := netip.MustParseAddrPort("10.0.0.2:80")
-		listener, err := network.Host("10.0.0.2").Listen(t.Context(), address)
-		if err != nil {
-			t.Fatal(err)
-		}
+		listener := listen(t, network, address)
 		defer listener.Close()
 		for _, silent := range []bool{true, false} {
 			dialed, err := network.Host("10.0.0.1").Dial(t.Context(), address)
