--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -173,6 +173,26 @@
 	}
 }
 
+// Guards against a long response of an upstream that failed, which is cut off at what
+// the node keeps for a retry and then looks complete.
+func TestLongServerErrorIsNotTruncated(t *testing.T) {
+	const bodyBytes = 2 << 20 // more than is read ahead
+	runWithFleet(t, func(f *testFleet) {
+		f.configure(1, key)
+		f.startServer("10.2.0.1:80", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			platformtest.BeginResponse(w, r)
+			w.WriteHeader(http.StatusInternalServerError)
+			w.Write(make([]byte, bodyBytes))
+		}))
+		f.registerUpstream("d1", "desk", "", "10.2.0.1:80", "ready")
+		f.startNodeAndWait("n1", n1)
+		r := f.request(n1+":80", http.MethodGet, "/draws/1", "", nil)
+		if r.status != http.StatusInternalServerError || r.err == nil && len(r.body) != bodyBytes {
+			t.Errorf("status %d with %d bytes as complete (%v), want all %d bytes", r.status, len(r.body), r.err, bodyBytes)
+		}
+	})
+}
+
 // A stream that breaks off is resumed at another upstream only if its route allows
 // that, and the caller never receives part of an event.
 func TestStreamRetriesAfterFaults(t *testing.T) {
