--- a/soaktest/run.go
+++ b/soaktest/run.go
@@ -32,7 +32,10 @@
 	settleTime    = 6 * time.Second
 	callerTimeout = 4 * time.Second
 	// maxUseDelay is the longest time from opening a connection to its first request.
-	maxUseDelay  = 2 * time.Second
+	maxUseDelay = 2 * time.Second
+	// minNodePort and maxNodePort bound the ports of nodes.
+	minNodePort  = 10000
+	maxNodePort  = 30000
 	streamEvents = 6
 	// revocationLimit is the time after which a revoked key must not work.
 	revocationLimit = 5 * time.Second
@@ -61,6 +64,7 @@
 		storeAddress  string
 		cloudAddress  string
 		nodes         []*process
+		nodeAddresses map[string]bool // all that freeAddress tried
 		upstreams     map[string]*proxiedUpstream
 		configVersion int                  // guarded by mu once callers run, like the next two
 		currentKey    string               // key-<configVersion>
@@ -109,7 +113,7 @@
 	r = &soakRun{
 		seed: seed, random: rand.New(rand.NewPCG(seed, 0)), binary: binary, logs: logs, store: platformtest.NewStore(),
 		cloud: platformtest.NewCloud(), upstreams: map[string]*proxiedUpstream{}, currentKey: "key-1", revokedAt: map[string]time.Time{},
-		requests: map[string]*callerRequest{}, counts: map[string]int{},
+		requests: map[string]*callerRequest{}, counts: map[string]int{}, nodeAddresses: map[string]bool{},
 	}
 	r.storeAddress, r.cloudAddress = r.serve(r.store), r.serve(r.cloud)
 	for i := range 3 {
@@ -168,24 +172,32 @@
 	r.store.Set(platform.ConfigKey, []byte(fmt.Sprintf(configTemplate, r.configVersion, fmt.Sprintf("%q", r.currentKey))))
 }
 
-// freeAddress returns a loopback address whose port is free at present.
-func freeAddress() (address string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+// freeAddress returns a loopback address whose port is free and that it hasn't returned
+// before. The port isn't one that the system gives to outgoing connections, since a node
+// that restarts would find it taken by one.
+func (r *soakRun) freeAddress() (address string) {
+	for {
+		address = fmt.Sprintf("127.0.0.1:%d", minNodePort+rand.IntN(maxNodePort-minNodePort))
+		if r.nodeAddresses[address] {
+			continue
+		}
+		r.nodeAddresses[address] = true
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			listener.Close()
+			return address
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
 // addNode writes the settings of a node and starts it.
 func (r *soakRun) addNode(name string) (err error) {
-	p := &process{name: name, callerAddress: freeAddress(), settingsFile: filepath.Join(r.logs, name+".toml")}
+	p := &process{name: name, callerAddress: r.freeAddress(), settingsFile: filepath.Join(r.logs, name+".toml")}
 	if p.storeProxy, err = newProxy(r.storeAddress); err != nil {
 		return err
 	}
 	text := fmt.Sprintf("Name = %q\nFailureDomain = \"a\"\n[Listen]\nCaller = %q\nReady = %q\nPeer = %q\n[Regions]\na = \"r\"\n"+
-		"[Store]\nAddress = %q\n[Cloud]\nAddress = %q\n", name, p.callerAddress, freeAddress(), freeAddress(), p.storeProxy.address(), r.cloudAddress)
+		"[Store]\nAddress = %q\n[Cloud]\nAddress = %q\n", name, p.callerAddress, r.freeAddress(), r.freeAddress(), p.storeProxy.address(), r.cloudAddress)
 	if err = os.WriteFile(p.settingsFile, []byte(text), 0o644); err != nil {
 		return err
 	}
