entry: send new content of datagrams behind the message

Cause: a message is a CBOR array, of which a node decodes only the length that it knows. Quotas and speeds of upstreams need to reach other nodes, and nodes of an earlier version must still decode the messages of a deployment that has neither.

Change: an extension, a CBOR map with numbered fields, follows the message as a second item of the same datagram, only if it isn't empty. It is relayed between failure domains like aggregate messages. Nothing fills it yet.

--- /dev/null
+++ b/entry/extension.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"reflect"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+)
+
+type (
+	// extension is the part of a datagram that follows its message, as a CBOR item of
+	// its own. Message is an array, of which nodes of an earlier version decode only one
+	// length, so new content goes here. An empty extension isn't sent.
+	extension struct {
+		Own     extensionContent   `cbor:"1,keyasint,omitzero"`
+		Relayed []relayedExtension `cbor:"2,keyasint,omitzero"`
+	}
+
+	// extensionContent is what a node, or all nodes of a failure domain in an aggregate
+	// message, tell others. Each field is empty unless the configuration or upstreams
+	// call for it.
+	extensionContent struct{}
+
+	// relayedExtension is the extension of an aggregate message of another failure
+	// domain that its recipient relays within its own domain.
+	relayedExtension struct {
+		FailureDomain string           `cbor:"1,keyasint,omitzero"`
+		Node          string           `cbor:"2,keyasint,omitzero"`
+		Content       extensionContent `cbor:"3,keyasint,omitzero"`
+	}
+)
+
+// isEmpty reports whether there is nothing to send.
+func (c extensionContent) isEmpty() (empty bool) { return reflect.ValueOf(c).IsZero() }
+
+// appendTo appends the encoded extension to a datagram, unless it is empty.
+func (x extension) appendTo(datagram []byte) (extended []byte, err error) {
+	if x.Own.isEmpty() && len(x.Relayed) == 0 {
+		return datagram, nil
+	}
+	encoded, err := cbor.Marshal(x)
+	if err != nil {
+		return datagram, errors.Annotate(err, "encode extension")
+	}
+	return append(datagram, encoded...), nil
+}
+
+// localExtension returns the extension of a message to the nodes of this failure domain.
+func (p *peers) localExtension(time.Time) (x extension) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	x.Relayed, p.pendingExtensions = p.pendingExtensions, nil
+	return x
+}
+
+// remoteExtension returns the extension of an aggregate message to other failure
+// domains.
+func (p *peers) remoteExtension(time.Time) (x extension) { return x }
+
+// applyExtension applies the extension that followed a message of another node. That of
+// an aggregate message is also kept to be relayed.
+func (p *peers) applyExtension(m *message, encoded []byte, now time.Time) (err error) {
+	if len(encoded) == 0 {
+		return nil
+	}
+	var x extension
+	if err = cbor.Unmarshal(encoded, &x); err != nil {
+		return errors.Annotate(err, "decode extension")
+	}
+	if m.Aggregate && !x.Own.isEmpty() {
+		p.mu.Lock()
+		p.pendingExtensions = append(p.pendingExtensions, relayedExtension{FailureDomain: m.FailureDomain, Node: m.Node, Content: x.Own})
+		p.mu.Unlock()
+	}
+	p.applyContent(m.FailureDomain, m.Node, x.Own, now)
+	for _, r := range x.Relayed {
+		p.applyContent(r.FailureDomain, r.Node, r.Content, now)
+	}
+	return nil
+}
+
+// applyContent applies what a node said in an extension, directly or relayed.
+func (p *peers) applyContent(string, string, extensionContent, time.Time) {}
--- a/entry/message.go
+++ b/entry/message.go
@@ -94,7 +94,7 @@
 		}
 	}
 	p.mu.Unlock()
-	p.send(m, addresses)
+	p.send(m, p.localExtension(now), addresses)
 }
 
 // gossipRemote sends the loads, cache inserts and crashes of this failure domain
@@ -136,7 +136,7 @@
 		l.UnsharedTokens = n.dispatcher.DomainUnsharedTokens(l.Upstream)
 		m.Loads = append(m.Loads, l)
 	}
-	p.send(m, addresses)
+	p.send(m, p.remoteExtension(now), addresses)
 }
 
 // newMessage returns a message with the fields that all messages have.
@@ -147,9 +147,12 @@
 	}
 }
 
-// send sends a message to each of the addresses.
-func (p *peers) send(m message, addresses []netip.AddrPort) {
+// send sends a message with its extension to each of the addresses.
+func (p *peers) send(m message, x extension, addresses []netip.AddrPort) {
 	data, err := cbor.Marshal(m)
+	if err == nil {
+		data, err = x.appendTo(data)
+	}
 	if err != nil {
 		p.node.logger.Error("message can't be encoded", "Error", err)
 		return
@@ -165,11 +168,16 @@
 // applied like one that this node relayed to itself.
 func (p *peers) receive(data []byte, from net.Addr, now time.Time) {
 	var m message
-	if err := cbor.Unmarshal(data, &m); err != nil || m.Node == p.node.settings.Name {
+	encodedExtension, err := cbor.UnmarshalFirst(data, &m)
+	if err != nil || m.Node == p.node.settings.Name {
 		p.node.logger.Warn("invalid message from peer", "From", from, "Error", err)
 		return
 	}
 	p.record(&m, from, now)
+	if err = p.applyExtension(&m, encodedExtension, now); err != nil {
+		p.node.count("messages", "BadExtension")
+		p.node.logger.Warn("invalid extension of a message from peer", "From", from, "Error", err)
+	}
 	// The crashes of an aggregate message are also in the last of m.Relayed. Events
 	// that are already counted have no effect.
 	p.node.recordCrashes(m.Crashes, false)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -50,6 +50,8 @@
 		// pendingRelays holds the messages of other domains that this node has yet to
 		// relay within its own.
 		pendingRelays []relayedMessage
+		// pendingExtensions holds the extensions of those messages.
+		pendingExtensions []relayedExtension
 		// remoteClocks holds the clock offset of one node in each other domain.
 		remoteClocks map[string]clockOffset
 	}
