speed: learn how long work takes at the upstreams of a service

Prefills take 2 to 5 times the expected time, since one rate for all engines and no start time are assumed. In the log lines of two customers' runs, the time of a prefill that meets no other at its engine is 21 ms plus the computed time at the engine's own speed, within 5 %. A third of the prefills meet another one, sent by a node of the same domain less than 20 ms before, while half of the engines are idle.

Package speed learns the start time, the rate and the factor of each upstream from its figure and its answers. Package dispatch uses it for all placements of a service from its first figure on, and makes nodes prefer different upstreams among nearly equal ones. Nodes exchange what they learn in the extension of their datagrams, and log and count how far off the model is.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -43,6 +43,7 @@
 	"github.com/guavagauge/guavagauge/discovery"
 	"github.com/guavagauge/guavagauge/platform"
 	"github.com/guavagauge/guavagauge/routing"
+	"github.com/guavagauge/guavagauge/speed"
 )
 
 // Outcomes of a job.
@@ -81,7 +82,10 @@
 	Options struct {
 		FailureDomain string            // of this node
 		Regions       map[string]string // by failure domain; domains without one count as one region
-		Costs         Costs
+		// Node is the name of this node. Nodes with different names prefer different
+		// upstreams among those of nearly the same speed.
+		Node  string
+		Costs Costs
 	}
 
 	// Dispatcher tracks the state of upstreams as one node sees it, and chooses
@@ -96,7 +100,8 @@
 		cacheInserts       []CacheInsert // recent ones, to be sent to other nodes
 		// loadedBy has the upstreams whose peerLoads have an entry of a source.
 		loadedBy map[string][]*upstream
-		leaving  map[instance]time.Time // instances that said that they leave, by the time of their last notice
+		leaving  map[instance]time.Time  // instances that said that they leave, by the time of their last notice
+		speeds   map[string]*speed.Model // by service
 		// engineStates is reused by each placement of a prompt.
 		engineStates []engineState
 	}
@@ -124,6 +129,11 @@
 		// gets the KV cache of the prompt.
 		prompt  platform.Prompt
 		service string
+		// prefilledAt is the ID of the engine with the KV cache, for a step that only
+		// decodes.
+		prefilledAt string
+		// basis is what Expected was computed from, if the speed of the upstreams is known.
+		basis speed.Basis
 	}
 
 	// Job is one step of a request that was sent to an upstream.
@@ -133,7 +143,8 @@
 		choice       Choice
 		prefillTime  time.Duration
 		startedAt    time.Time
-		prefillEnded bool // the prompt was prefilled, or never will be
+		prefillEnded bool          // the prompt was prefilled, or never will be
+		prefillTook  time.Duration // 0 if the prompt wasn't prefilled
 		ended        bool
 	}
 
@@ -167,6 +178,8 @@
 		backoffUntil        time.Time // other upstreams are preferred until then
 		pausedUntil         time.Time // no request is sent until then
 		saidLeaving         bool      // in one of its answers
+		speed               *speed.Upstream
+		aversion            float64 // of this node to the upstream, from 0 to 1; see spread
 	}
 )
 
@@ -176,6 +189,7 @@
 	return &Dispatcher{
 		options: options, upstreams: map[string]*upstream{}, upstreamsByService: map[string][]*upstream{},
 		serviceConfigs: map[string]*routing.Service{}, loadedBy: map[string][]*upstream{}, leaving: map[instance]time.Time{},
+		speeds: map[string]*speed.Model{},
 	}
 }
 
@@ -202,6 +216,9 @@
 			u = &upstream{saidLeaving: left, jobs: map[*Job]struct{}{}, peerUnsharedTokens: map[string]int64{}, cache: newCache()}
 			d.upstreams[r.ID] = u
 		}
+		if u.speed == nil || u.Service != r.Service {
+			d.initSpeed(u, r)
+		}
 		u.Upstream, u.region = r, d.options.Regions[r.FailureDomain]
 		if service := d.serviceConfigs[r.Service]; service != nil && service.Engine != nil {
 			u.cache.capacity = service.Engine.KVCapacity
@@ -257,6 +274,7 @@
 	defer j.dispatcher.mu.Unlock()
 	if u := j.upstream; u != nil {
 		u.reportedLoad, u.reportedAt, u.ownJobsAtReport = load, now, len(u.jobs)
+		u.speed.Observe(speed.Figure{Percent: load.SlowdownPercent}, now)
 	}
 }
 
@@ -291,6 +309,8 @@
 	}
 	j.prefillEnded = true
 	if completed {
+		j.prefillTook = now.Sub(j.startedAt)
+		u.speed.Observe(speed.Answer{Basis: j.choice.basis, Took: j.prefillTook}, now)
 		u.cache.markPrefilled(j.choice.prompt)
 		j.dispatcher.recordPrefill(u, j.choice.prompt, now)
 	} else {
@@ -356,17 +376,23 @@
 func (d *Dispatcher) PlacePlain(service string, tried []string, now time.Time) (choice Choice, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var best *upstream
 	lowest := time.Duration(math.MaxInt64)
 	for _, u := range d.usableUpstreams(service, tried, now) {
-		if cost := u.expectedJobTime(now) + d.networkCost(u); cost < lowest {
-			best, lowest = u, cost
+		candidate := Choice{service: service}
+		var cost time.Duration
+		if pace := u.speed.Pace(now); pace.Active() {
+			candidate.Expected, candidate.basis = d.pacedJobTime(u, pace, now)
+			cost = candidate.Expected + max(0, d.networkCost(u)-d.roundTrip(u)) + u.spread(candidate.Expected)
+		} else {
+			candidate.Expected = u.expectedJobTime(now) + d.networkCost(u)
+			cost = candidate.Expected
+		}
+		if cost < lowest {
+			candidate.Upstream = u.Upstream
+			choice, lowest, ok = candidate, cost, true
 		}
 	}
-	if best == nil {
-		return Choice{}, false
-	}
-	return Choice{Upstream: best.Upstream, Expected: lowest, service: service}, true
+	return choice, ok
 }
 
 // expectedJobTime returns the expected duration of one more job without a prompt,
@@ -376,6 +402,12 @@
 	if jobTime == 0 {
 		jobTime = defaultJobTime
 	}
+	return u.crowdedJobTime(jobTime, now)
+}
+
+// crowdedJobTime returns the expected duration of a job beside those that the
+// upstream has, given its duration without them.
+func (u *upstream) crowdedJobTime(jobTime time.Duration, now time.Time) (expected time.Duration) {
 	slots := max(u.Slots, 1)
 	running := u.runningJobs(now)
 	queued := max(0, running+1-slots)
--- a/dispatch/prompt.go
+++ b/dispatch/prompt.go
@@ -8,6 +8,7 @@
 	"github.com/guavagauge/guavagauge/discovery"
 	"github.com/guavagauge/guavagauge/platform"
 	"github.com/guavagauge/guavagauge/routing"
+	"github.com/guavagauge/guavagauge/speed"
 )
 
 const (
@@ -92,6 +93,18 @@
 		running  int           // requests, see upstream.runningJobs
 		backlog  time.Duration // see upstream.backlog
 		cached   int           // tokens of the prompt, see cache.prefixTokens
+		pace     speed.Pace
+		wait     time.Duration // before decoding; set by bestDecode
+	}
+
+	// prefillEstimate is what a placement expects of a prefill at one engine.
+	prefillEstimate struct {
+		duration  time.Duration // with the transfer, but without the wait
+		expected  time.Duration
+		cost      time.Duration
+		cached    int       // tokens, including those fetched
+		fetchFrom *upstream // nil if nothing is fetched
+		basis     speed.Basis
 	}
 
 	// kvSource is an engine from which the first tokens of a prompt can be fetched.
@@ -148,35 +161,45 @@
 	}
 	engines := d.usableUpstreams(request.Service, request.Tried, now)
 	states, sources := d.inspect(engines, request.Service, request.Prompt, now)
+	decode := d.bestDecode(states, request.Prompt, service.Engine)
+	var best *engineState
+	var prefill prefillEstimate // of best
 	lowest := time.Duration(math.MaxInt64)
-	decodeEngine, decodeWait := d.bestDecode(states, request.Prompt, service.Engine)
 	for i := range states {
-		u := states[i].upstream
-		choice, cost := d.prefillCost(&states[i], sources, request.Prompt, service.Engine)
-		choice.service = request.Service
-		candidate := Plan{Decode: choice, Expected: choice.Expected}
-		if u.Stage == discovery.Prefill {
-			if request.NoSeparatePrefill || decodeEngine == nil {
-				continue
-			}
-			handoff := d.transferTime(u, decodeEngine, request.Prompt.Tokens, service.Engine)
-			extra := d.options.Costs.HandoffOverhead + handoff + decodeWait
-			cost += extra + d.networkCost(decodeEngine)
-			if cost >= lowest {
-				continue
-			}
-			prefillChoice := choice
-			candidate = Plan{
-				Prefill:  &prefillChoice,
-				Decode:   Choice{Upstream: decodeEngine.Upstream, Expected: extra, prompt: request.Prompt, service: request.Service},
-				Expected: choice.Expected + extra,
-			}
+		state := &states[i]
+		separate := state.upstream.Stage == discovery.Prefill
+		if separate && (request.NoSeparatePrefill || decode == nil) {
+			continue
+		}
+		estimate := d.estimatePrefill(state, sources, request.Prompt, service.Engine)
+		cost := estimate.cost
+		if separate {
+			handoff, _ := d.handoffTime(state.upstream, decode, request.Prompt.Tokens, service.Engine)
+			cost += handoff + d.networkSurcharge(decode)
 		}
 		if cost < lowest {
-			lowest, plan, ok = cost, candidate, true
+			best, lowest, prefill = state, cost, estimate
 		}
 	}
-	return plan, ok
+	if best == nil {
+		return Plan{}, false
+	}
+	choice := Choice{
+		Upstream: best.upstream.Upstream, PrefillTime: prefill.duration, Expected: prefill.expected, CachedTokens: prefill.cached,
+		prompt: request.Prompt, service: request.Service, basis: prefill.basis,
+	}
+	if prefill.fetchFrom != nil {
+		choice.Fetch = prefill.fetchFrom.Address
+	}
+	if best.upstream.Stage != discovery.Prefill {
+		return Plan{Decode: choice, Expected: choice.Expected}, true
+	}
+	handoff, basis := d.handoffTime(best.upstream, decode, request.Prompt.Tokens, service.Engine)
+	plan = Plan{Prefill: &choice, Expected: choice.Expected + handoff, Decode: Choice{
+		Upstream: decode.upstream.Upstream, Expected: handoff, prompt: request.Prompt, service: request.Service,
+		prefilledAt: best.upstream.ID, basis: basis,
+	}}
+	return plan, true
 }
 
 // PlaceDecode chooses the engine that decodes, after the prompt was prefilled. It
@@ -192,11 +215,17 @@
 		return Choice{}, false
 	}
 	states, _ := d.inspect(d.usableUpstreams(planned.service, tried, now), planned.service, planned.prompt, now)
-	decodeEngine, wait := d.bestDecode(states, planned.prompt, service.Engine)
-	if decodeEngine == nil {
+	decode := d.bestDecode(states, planned.prompt, service.Engine)
+	if decode == nil {
 		return Choice{}, false
 	}
-	return Choice{Upstream: decodeEngine.Upstream, Expected: wait, prompt: planned.prompt, service: planned.service}, true
+	choice = Choice{
+		Upstream: decode.upstream.Upstream, Expected: decode.wait, prompt: planned.prompt, service: planned.service, prefilledAt: planned.prefilledAt,
+	}
+	if decode.pace.Active() {
+		choice.Expected, choice.basis = d.handoffTime(d.upstreams[planned.prefilledAt], decode, planned.prompt.Tokens, service.Engine)
+	}
+	return choice, true
 }
 
 // inspect returns the states of the engines among which a placement chooses, and
@@ -205,11 +234,11 @@
 // a pause. So the cost of a placement grows in
 // proportion to the engines. The states are valid until the next placement.
 func (d *Dispatcher) inspect(engines []*upstream, service string, prompt platform.Prompt, now time.Time) (states []engineState, sources []kvSource) {
-	states = d.engineStates[:0]
-	for _, u := range engines {
-		state := engineState{upstream: u, running: u.runningJobs(now), backlog: u.backlog(now)}
+	states = slices.Grow(d.engineStates[:0], len(engines))[:len(engines)]
+	for i, u := range engines {
+		state := &states[i]
+		state.upstream, state.running, state.backlog, state.pace = u, u.runningJobs(now), u.backlog(now), u.speed.Pace(now)
 		state.cached, _ = u.cache.prefixTokens(prompt)
-		states = append(states, state)
 	}
 	d.engineStates = states
 	for _, u := range d.upstreamsByService[service] {
@@ -227,35 +256,48 @@
 	return states, sources
 }
 
-// prefillCost returns the choice of an engine for a prefill, with the expected
-// times, and its cost: the expected time with surcharges.
-func (d *Dispatcher) prefillCost(state *engineState, sources []kvSource, prompt platform.Prompt, engine *routing.Engine) (choice Choice, cost time.Duration) {
+// estimatePrefill returns the expected times of a prefill at an engine, and its cost:
+// the expected time with surcharges.
+func (d *Dispatcher) estimatePrefill(state *engineState, sources []kvSource, prompt platform.Prompt, engine *routing.Engine) (estimate prefillEstimate) {
 	costs, u, cached := &d.options.Costs, state.upstream, state.cached
-	rate := costs.PrefillRate
+	rate, kind := costs.PrefillRate, speed.Prefill
 	running := 0
 	if u.Stage != discovery.Prefill {
-		running = state.running
+		running, kind = state.running, speed.Generation
 		rate = costs.interleavedPrefillRate(running)
 	}
-	localTime := prefillTime(prompt.Tokens, cached, rate, costs.TimePerMillionPairs)
-	choice = Choice{Upstream: u.Upstream, PrefillTime: localTime, CachedTokens: cached, prompt: prompt}
-	surcharge := time.Duration(0)
+	usual := prefillTime(prompt.Tokens, cached, rate, costs.TimePerMillionPairs)
+	estimate = prefillEstimate{duration: state.pace.Work(usual), cached: cached}
+	surcharge, usualTransfer := time.Duration(0), time.Duration(0)
 	if source, fetchable := d.bestKVSource(u, sources, cached); source != nil {
 		// The source has more of the prompt, but fetching it can take longer than
 		// prefilling it again.
 		transfer := d.transferTime(source, u, fetchable-cached, engine)
-		remainingTime := prefillTime(prompt.Tokens, fetchable, rate, costs.TimePerMillionPairs)
-		if transferSurcharge := time.Duration(float64(transfer) * costs.TransferFactor); transfer+remainingTime+transferSurcharge < localTime {
-			choice.PrefillTime, choice.CachedTokens = transfer+remainingTime, fetchable
-			choice.Fetch = source.Address
-			surcharge = transferSurcharge
+		remaining := prefillTime(prompt.Tokens, fetchable, rate, costs.TimePerMillionPairs)
+		factor := costs.TransferFactor
+		if state.pace.Active() {
+			factor = pacedTransferFactor
+		}
+		duration := state.pace.Transfer(transfer) + state.pace.Work(remaining)
+		if transferSurcharge := time.Duration(float64(transfer) * factor); duration+transferSurcharge < estimate.duration {
+			estimate.duration, estimate.cached, estimate.fetchFrom = duration, fetchable, source
+			surcharge, usual, usualTransfer = transferSurcharge, remaining, transfer
 		}
 	}
 	surcharge += costs.EvictionCost * time.Duration(u.cache.evictedTokens(prompt.Tokens-cached))
-	choice.Expected = state.backlog + choice.PrefillTime + state.concurrencyDelay(engine)
 	// The prefill slows the generations that run on the engine.
-	surcharge += choice.PrefillTime * time.Duration(min(running, maxSlowedGenerations)) / slowdownDivisor
-	return choice, choice.Expected + d.networkCost(u) + surcharge
+	surcharge += estimate.duration * time.Duration(min(running, maxSlowedGenerations)) / slowdownDivisor
+	wait := state.backlog + state.concurrencyDelay(engine)
+	estimate.expected = wait + estimate.duration
+	if state.pace.Active() {
+		estimate.basis = speed.Basis{
+			Kind: kind, Usual: usual + costs.StepTime, Transfer: usualTransfer, HasTransfer: estimate.fetchFrom != nil, Wait: wait, RoundTrip: d.roundTrip(u),
+		}
+		estimate.expected = state.pace.Expect(&estimate.basis)
+		surcharge += u.spread(estimate.duration)
+	}
+	estimate.cost = estimate.expected + d.networkSurcharge(state) + surcharge
+	return estimate
 }
 
 // interleavedPrefillRate returns the prefill speed, in tokens per millisecond, of
@@ -287,11 +329,11 @@
 	return source, fetchable
 }
 
-// bestDecode returns the engine with the lowest cost of decoding, and the
-// expected wait there. Engines of the prefill stage are left out. A quarter of the
-// prefill backlog counts as wait, since engines alternate prefill chunks with
-// decoding steps.
-func (d *Dispatcher) bestDecode(states []engineState, prompt platform.Prompt, engine *routing.Engine) (best *upstream, wait time.Duration) {
+// bestDecode returns the engine with the lowest cost of decoding, with the
+// expected wait there, or nil if there is none. Engines of the prefill stage are left
+// out. A quarter of the prefill backlog counts as wait, since engines alternate
+// prefill chunks with decoding steps.
+func (d *Dispatcher) bestDecode(states []engineState, prompt platform.Prompt, engine *routing.Engine) (best *engineState) {
 	lowest := time.Duration(math.MaxInt64)
 	for i := range states {
 		state := &states[i]
@@ -299,13 +341,18 @@
 		if u.Stage == discovery.Prefill {
 			continue
 		}
-		delay := state.concurrencyDelay(engine) + state.backlog/4
+		state.wait = state.concurrencyDelay(engine) + state.backlog/4
 		evictionCost := d.options.Costs.EvictionCost * time.Duration(u.cache.evictedTokens(prompt.Tokens-state.cached))
-		if cost := delay + d.networkCost(u) + evictionCost; cost < lowest {
-			best, wait, lowest = u, delay, cost
+		cost := state.wait + d.networkCost(u) + evictionCost
+		if state.pace.Active() {
+			start := state.pace.Work(d.options.Costs.HandoffOverhead)
+			cost += start + u.spread(start)
+		}
+		if cost < lowest {
+			best, lowest = state, cost
 		}
 	}
-	return best, wait
+	return best
 }
 
 // concurrencyDelay returns the expected time by which the running requests of an
--- /dev/null
+++ b/dispatch/speed.go
@@ -0,0 +1,143 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/guavagauge/guavagauge/discovery"
+	"github.com/guavagauge/guavagauge/rendezvous"
+	"github.com/guavagauge/guavagauge/routing"
+	"github.com/guavagauge/guavagauge/speed"
+)
+
+const (
+	// domainRoundTrip and regionRoundTrip are the round trips of the network to another
+	// failure domain of the region and to another region: twice the latencies of 1.4 and
+	// 30 ms that the platform states.
+	domainRoundTrip = 2800 * time.Microsecond
+	regionRoundTrip = 60 * time.Millisecond
+	// pacedTransferFactor replaces Costs.TransferFactor for services whose transfers are
+	// learned: the surcharge needn't make up for transfers that take longer than usual.
+	pacedTransferFactor = 1
+	// spreadTime and spreadDivisor set how much longer than at the fastest upstream a
+	// node lets work take at the one that it prefers: at most spreadTime and the
+	// expected time divided by spreadDivisor. Loads of other nodes arrive 12 to 100 ms
+	// late, so nodes with the same preferences choose the same idle upstream: in runs
+	// of two fleets, a third of the prefills met another one there that was sent within
+	// 20 ms by a node of the domain, while half of the engines were idle.
+	spreadTime    = 20 * time.Millisecond
+	spreadDivisor = 16
+	// maxSpeedReports bounds the reports in a message to about 8 KB.
+	maxSpeedReports = 200
+)
+
+// initSpeed sets the model of an upstream's speed, which knows nothing of it yet.
+func (d *Dispatcher) initSpeed(u *upstream, registered discovery.Upstream) {
+	model := d.speeds[registered.Service]
+	if model == nil {
+		model = speed.New()
+		d.speeds[registered.Service] = model
+	}
+	u.speed, u.aversion = model.NewUpstream(), 0
+	if d.options.Node != "" {
+		weight := rendezvous.Weight(rendezvous.Hash(d.options.Node), rendezvous.Hash(registered.ID))
+		u.aversion = float64(weight>>11) / (1 << 53)
+	}
+}
+
+// spread returns the surcharge for sending work of an expected duration to an
+// upstream, which differs between nodes.
+func (u *upstream) spread(expected time.Duration) (surcharge time.Duration) {
+	return time.Duration(u.aversion * float64(spreadTime+expected/spreadDivisor))
+}
+
+// roundTrip returns the round trip to an upstream beyond that within a failure domain.
+func (d *Dispatcher) roundTrip(u *upstream) (duration time.Duration) {
+	switch {
+	case u.FailureDomain == d.options.FailureDomain:
+		return 0
+	case u.region == d.options.Regions[d.options.FailureDomain]:
+		return domainRoundTrip
+	default:
+		return regionRoundTrip
+	}
+}
+
+// networkSurcharge returns the cost of reaching an engine that expected times don't
+// contain.
+func (d *Dispatcher) networkSurcharge(state *engineState) (cost time.Duration) {
+	cost = d.networkCost(state.upstream)
+	if state.pace.Active() {
+		cost = max(0, cost-d.roundTrip(state.upstream))
+	}
+	return cost
+}
+
+// pacedJobTime returns the expected duration of one more job without a prompt at an
+// upstream whose speed is known.
+func (d *Dispatcher) pacedJobTime(u *upstream, pace speed.Pace, now time.Time) (expected time.Duration, basis speed.Basis) {
+	jobTime := d.speeds[u.Service].JobTime()
+	usual := u.crowdedJobTime(jobTime, now)
+	basis = speed.Basis{Kind: speed.Plain, Usual: usual, RoundTrip: d.roundTrip(u), Crowding: float64(usual) / float64(jobTime)}
+	return pace.Expect(&basis), basis
+}
+
+// handoffTime returns the expected time from the end of a prefill at one engine, which
+// may have left, to the first event from another.
+func (d *Dispatcher) handoffTime(from *upstream, to *engineState, tokens int, engine *routing.Engine) (expected time.Duration, basis speed.Basis) {
+	overhead, transfer := d.options.Costs.HandoffOverhead, time.Duration(0)
+	if from != nil {
+		transfer = d.transferTime(from, to.upstream, tokens, engine)
+	}
+	if !to.pace.Active() {
+		return overhead + transfer + to.wait, speed.Basis{}
+	}
+	basis = speed.Basis{
+		Kind: speed.Handoff, Usual: overhead, Transfer: transfer, HasTransfer: from != nil && from != to.upstream,
+		Wait: to.wait, RoundTrip: d.roundTrip(to.upstream),
+	}
+	return to.pace.Expect(&basis), basis
+}
+
+// SpeedReports returns what to tell other nodes of upstreams that answered this node
+// within a period, or with ofDomain any node of its failure domain. It returns the
+// newest reports if there are too many for a message.
+func (d *Dispatcher) SpeedReports(now time.Time, period time.Duration, ofDomain bool) (reports []speed.Report) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, u := range d.upstreams {
+		if report, ok := u.speed.Report(now, period, ofDomain); ok {
+			report.Upstream = u.ID
+			reports = append(reports, report)
+		}
+	}
+	if len(reports) > maxSpeedReports {
+		slices.SortFunc(reports, func(a, b speed.Report) int { return cmp.Compare(a.AgeMs, b.AgeMs) })
+		reports = reports[:maxSpeedReports]
+	}
+	return reports
+}
+
+// ApplySpeedReports learns from what a node of a failure domain reported.
+func (d *Dispatcher) ApplySpeedReports(domain, reporter string, reports []speed.Report, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, report := range reports {
+		if u := d.upstreams[report.Upstream]; u != nil {
+			report.Reporter, report.Peer = reporter, domain == d.options.FailureDomain
+			u.speed.Observe(report, now)
+		}
+	}
+}
+
+// Deviation compares the time until the prompt was prefilled with the expected one. It
+// returns false if the prefill hasn't ended or the speed of the upstream isn't known.
+func (j *Job) Deviation(now time.Time) (deviation speed.Deviation, ok bool) {
+	j.dispatcher.mu.Lock()
+	defer j.dispatcher.mu.Unlock()
+	if j.upstream == nil || j.prefillTook == 0 {
+		return speed.Deviation{}, false
+	}
+	return j.upstream.speed.Compare(speed.Answer{Basis: j.choice.basis, Took: j.prefillTook}, now)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -244,7 +244,7 @@
 	n = &Node{
 		Metrics: set, settings: s, logger: options.Logger.With("Node", s.Name), store: options.Store,
 		cloud: options.Cloud, clock: options.Clock, upstreams: discovery.New(upstreamGrace),
-		dispatcher: dispatch.New(dispatch.Options{FailureDomain: s.FailureDomain, Regions: s.Regions}),
+		dispatcher: dispatch.New(dispatch.Options{FailureDomain: s.FailureDomain, Regions: s.Regions, Node: s.Name}),
 		network:    options.Network, budget: newRetryBudget(s.Bounds), memory: newMemoryBudget(s.Limits.MemoryMB), usage: newLedger(s.Bounds.UsageWindow), crashes: newCrashTracker(),
 		malformedEntries: map[string]uint64{},
 	}
@@ -418,3 +418,8 @@
 func (n *Node) count(name, label string) {
 	n.Metrics.GetOrCreateCounter("guavagauge_entry_" + name + `_total{reason="` + label + `"}`).Inc()
 }
+
+// addSeconds adds a time to a counter of the node with the label reason.
+func (n *Node) addSeconds(name, label string, d time.Duration) {
+	n.Metrics.GetOrCreateFloatCounter("guavagauge_entry_" + name + `_seconds_total{reason="` + label + `"}`).Add(d.Seconds())
+}
--- a/entry/extension.go
+++ b/entry/extension.go
@@ -6,6 +6,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/speed"
 )
 
 type (
@@ -20,7 +22,9 @@
 	// extensionContent is what a node, or all nodes of a failure domain in an aggregate
 	// message, tell others. Each field is empty unless the configuration or upstreams
 	// call for it.
-	extensionContent struct{}
+	extensionContent struct {
+		Speeds []speed.Report `cbor:"3,keyasint,omitzero"` // of upstreams that say how fast they are
+	}
 
 	// relayedExtension is the extension of an aggregate message of another failure
 	// domain that its recipient relays within its own domain.
@@ -47,7 +51,9 @@
 }
 
 // localExtension returns the extension of a message to the nodes of this failure domain.
-func (p *peers) localExtension(time.Time) (x extension) {
+func (p *peers) localExtension(now time.Time) (x extension) {
+	// Each report is sent twice, since datagrams can be lost.
+	x.Own.Speeds = p.node.dispatcher.SpeedReports(now, 2*p.gossipInterval(), false)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	x.Relayed, p.pendingExtensions = p.pendingExtensions, nil
@@ -56,7 +62,10 @@
 
 // remoteExtension returns the extension of an aggregate message to other failure
 // domains.
-func (p *peers) remoteExtension(time.Time) (x extension) { return x }
+func (p *peers) remoteExtension(now time.Time) (x extension) {
+	x.Own.Speeds = p.node.dispatcher.SpeedReports(now, 2*remoteGossipInterval, true)
+	return x
+}
 
 // applyExtension applies the extension that followed a message of another node. That of
 // an aggregate message is also kept to be relayed.
@@ -81,4 +90,6 @@
 }
 
 // applyContent applies what a node said in an extension, directly or relayed.
-func (p *peers) applyContent(string, string, extensionContent, time.Time) {}
+func (p *peers) applyContent(domain, node string, content extensionContent, now time.Time) {
+	p.node.dispatcher.ApplySpeedReports(domain, node, content.Speeds, now)
+}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -88,7 +88,10 @@
 		runs       int // attempts that the upstream may have run; prefills don't count
 		lastReason reason
 		job        *dispatch.Job // the last one; nil before the first
-		responded  bool          // the status of a response was written to the caller
+		// prefillDeviation has log attributes of how far off the expected time of a
+		// separate prefill was, if the speeds of upstreams are known.
+		prefillDeviation []any
+		responded        bool // the status of a response was written to the caller
 		// responseBegun is set once an upstream has sent an event of its response, in
 		// any attempt.
 		responseBegun bool
@@ -273,6 +276,27 @@
 	}
 }
 
+// observeDeviation counts how far off the expected time of a prefill was, and returns
+// log attributes that say so. It does nothing if the speeds of upstreams aren't known.
+func (e *exchange) observeDeviation(job *dispatch.Job) (attributes []any) {
+	deviation, ok := job.Deviation(time.Now())
+	if !ok {
+		return nil
+	}
+	outcome := "Later"
+	if deviation.WithinTwice {
+		outcome = "WithinTwice"
+	}
+	n, class := e.node, deviation.Class.String()
+	n.count("speed_answers", class+outcome)
+	n.addSeconds("speed_expected", class, deviation.Expected)
+	n.addSeconds("speed_took", class, deviation.Took)
+	return []any{
+		"Own", deviation.Took, "Figure", deviation.Figure, "Factor", deviation.Factor, "Class", class,
+		"RecentRatio", deviation.Recent.Ratio, "RecentWithinTwice", deviation.Recent.WithinTwice,
+	}
+}
+
 // requestURI returns the request's URI as it was received. An absolute URI is
 // reduced to its path and query.
 func requestURI(r *http.Request) (uri string) {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -151,6 +152,7 @@
 		return platform.KVSource{}, false
 	}
 	job.End(time.Now(), dispatch.Served)
+	e.prefillDeviation = e.observeDeviation(job)
 	return platform.KVSource{Address: choice.Upstream.Address, Handle: handle.ID}, true
 }
 
@@ -215,7 +217,7 @@
 	prefill := s.plan.Decode
 	if s.plan.Prefill != nil {
 		prefill = *s.plan.Prefill
-		s.log("prefill done", "Read", prefill.Upstream.ID, "Expected", prefill.Expected, "Took", s.prefillDoneAfter)
+		s.log("prefill done", slices.Concat([]any{"Read", prefill.Upstream.ID, "Expected", prefill.Expected, "Took", s.prefillDoneAfter}, s.prefillDeviation)...)
 	}
 	s.log("generation served", "Run", s.plan.Decode.Upstream.ID, "Fetched", prefill.Fetch.IsValid(), "Tokens", s.request.Prompt.Tokens,
 		"Kept", prefill.CachedTokens, "Expected", s.plan.Expected, "First", s.firstEventAfter)
@@ -261,6 +263,7 @@
 			s.responseBegun = true
 			s.clearParts()
 			job.PrefillDone(time.Now())
+			s.observeDeviation(job)
 			s.firstEventAfter = time.Since(s.arrivedAt)
 			s.node.usage.record(s.workspace, s.node.medianNow())
 		}
