speed: report to other domains once in 4 s for each upstream

The aggregate message repeated the reports of all upstreams every 250 ms, an estimated 28 KB/s for each domain, and traffic between domains is billed by volume. A figure is outdated there in any case, and the factor changes slowly. Now each upstream is reported once in 4 s, an estimated 2 KB/s. What nodes reported of an upstream is kept for at most 1,000 of them.

--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -32,6 +32,9 @@
 	// sharedSpreadTime replaces spreadTime at upstreams that serve several requests at
 	// the same time. It is as much as five more running requests cost.
 	sharedSpreadTime = 10 * time.Millisecond
+	// domainReportInterval is the time between two reports of an upstream to other
+	// failure domains, which send it little. Its figure is outdated there in any case.
+	domainReportInterval = 4 * time.Second
 	// maxSpeedReports bounds the reports in a message to about 8 KB.
 	maxSpeedReports = 200
 )
@@ -97,14 +100,27 @@
 	return to.pace.Expect(&basis), basis
 }
 
-// SpeedReports returns what to tell other nodes of upstreams that answered this node
-// within a period, or with ofDomain any node of its failure domain. It returns the
-// newest reports if there are too many for a message.
-func (d *Dispatcher) SpeedReports(now time.Time, period time.Duration, ofDomain bool) (reports []speed.Report) {
+// SpeedReports returns what to tell the other nodes of the failure domain of upstreams
+// that answered this node within a period.
+func (d *Dispatcher) SpeedReports(now time.Time, period time.Duration) (reports []speed.Report) {
+	return d.speedReports(func(u *upstream) (report speed.Report, ok bool) { return u.speed.Report(now, period) })
+}
+
+// DomainSpeedReports returns what to tell other failure domains of upstreams that
+// answered any node of this one. Each upstream is reported once an interval at most,
+// since traffic between domains is billed by volume.
+func (d *Dispatcher) DomainSpeedReports(now time.Time) (reports []speed.Report) {
+	return d.speedReports(func(u *upstream) (report speed.Report, ok bool) {
+		return u.speed.DomainReport(now, domainReportInterval)
+	})
+}
+
+// speedReports returns the newest reports if there are too many for a message.
+func (d *Dispatcher) speedReports(reportOf func(u *upstream) (report speed.Report, ok bool)) (reports []speed.Report) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, u := range d.upstreams {
-		if report, ok := u.speed.Report(now, period, ofDomain); ok {
+		if report, ok := reportOf(u); ok {
 			report.Upstream = u.ID
 			reports = append(reports, report)
 		}
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -165,7 +165,7 @@
 		s.nodes = append(s.nodes, node)
 		for tick := time.Duration(i) * simulatedGossip / 10; tick < s.duration; tick += simulatedGossip {
 			s.at(tick, func() {
-				loads, speeds := node.Loads(at(s.now)), node.SpeedReports(at(s.now), 2*simulatedGossip, false)
+				loads, speeds := node.Loads(at(s.now)), node.SpeedReports(at(s.now), 2*simulatedGossip)
 				for _, other := range s.nodes {
 					if other != node && s.random.IntN(10) > 0 {
 						other.SetPeerLoads(fmt.Sprint("node-", i), loads, at(s.now))
@@ -273,7 +273,7 @@
 	if sum := digest.Sum64(); sum != before {
 		t.Errorf("digest of the choices: %#x, want %#x", sum, uint64(before))
 	}
-	if reports := d.SpeedReports(at(time.Minute), time.Hour, true); reports != nil {
+	if reports := d.SpeedReports(at(time.Minute), time.Hour); reports != nil || d.DomainSpeedReports(at(time.Minute)) != nil {
 		t.Errorf("reports without a figure: %v", reports)
 	}
 }
--- a/entry/extension.go
+++ b/entry/extension.go
@@ -53,7 +53,7 @@
 // localExtension returns the extension of a message to the nodes of this failure domain.
 func (p *peers) localExtension(now time.Time) (x extension) {
 	// Each report is sent twice, since datagrams can be lost.
-	x.Own.Speeds = p.node.dispatcher.SpeedReports(now, 2*p.gossipInterval(), false)
+	x.Own.Speeds = p.node.dispatcher.SpeedReports(now, 2*p.gossipInterval())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	x.Relayed, p.pendingExtensions = p.pendingExtensions, nil
@@ -63,7 +63,7 @@
 // remoteExtension returns the extension of an aggregate message to other failure
 // domains.
 func (p *peers) remoteExtension(now time.Time) (x extension) {
-	x.Own.Speeds = p.node.dispatcher.SpeedReports(now, 2*remoteGossipInterval, true)
+	x.Own.Speeds = p.node.dispatcher.DomainSpeedReports(now)
 	return x
 }
 
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -36,7 +36,7 @@
 //	basis := speed.Basis{Kind: speed.Prefill, Usual: usual}
 //	expected := upstream.Pace(now).Expect(&basis)
 //	upstream.Observe(speed.Answer{Basis: basis, Took: took}, now)
-//	report, ok := upstream.Report(now, period, false)
+//	report, ok := upstream.Report(now, period)
 //	other.Observe(report, now)
 package speed
 
@@ -122,6 +122,9 @@
 	// minTransferShare is how much of an answer's deviation counts for transfers even if
 	// they are a small part of its expected time.
 	minTransferShare = 0.25
+	// maxReporters bounds the memory for what other nodes reported of an upstream. Beyond
+	// it, their next reports count as those of new nodes.
+	maxReporters = 1000
 	// minTransfer is the least usual duration of a transfer from which the service's
 	// transfers are learned.
 	minTransfer = 3 * time.Millisecond
@@ -159,13 +162,14 @@
 		figureAt    time.Time
 		usualFigure float64 // moving average of figure
 
-		answers    fit
-		answeredAt time.Time
-		ownAt      time.Time          // of the last observation that isn't a Report
-		domainAt   time.Time          // of the last observation in this node's failure domain
-		ownWeight  float64            // of all answers to this node
-		peerWeight float64            // of all answers that other nodes of the domain reported
-		heard      map[string]float64 // last Report.Answers by node
+		answers        fit
+		answeredAt     time.Time
+		ownAt          time.Time          // of the last observation that isn't a Report
+		domainAt       time.Time          // of the last observation in this node's failure domain
+		domainReportAt time.Time          // of the last DomainReport
+		ownWeight      float64            // of all answers to this node
+		peerWeight     float64            // of all answers that other nodes of the domain reported
+		heard          map[string]float64 // last Report.Answers by node
 
 		line        line // of answers
 		refreshedAt time.Time
@@ -410,6 +414,9 @@
 	}
 	total := float64(r.Answers) / 1000
 	added := total - u.heard[r.Reporter]
+	if len(u.heard) >= maxReporters {
+		clear(u.heard)
+	}
 	u.heard[r.Reporter] = total
 	if added < 0 { // the node has restarted
 		added = total
@@ -514,18 +521,28 @@
 	return basis.expected
 }
 
-// Report returns what to tell other nodes of the upstream, and false if nothing has
-// come from it within a period. With ofDomain, the report is for other failure domains
-// and also has what the nodes of this one reported, but nothing from other domains,
-// which would come back to them as new.
-func (u *Upstream) Report(now time.Time, period time.Duration, ofDomain bool) (report Report, ok bool) {
-	last, weight := u.ownAt, u.ownWeight
-	if ofDomain {
-		last, weight = u.domainAt, u.ownWeight+u.peerWeight
+// Report returns what to tell the other nodes of the failure domain, and false if
+// nothing has come from the upstream to this node within a period.
+func (u *Upstream) Report(now time.Time, period time.Duration) (report Report, ok bool) {
+	if !u.model.active || now.Sub(u.ownAt) >= period {
+		return Report{}, false
 	}
-	if !u.model.active || now.Sub(last) >= period {
+	return u.report(now, u.ownWeight), true
+}
+
+// DomainReport returns what to tell other failure domains: what came from the upstream
+// to any node of this one, but nothing from other domains, which would come back to
+// them as new. It returns false if there is nothing new since the last such report, or
+// an interval hasn't passed since then.
+func (u *Upstream) DomainReport(now time.Time, interval time.Duration) (report Report, ok bool) {
+	if !u.model.active || !u.domainAt.After(u.domainReportAt) || now.Sub(u.domainReportAt) < interval {
 		return Report{}, false
 	}
+	u.domainReportAt = now
+	return u.report(now, u.ownWeight+u.peerWeight), true
+}
+
+func (u *Upstream) report(now time.Time, weight float64) (report Report) {
 	report = Report{Percent: u.percent, Answers: int64(weight * 1000)}
 	if u.answers.weight > 0 {
 		permille := func(sum float64) int { return int(math.Round(1000 * math.Exp(sum/u.answers.weight))) }
@@ -534,7 +551,7 @@
 	if u.percent != 0 {
 		report.AgeMs = max(0, now.Sub(u.figureAt).Milliseconds())
 	}
-	return report, true
+	return report
 }
 
 // Percent returns the newest figure, or 0 before the first one, and the factor of the
--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -56,7 +56,7 @@
 	if pace := u.Pace(start); model.Active() || pace.Active() || pace.Work(usual) != usual || pace.Transfer(usual) != usual {
 		t.Errorf("the model is active without a figure: %+v", pace)
 	}
-	if report, ok := u.Report(start, time.Hour, true); ok {
+	if report, ok := u.Report(start, time.Hour); ok {
 		t.Errorf("reported without a figure: %+v", report)
 	}
 }
@@ -133,7 +133,7 @@
 func TestReportsMayBeLostOrRepeated(t *testing.T) {
 	_, from := newUpstream(1.6)
 	now := at(40)
-	report, ok := from.Report(now, 10*time.Second, false)
+	report, ok := from.Report(now, 10*time.Second)
 	if !ok {
 		t.Fatal("nothing to report")
 	}
@@ -150,7 +150,7 @@
 	late.Percent, late.AgeMs = 20, 5000
 	to.Observe(late, now)
 	expect(t, "after a late report", factor(to, now), 1.6)
-	if _, ok := to.Report(now, time.Second, false); ok {
+	if _, ok := to.Report(now, time.Second); ok {
 		t.Error("what another node reported is reported as this node's own")
 	}
 }
