dispatch: keep preferences from sending work to other domains

Loads of other failure domains arrive 250 ms late, and a preference of up to 40 ms outweighed their surcharge of 4 ms. Requests without a prompt spread by an eighth of the job time, so that no queue forms at a preferred upstream while others have free slots.

--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -29,6 +29,12 @@
 	// simulated engines, 40 ms and 4 had the fewest late long prompts.
 	spreadTime    = 40 * time.Millisecond
 	spreadDivisor = 4
+	// remoteAversion keeps preferences from sending work to other failure domains, whose
+	// loads arrive 250 ms late.
+	remoteAversion = 0.5
+	// plainSpreadDivisor replaces spreadTime and spreadDivisor for requests without a
+	// prompt: half of a slot's share of the job time at an upstream with four slots.
+	plainSpreadDivisor = 8
 	// sharedSpreadTime replaces spreadTime at upstreams that serve several requests at
 	// the same time. It is as much as five more running requests cost.
 	sharedSpreadTime = 10 * time.Millisecond
@@ -51,10 +57,13 @@
 		weight := rendezvous.Weight(rendezvous.Hash(d.options.Node), rendezvous.Hash(registered.ID))
 		u.aversion = float64(weight>>11) / (1 << 53)
 	}
+	if registered.FailureDomain != d.options.FailureDomain {
+		u.aversion += remoteAversion
+	}
 }
 
-// spread returns the surcharge for sending work of an expected duration to an
-// upstream, which differs between nodes.
+// spread returns the surcharge for sending a prefill of an expected duration to an
+// upstream, or for decoding there, which differs between nodes.
 func (u *upstream) spread(expected time.Duration) (surcharge time.Duration) {
 	limit := sharedSpreadTime
 	if u.Stage == discovery.Prefill {
