speed, entry: late reports and error responses aren't learned from

A report that arrives after a newer one looked like that of a restarted node, and its answers counted again. An error response comes sooner than others, so an upstream that fails looked fast.

--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -168,6 +168,14 @@
 	return factorPercent, true
 }
 
+// IgnoreTime keeps the duration of the job from being learned from, because it says
+// nothing of the upstream's speed.
+func (j *Job) IgnoreTime() {
+	j.dispatcher.mu.Lock()
+	defer j.dispatcher.mu.Unlock()
+	j.choice.basis = speed.Basis{}
+}
+
 // Deviation compares the time until the prompt was prefilled with the expected one. It
 // returns false if the prefill hasn't ended or the speed of the upstream isn't known.
 func (j *Job) Deviation(now time.Time) (deviation speed.Deviation, ok bool) {
--- a/entry/call.go
+++ b/entry/call.go
@@ -72,6 +72,7 @@
 	if response.Status >= http.StatusInternalServerError && response.Complete() && e.route.RetryClass == routing.Idempotent && e.allowRetry(true) {
 		// The upstream itself is healthy, since it responded. Another one may
 		// succeed.
+		job.IgnoreTime()
 		job.End(time.Now(), dispatch.Served)
 		e.calls-- // retryServerError counts the next attempt, and handleResult counts it again if it reaches the upstream
 		return e.retryServerError(response, content)
@@ -105,6 +106,9 @@
 	if response.Complete() {
 		length = int64(len(content))
 	}
+	if response.Status/100 != 2 { // errors come sooner than other responses
+		job.IgnoreTime()
+	}
 	e.writeHead(response, length)
 	e.w.Write(content)
 	if !response.Complete() {
--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -147,7 +147,7 @@
 	expect(t, "repeated", factor(to, now), factor(once, now))
 	expect(t, "reported", factor(to, now), 1.6)
 	late := report
-	late.Percent, late.AgeMs = 20, 5000
+	late.Percent, late.AgeMs, late.FactorPermille, late.Answers = 20, 5000, 300, report.Answers-1000
 	to.Observe(late, now)
 	expect(t, "after a late report", factor(to, now), 1.6)
 	if _, ok := to.Report(now, time.Second); ok {
