caller: take the rate decision from package quota

Cause: the rate limit of a workspace was decided by code of its own.

Change: limits uses a quota.Account with a share of 1/nodes. The concurrency limit stays.

--- a/caller/limit.go
+++ b/caller/limit.go
@@ -8,9 +8,8 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/guavagauge/guavagauge/fleet"
+	"github.com/guavagauge/guavagauge/quota"
 	"github.com/guavagauge/guavagauge/upstream"
 )
 
@@ -22,21 +21,22 @@
 	// nodes together may admit more than the limit.
 	limits struct {
 		nodes func() int
+		start time.Time // accounts use the time since then
 
 		mu         sync.Mutex
 		workspaces map[string]*workspaceLimiter // by qualified name; not removed with the workspace
 	}
 
-	// workspaceLimiter holds one workspace's rate limiter and its number of
-	// running requests.
+	// workspaceLimiter holds this node's share of a workspace's rate and the
+	// number of its running requests.
 	workspaceLimiter struct {
-		rate    *rate.Limiter
+		rate    *quota.Account
 		running int
 	}
 )
 
 func newLimits(nodes func() int) *limits {
-	return &limits{nodes: nodes, workspaces: make(map[string]*workspaceLimiter)}
+	return &limits{nodes: nodes, start: time.Now(), workspaces: make(map[string]*workspaceLimiter)}
 }
 
 // limit refuses a request that exceeds its workspace's rate or concurrency
@@ -58,21 +58,21 @@
 // acquire counts a request as running, or returns the reason to refuse it. For
 // the rate limit, wait is the time until it admits a request.
 func (l *limits) acquire(workspace *fleet.Workspace, now time.Time) (reason upstream.Reason, wait time.Duration) {
-	nodes := max(1, l.nodes())
+	nodes, elapsed := max(1, l.nodes()), now.Sub(l.start)
+	limit, share := quota.Quota{Rate: workspace.RequestsPerSecond, Burst: float64(workspace.Burst)}, 1/float64(nodes)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	limiter := l.workspaces[workspace.QualifiedName()]
 	if limiter == nil {
-		limiter = &workspaceLimiter{rate: rate.NewLimiter(share(workspace, nodes))}
+		limiter = &workspaceLimiter{rate: quota.NewAccount(limit, share, 0, elapsed)}
 		l.workspaces[workspace.QualifiedName()] = limiter
 	}
-	limiter.setRate(workspace, nodes, now)
+	limiter.rate.Set(limit, share, elapsed)
 	if workspace.Concurrent > 0 && limiter.running >= max(1, (workspace.Concurrent+nodes-1)/nodes) {
 		return upstream.ReasonConcurrency, 0
 	}
-	if reservation := limiter.rate.ReserveN(now, 1); reservation.DelayFrom(now) > 0 {
-		wait = reservation.DelayFrom(now)
-		reservation.CancelAt(now)
+	var ok bool
+	if wait, ok = limiter.rate.Take(limit.Cost(quota.Usage{}), elapsed); !ok {
 		return upstream.ReasonRate, wait
 	}
 	limiter.running++
@@ -88,25 +88,6 @@
 	}
 }
 
-// share returns one node's share of a workspace's rate and burst.
-func share(workspace *fleet.Workspace, nodes int) (limit rate.Limit, burst int) {
-	if workspace.RequestsPerSecond <= 0 {
-		return rate.Inf, 1
-	}
-	return rate.Limit(workspace.RequestsPerSecond / float64(nodes)), max(1, workspace.Burst/nodes)
-}
-
-// setRate adjusts the limiter to the configuration and the number of nodes.
-func (l *workspaceLimiter) setRate(workspace *fleet.Workspace, nodes int, now time.Time) {
-	limit, burst := share(workspace, nodes)
-	if l.rate.Limit() != limit {
-		l.rate.SetLimitAt(now, limit)
-	}
-	if l.rate.Burst() != burst {
-		l.rate.SetBurstAt(now, burst)
-	}
-}
-
 // readBody reads the whole body. A body that is too large or too slow is
 // refused before any work begins.
 func (s *Server) readBody(ex *exchange) (refused *Refusal) {
