--- a/entry/extension.go
+++ b/entry/extension.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"github.com/guavagauge/guavagauge/quota"
+	"github.com/guavagauge/guavagauge/speed"
 )
 
 type (
@@ -23,7 +24,8 @@
 	// message, tell others. Each field is empty unless the configuration or upstreams
 	// call for it.
 	extensionContent struct {
-		Quotas quota.Reports `cbor:"1,keyasint,omitzero"`
+		Quotas quota.Reports  `cbor:"1,keyasint,omitzero"`
+		Speeds []speed.Report `cbor:"3,keyasint,omitzero"` // of upstreams that say how fast they are
 	}
 
 	// relayedExtension is the extension of an aggregate message of another failure
@@ -51,8 +53,10 @@
 }
 
 // localExtension returns the extension of a message to the nodes of this failure domain.
-func (p *peers) localExtension(time.Time) (x extension) {
+func (p *peers) localExtension(now time.Time) (x extension) {
 	x.Own.Quotas = p.node.quotas.Report(p.node.clock())
+	// Each report is sent twice, since datagrams can be lost.
+	x.Own.Speeds = p.node.dispatcher.SpeedReports(now, 2*p.gossipInterval())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	x.Relayed, p.pendingExtensions = p.pendingExtensions, nil
@@ -61,8 +65,9 @@
 
 // remoteExtension returns the extension of an aggregate message to other failure
 // domains.
-func (p *peers) remoteExtension(time.Time) (x extension) {
+func (p *peers) remoteExtension(now time.Time) (x extension) {
 	x.Own.Quotas = p.node.quotas.Aggregate(p.node.clock())
+	x.Own.Speeds = p.node.dispatcher.DomainSpeedReports(now)
 	return x
 }
 
@@ -89,9 +94,10 @@
 }
 
 // applyContent applies what a node said in an extension, directly or relayed.
-func (p *peers) applyContent(domain, node string, content extensionContent, _ time.Time) {
+func (p *peers) applyContent(domain, node string, content extensionContent, now time.Time) {
 	n := p.node
 	if absurd := n.quotas.Apply(node, content.Quotas, domain == n.settings.FailureDomain, n.clock()); absurd > 0 {
 		n.count("messages", "AbsurdQuota")
 	}
+	n.dispatcher.ApplySpeedReports(domain, node, content.Speeds, now)
 }
