--- a/entry/extension_test.go
+++ b/entry/extension_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/guavagauge/guavagauge/discovery"
@@ -37,7 +38,11 @@
 	now := time.Unix(1000, 0)
 	upstream := discovery.Upstream{ID: "u", Service: "desk", FailureDomain: "a", Slots: 4}
 	newNode := func(name, domain string) (p *peers) {
-		n := &Node{settings: &settings.EntrySettings{Name: name, FailureDomain: domain}}
+		n := &Node{
+			settings: &settings.EntrySettings{Name: name, FailureDomain: domain}, Metrics: metrics.NewSet(),
+			clock: func() time.Duration { return 0 },
+		}
+		n.quotas = newQuotas(n)
 		n.dispatcher = dispatch.New(dispatch.Options{FailureDomain: domain, Regions: map[string]string{"a": "r", "b": "s"}, Node: name})
 		n.dispatcher.Sync([]discovery.Upstream{upstream}, []routing.Service{{Name: "desk"}})
 		return &peers{node: n}
