--- a/entry/extension.go
+++ b/entry/extension.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
+	"github.com/guavagauge/guavagauge/quota"
 	"github.com/guavagauge/guavagauge/speed"
 )
 
@@ -23,6 +24,7 @@
 	// message, tell others. Each field is empty unless the configuration or upstreams
 	// call for it.
 	extensionContent struct {
+		Quotas quota.Reports  `cbor:"1,keyasint,omitzero"`
 		Speeds []speed.Report `cbor:"3,keyasint,omitzero"` // of upstreams that say how fast they are
 	}
 
@@ -52,6 +54,7 @@
 
 // localExtension returns the extension of a message to the nodes of this failure domain.
 func (p *peers) localExtension(now time.Time) (x extension) {
+	x.Own.Quotas = p.node.quotas.Report(p.node.clock())
 	// Each report is sent twice, since datagrams can be lost.
 	x.Own.Speeds = p.node.dispatcher.SpeedReports(now, 2*p.gossipInterval())
 	p.mu.Lock()
@@ -63,6 +66,7 @@
 // remoteExtension returns the extension of an aggregate message to other failure
 // domains.
 func (p *peers) remoteExtension(now time.Time) (x extension) {
+	x.Own.Quotas = p.node.quotas.Aggregate(p.node.clock())
 	x.Own.Speeds = p.node.dispatcher.DomainSpeedReports(now)
 	return x
 }
@@ -91,5 +95,9 @@
 
 // applyContent applies what a node said in an extension, directly or relayed.
 func (p *peers) applyContent(domain, node string, content extensionContent, now time.Time) {
-	p.node.dispatcher.ApplySpeedReports(domain, node, content.Speeds, now)
+	n := p.node
+	if absurd := n.quotas.Apply(node, content.Quotas, domain == n.settings.FailureDomain, n.clock()); absurd > 0 {
+		n.count("messages", "AbsurdQuota")
+	}
+	n.dispatcher.ApplySpeedReports(domain, node, content.Speeds, now)
 }
