speed: answers alone tell the lasting factor where figures are rare

In the fresh log of service a, 15 of 88 engines had a figure after 20 s, and each kept the one it had sent, such as 250 during noise, for 10 s: refusals have a figure and answers don't. Such a figure now is a prior for upstreams without answers and tells a passing change, and no more. The prior of an upstream counts as a tenth of a long answer instead of one, so that engines are told apart sooner after a start.

--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -214,6 +214,12 @@
 			}
 			return int(100 * slowdown)
 		},
+		"rare": func(_ *simulation, _ int, slowdown float64) int {
+			if random.IntN(50) > 0 {
+				return 0
+			}
+			return int(100 * slowdown)
+		},
 		"absent from halfway": func(s *simulation, _ int, slowdown float64) int {
 			if s.now > s.duration/2 {
 				return 0
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -67,6 +67,16 @@
 	// figureMemory is how long neighbours on a VM slow it down, as measured. The
 	// passing part of a figure falls to 0 within it.
 	figureMemory = 600 * time.Millisecond
+	// rareShare is the share of answers with a figure below which figures count as rare.
+	// At one customer, only refusals had a figure.
+	rareShare = 0.5
+	// minDeviation is the least logarithm by which a rare figure differs from the answers
+	// if it counts as passing. Noise is 0.9; answers are off by 0.2 after a short time.
+	minDeviation = 0.4
+	// minLevelWeight is the least weight of an upstream's answers with which its figure is
+	// compared, and levelLimit what one comparison says.
+	minLevelWeight = 0.5
+	levelLimit     = 0.3
 	// usualFigureMemory is the time constant of an upstream's usual figure.
 	usualFigureMemory = 5 * time.Second
 	// figureTTL is how long the usual figure is used.
@@ -85,7 +95,7 @@
 	serviceAnswers  = 400
 	// The prior counts as much as answers of these weights, and as figures with these
 	// sums of squares.
-	upstreamPriorAnswers = 1
+	upstreamPriorAnswers = 0.1
 	upstreamPriorSquares = 1
 	servicePriorAnswers  = 2
 	servicePriorSquares  = 4
@@ -144,6 +154,8 @@
 		fixed               [kinds]average // milliseconds
 		start               [kinds]average // the same without waits that aren't known
 		skew                average        // mean ratio of the work's duration to that by the line
+		withFigure          average        // share of answers that came with a figure
+		level               average        // logarithm of the factor at figure 100, from rare figures
 		transfer            average        // logarithm of the factor
 		transferFactor      float64
 		jobTime             average // milliseconds
@@ -172,6 +184,8 @@
 		refreshedAt time.Time
 		lasting     float64 // factor with the usual figure
 		passing     float64 // factor with the newest figure, as a multiple of lasting
+		answered    float64 // logarithm of the factor by answers, if figures are rare
+		deviation   float64 // logarithm by which a rare figure differs from the answers
 	}
 
 	// Basis is what the expected time of an answer was computed from. The zero Basis
@@ -192,7 +206,7 @@
 
 		// expected is the sum, and work the part of it that depends on the upstream.
 		expected, work time.Duration
-		figure         float64 // in effect when the work was sent
+		figure         float64 // in effect when the work was sent; if figures are rare, its deviation
 	}
 
 	// Pace is the speed of an upstream at one time.
@@ -228,6 +242,8 @@
 func New() *Model {
 	m := &Model{answers: fit{memory: serviceAnswers}, deviations: fit{memory: serviceAnswers}, line: line{slope: 1}}
 	m.skew = average{mean: 1, count: priorAnswers, memory: fixedAnswers}
+	m.withFigure = average{mean: 0.4, count: priorAnswers, memory: fixedAnswers}
+	m.level.memory = fixedAnswers
 	m.transfer, m.transferFactor = average{mean: logUsualTransfer, count: priorAnswers, memory: fixedAnswers}, 2
 	m.jobTime = average{mean: milliseconds(defaultJobTime), memory: fixedAnswers}
 	for kind := range m.fixed {
@@ -242,6 +258,10 @@
 // Active reports whether an upstream of the service has sent a figure.
 func (m *Model) Active() (ok bool) { return m != nil && m.active }
 
+// rare reports whether most answers come without a figure. Such figures don't tell an
+// upstream's usual one, since each was in effect for an unknown time.
+func (m *Model) rare() (ok bool) { return m.withFigure.mean < rareShare }
+
 // NewUpstream returns an upstream of the service.
 func (m *Model) NewUpstream() *Upstream {
 	return &Upstream{
@@ -303,6 +323,9 @@
 		u.usualFigure += float64((figure - u.usualFigure) * (1 - math.Exp(-float64(interval)/float64(usualFigureMemory))))
 	}
 	u.figure, u.percent, u.figureAt = figure, percent, at
+	if u.model.rare() && u.answers.weight >= minLevelWeight {
+		u.model.level.add(u.answered-figure, levelLimit)
+	}
 }
 
 // observeAnswer learns the factor of the upstream, and the fixed time and the
@@ -324,6 +347,16 @@
 	work := basis.work + excess + fromMilliseconds(m.fixed[basis.Kind].mean-m.start[basis.Kind].mean)
 	ratio := float64(max(work, basis.Usual/(2*MaxFactor))) / float64(basis.Usual)
 
+	if now.Sub(u.figureAt) <= a.Took && u.percent != 0 {
+		m.withFigure.add(1, 1)
+	} else {
+		m.withFigure.add(0, 1)
+	}
+	if m.rare() && basis.figure != 0 {
+		m.deviations.add(basis.figure*min(1, float64(figureMemory/2)/float64(max(a.Took, 1))), clamp(logOf(ratio)-u.answered, maxLogFactor), weight)
+		m.line.slope = m.deviations.slope(1, servicePriorSquares)
+		return // says little of the time without the passing change
+	}
 	figure := u.figureDuring(basis.figure, a.Took, now)
 	expected := u.line.at(figure)
 	sample := expected + clamp(logOf(ratio)-expected, factorLimit+firstFactorLimit/(1+u.answers.weight))
@@ -369,6 +402,9 @@
 // figureDuring returns the figure that was in effect, on average, while work took a
 // time until now. first is the one at its beginning.
 func (u *Upstream) figureDuring(first float64, took time.Duration, now time.Time) (figure float64) {
+	if u.model.rare() {
+		return 0
+	}
 	last := first
 	if now.Sub(u.figureAt) < took {
 		last = u.figure
@@ -391,6 +427,10 @@
 // refresh computes the factor from the last observations.
 func (u *Upstream) refresh(now time.Time) {
 	u.refreshedAt = now
+	if u.model.rare() {
+		u.refreshRare(now)
+		return
+	}
 	prior := u.model.line
 	u.line = prior
 	usual := 0.0
@@ -405,6 +445,31 @@
 	u.passing = math.Exp(float64(u.line.slope * (u.figure - usual)))
 }
 
+// refreshRare does the same while figures are rare. Then answers alone tell the lasting
+// part, and the last figure only until there are some. It tells the passing part by how
+// much it differs from them.
+func (u *Upstream) refreshRare(now time.Time) {
+	m := u.model
+	u.line, u.passing, u.deviation = m.line, 1, 0
+	usual := 0.0
+	if now.Sub(u.answeredAt) < answerTTL {
+		usual = u.answers.meanX() // 0 unless it is from reports
+	}
+	known := u.percent != 0 && now.Sub(u.figureAt) < figureTTL
+	if known {
+		u.line.intercept = m.level.mean + u.figure - float64(u.line.slope*usual)
+	}
+	if now.Sub(u.answeredAt) < answerTTL {
+		u.line = u.answers.line(u.line)
+	}
+	u.answered = u.line.at(usual)
+	u.lasting = math.Exp(u.answered) * m.skew.mean
+	if deviation := m.level.mean + u.figure - u.answered; known && math.Abs(deviation) >= minDeviation {
+		u.deviation = deviation
+		u.passing = math.Exp(clamp(float64(m.line.slope*deviation), maxLogFactor))
+	}
+}
+
 // Pace returns the speed of the upstream at a time. That of an inactive model
 // returns usual times unchanged.
 func (u *Upstream) Pace(now time.Time) (pace Pace) {
@@ -414,11 +479,17 @@
 	if now.Sub(u.refreshedAt) >= refreshInterval {
 		u.refresh(now)
 	}
-	pace = Pace{model: u.model, lasting: u.lasting, passing: 1, figure: u.usualFigure}
+	pace = Pace{model: u.model, lasting: u.lasting, passing: 1}
+	if !u.model.rare() {
+		pace.figure = u.usualFigure
+	}
 	if age := now.Sub(u.figureAt); age < figureMemory && u.percent != 0 {
 		// The change began at an unknown time within figureMemory before the figure.
 		pace.passing, pace.remaining = u.passing, (figureMemory-max(age, 0))/2
 		pace.figure = u.figure
+		if u.model.rare() {
+			pace.figure = u.deviation
+		}
 	}
 	return pace
 }
@@ -469,14 +540,17 @@
 	return basis.expected
 }
 
-// Percent returns the newest figure, or 0 before the first one, and the factor of the
+// Percent returns the newest figure, or 0 if there is none within figureTTL, and the factor of the
 // upstream in percent.
 func (u *Upstream) Percent(now time.Time) (figure, factor int) {
 	pace := u.Pace(now)
 	if !pace.Active() {
 		return 0, 100
 	}
-	return u.percent, int(math.Round(100 * pace.lasting * pace.passing))
+	if now.Sub(u.figureAt) < figureTTL {
+		figure = u.percent
+	}
+	return figure, int(math.Round(100 * pace.lasting * pace.passing))
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
