--- a/speed/speed.go
+++ b/speed/speed.go
@@ -67,6 +67,16 @@
 	// figureMemory is how long neighbours on a VM slow it down, as measured. The
 	// passing part of a figure falls to 0 within it.
 	figureMemory = 600 * time.Millisecond
+	// rareShare is the share of answers with a figure below which figures count as rare.
+	// At one customer, only refusals had a figure.
+	rareShare = 0.5
+	// minDeviation is the least logarithm by which a rare figure differs from the answers
+	// if it counts as passing. Noise is 0.9; answers are off by 0.2 after a short time.
+	minDeviation = 0.4
+	// minLevelWeight is the least weight of an upstream's answers with which its figure is
+	// compared, and levelLimit what one comparison says.
+	minLevelWeight = 0.5
+	levelLimit     = 0.3
 	// usualFigureMemory is the time constant of an upstream's usual figure.
 	usualFigureMemory = 5 * time.Second
 	// figureTTL is how long the usual figure is used.
@@ -85,7 +95,7 @@
 	serviceAnswers  = 400
 	// The prior counts as much as answers of these weights, and as figures with these
 	// sums of squares.
-	upstreamPriorAnswers = 1
+	upstreamPriorAnswers = 0.1
 	upstreamPriorSquares = 1
 	servicePriorAnswers  = 2
 	servicePriorSquares  = 4
@@ -122,9 +132,6 @@
 	// minTransferShare is how much of an answer's deviation counts for transfers even if
 	// they are a small part of its expected time.
 	minTransferShare = 0.25
-	// maxReporters bounds the memory for what other nodes reported of an upstream. Beyond
-	// it, their next reports count as those of new nodes.
-	maxReporters = 1000
 	// minTransfer is the least usual duration of a transfer from which the service's
 	// transfers are learned.
 	minTransfer = 3 * time.Millisecond
@@ -147,6 +154,8 @@
 		fixed               [kinds]average // milliseconds
 		start               [kinds]average // the same without waits that aren't known
 		skew                average        // mean ratio of the work's duration to that by the line
+		withFigure          average        // share of answers that came with a figure
+		level               average        // logarithm of the factor at figure 100, from rare figures
 		transfer            average        // logarithm of the factor
 		transferFactor      float64
 		jobTime             average // milliseconds
@@ -175,6 +184,8 @@
 		refreshedAt time.Time
 		lasting     float64 // factor with the usual figure
 		passing     float64 // factor with the newest figure, as a multiple of lasting
+		answered    float64 // logarithm of the factor by answers, if figures are rare
+		deviation   float64 // logarithm by which a rare figure differs from the answers
 	}
 
 	// Basis is what the expected time of an answer was computed from. The zero Basis
@@ -195,7 +206,7 @@
 
 		// expected is the sum, and work the part of it that depends on the upstream.
 		expected, work time.Duration
-		figure         float64 // in effect when the work was sent
+		figure         float64 // in effect when the work was sent; if figures are rare, its deviation
 	}
 
 	// Pace is the speed of an upstream at one time.
@@ -220,25 +231,6 @@
 		Basis Basis
 		Took  time.Duration
 	}
-
-	// Report is what another node knows of an upstream.
-	Report struct {
-		_        struct{} `cbor:",toarray"`
-		Upstream string
-		Percent  int   // newest figure; 0 if there is none
-		AgeMs    int64 // of the figure
-		// FactorPermille is the mean factor of the answers, and FigurePermille their mean
-		// figure.
-		FactorPermille, FigurePermille int
-		// Answers is the weight of all answers since the start of the reporting node, in
-		// thousandths. Reports of a node differ by what is new in them, so that repeated
-		// and lost ones do no harm.
-		Answers int64
-		// Reporter is the name of the node, and Peer tells that it is of the same failure
-		// domain. They aren't sent.
-		Reporter string `cbor:"-"`
-		Peer     bool   `cbor:"-"`
-	}
 )
 
 func (Figure) isObservation() {}
@@ -250,6 +242,8 @@
 func New() *Model {
 	m := &Model{answers: fit{memory: serviceAnswers}, deviations: fit{memory: serviceAnswers}, line: line{slope: 1}}
 	m.skew = average{mean: 1, count: priorAnswers, memory: fixedAnswers}
+	m.withFigure = average{mean: 0.4, count: priorAnswers, memory: fixedAnswers}
+	m.level.memory = fixedAnswers
 	m.transfer, m.transferFactor = average{mean: logUsualTransfer, count: priorAnswers, memory: fixedAnswers}, 2
 	m.jobTime = average{mean: milliseconds(defaultJobTime), memory: fixedAnswers}
 	for kind := range m.fixed {
@@ -264,6 +258,10 @@
 // Active reports whether an upstream of the service has sent a figure.
 func (m *Model) Active() (ok bool) { return m != nil && m.active }
 
+// rare reports whether most answers come without a figure. Such figures don't tell an
+// upstream's usual one, since each was in effect for an unknown time.
+func (m *Model) rare() (ok bool) { return m.withFigure.mean < rareShare }
+
 // NewUpstream returns an upstream of the service.
 func (m *Model) NewUpstream() *Upstream {
 	return &Upstream{
@@ -273,7 +271,9 @@
 }
 
 // JobTime returns the usual duration of a request without a prompt.
-func (m *Model) JobTime() (duration time.Duration) { return fromMilliseconds(m.jobTime.mean) }
+func (m *Model) JobTime() (duration time.Duration) {
+	return max(time.Millisecond, fromMilliseconds(m.jobTime.mean))
+}
 
 // Transfer returns the expected duration of a transfer of KV cache that usually
 // takes a time.
@@ -323,6 +323,9 @@
 		u.usualFigure += float64((figure - u.usualFigure) * (1 - math.Exp(-float64(interval)/float64(usualFigureMemory))))
 	}
 	u.figure, u.percent, u.figureAt = figure, percent, at
+	if u.model.rare() && u.answers.weight >= minLevelWeight {
+		u.model.level.add(u.answered-figure, levelLimit)
+	}
 }
 
 // observeAnswer learns the factor of the upstream, and the fixed time and the
@@ -344,6 +347,16 @@
 	work := basis.work + excess + fromMilliseconds(m.fixed[basis.Kind].mean-m.start[basis.Kind].mean)
 	ratio := float64(max(work, basis.Usual/(2*MaxFactor))) / float64(basis.Usual)
 
+	if now.Sub(u.figureAt) <= a.Took && u.percent != 0 {
+		m.withFigure.add(1, 1)
+	} else {
+		m.withFigure.add(0, 1)
+	}
+	if m.rare() && basis.figure != 0 {
+		m.deviations.add(basis.figure*min(1, float64(figureMemory/2)/float64(max(a.Took, 1))), clamp(logOf(ratio)-u.answered, maxLogFactor), weight)
+		m.line.slope = m.deviations.slope(1, servicePriorSquares)
+		return // says little of the time without the passing change
+	}
 	figure := u.figureDuring(basis.figure, a.Took, now)
 	expected := u.line.at(figure)
 	sample := expected + clamp(logOf(ratio)-expected, factorLimit+firstFactorLimit/(1+u.answers.weight))
@@ -389,6 +402,9 @@
 // figureDuring returns the figure that was in effect, on average, while work took a
 // time until now. first is the one at its beginning.
 func (u *Upstream) figureDuring(first float64, took time.Duration, now time.Time) (figure float64) {
+	if u.model.rare() {
+		return 0
+	}
 	last := first
 	if now.Sub(u.figureAt) < took {
 		last = u.figure
@@ -401,38 +417,6 @@
 	return u.usualFigure + float64((figure-u.usualFigure)*known)
 }
 
-// observeReport merges what another node knows.
-func (u *Upstream) observeReport(r Report, now time.Time) {
-	if r.AgeMs < 0 || r.Answers < 0 || r.Answers > 1<<53 {
-		return
-	}
-	if r.Peer {
-		u.domainAt = now
-	}
-	if r.Percent > 0 && r.AgeMs < figureTTL.Milliseconds() {
-		u.observeFigure(r.Percent, now.Add(-time.Duration(r.AgeMs)*time.Millisecond))
-	}
-	total := float64(r.Answers) / 1000
-	added := total - u.heard[r.Reporter]
-	if len(u.heard) >= maxReporters {
-		clear(u.heard)
-	}
-	u.heard[r.Reporter] = total
-	if added < 0 { // the node has restarted
-		added = total
-	}
-	if added == 0 || r.FactorPermille <= 0 {
-		return
-	}
-	added = min(added, upstreamAnswers/2)
-	u.fade(now)
-	u.answers.add(logOf(float64(r.FigurePermille)/1000), logOf(float64(r.FactorPermille)/1000), added)
-	u.answeredAt = now
-	if r.Peer {
-		u.peerWeight += added
-	}
-}
-
 // fade reduces the weight of answers by the time since the last one.
 func (u *Upstream) fade(now time.Time) {
 	if u.answers.weight > 0 {
@@ -443,6 +427,10 @@
 // refresh computes the factor from the last observations.
 func (u *Upstream) refresh(now time.Time) {
 	u.refreshedAt = now
+	if u.model.rare() {
+		u.refreshRare(now)
+		return
+	}
 	prior := u.model.line
 	u.line = prior
 	usual := 0.0
@@ -457,6 +445,31 @@
 	u.passing = math.Exp(float64(u.line.slope * (u.figure - usual)))
 }
 
+// refreshRare does the same while figures are rare. Then answers alone tell the lasting
+// part, and the last figure only until there are some. It tells the passing part by how
+// much it differs from them.
+func (u *Upstream) refreshRare(now time.Time) {
+	m := u.model
+	u.line, u.passing, u.deviation = m.line, 1, 0
+	usual := 0.0
+	if now.Sub(u.answeredAt) < answerTTL {
+		usual = u.answers.meanX() // 0 unless it is from reports
+	}
+	known := u.percent != 0 && now.Sub(u.figureAt) < figureTTL
+	if known {
+		u.line.intercept = m.level.mean + u.figure - float64(u.line.slope*usual)
+	}
+	if now.Sub(u.answeredAt) < answerTTL {
+		u.line = u.answers.line(u.line)
+	}
+	u.answered = u.line.at(usual)
+	u.lasting = math.Exp(u.answered) * m.skew.mean
+	if deviation := m.level.mean + u.figure - u.answered; known && math.Abs(deviation) >= minDeviation {
+		u.deviation = deviation
+		u.passing = math.Exp(clamp(float64(m.line.slope*deviation), maxLogFactor))
+	}
+}
+
 // Pace returns the speed of the upstream at a time. That of an inactive model
 // returns usual times unchanged.
 func (u *Upstream) Pace(now time.Time) (pace Pace) {
@@ -466,11 +479,17 @@
 	if now.Sub(u.refreshedAt) >= refreshInterval {
 		u.refresh(now)
 	}
-	pace = Pace{model: u.model, lasting: u.lasting, passing: 1, figure: u.usualFigure}
+	pace = Pace{model: u.model, lasting: u.lasting, passing: 1}
+	if !u.model.rare() {
+		pace.figure = u.usualFigure
+	}
 	if age := now.Sub(u.figureAt); age < figureMemory && u.percent != 0 {
 		// The change began at an unknown time within figureMemory before the figure.
 		pace.passing, pace.remaining = u.passing, (figureMemory-max(age, 0))/2
 		pace.figure = u.figure
+		if u.model.rare() {
+			pace.figure = u.deviation
+		}
 	}
 	return pace
 }
@@ -521,47 +540,17 @@
 	return basis.expected
 }
 
-// Report returns what to tell the other nodes of the failure domain, and false if
-// nothing has come from the upstream to this node within a period.
-func (u *Upstream) Report(now time.Time, period time.Duration) (report Report, ok bool) {
-	if !u.model.active || now.Sub(u.ownAt) >= period {
-		return Report{}, false
-	}
-	return u.report(now, u.ownWeight), true
-}
-
-// DomainReport returns what to tell other failure domains: what came from the upstream
-// to any node of this one, but nothing from other domains, which would come back to
-// them as new. It returns false if there is nothing new since the last such report, or
-// an interval hasn't passed since then.
-func (u *Upstream) DomainReport(now time.Time, interval time.Duration) (report Report, ok bool) {
-	if !u.model.active || !u.domainAt.After(u.domainReportAt) || now.Sub(u.domainReportAt) < interval {
-		return Report{}, false
-	}
-	u.domainReportAt = now
-	return u.report(now, u.ownWeight+u.peerWeight), true
-}
-
-func (u *Upstream) report(now time.Time, weight float64) (report Report) {
-	report = Report{Percent: u.percent, Answers: int64(weight * 1000)}
-	if u.answers.weight > 0 {
-		permille := func(sum float64) int { return int(math.Round(1000 * math.Exp(sum/u.answers.weight))) }
-		report.FigurePermille, report.FactorPermille = permille(u.answers.sumX), permille(u.answers.sumY)
-	}
-	if u.percent != 0 {
-		report.AgeMs = max(0, now.Sub(u.figureAt).Milliseconds())
-	}
-	return report
-}
-
-// Percent returns the newest figure, or 0 before the first one, and the factor of the
+// Percent returns the newest figure, or 0 if there is none within figureTTL, and the factor of the
 // upstream in percent.
 func (u *Upstream) Percent(now time.Time) (figure, factor int) {
 	pace := u.Pace(now)
 	if !pace.Active() {
 		return 0, 100
 	}
-	return u.percent, int(math.Round(100 * pace.lasting * pace.passing))
+	if now.Sub(u.figureAt) < figureTTL {
+		figure = u.percent
+	}
+	return figure, int(math.Round(100 * pace.lasting * pace.passing))
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
