dispatch, settings: learn times at upstreams under memory pressure

Cause: the model of speeds was in force only for services whose upstreams send a fourth figure. One of the two new customers' don't, though their prefills take 5.5 times what the constants say (short prompts, sum of the times) and 1.6 times (long ones).

Change: the settings name the parts of the platform's protocol that are in force (Contracts). Where they say that upstreams are short of memory, the model is in force from the start; package platform knows the name. Elsewhere nothing changes.

Result: TestLearnSpeedsWithoutFigures.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -84,8 +84,11 @@
 		Regions       map[string]string // by failure domain; domains without one count as one region
 		// Node is the name of this node. Nodes with different names prefer different
 		// upstreams among those of nearly the same speed.
-		Node  string
-		Costs Costs
+		Node string
+		// LearnSpeeds means that the times of all services are learned from their answers.
+		// Otherwise they are only for services whose upstreams say how fast they are.
+		LearnSpeeds bool
+		Costs       Costs
 	}
 
 	// Dispatcher tracks the state of upstreams as one node sees it, and chooses
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -51,6 +51,9 @@
 	model := d.speeds[registered.Service]
 	if model == nil {
 		model = speed.New()
+		if d.options.LearnSpeeds {
+			model.Activate()
+		}
 		d.speeds[registered.Service] = model
 	}
 	u.speed, u.aversion = model.NewUpstream(), 0
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -283,3 +283,20 @@
 		t.Errorf("reports without a figure: %v", reports)
 	}
 }
+
+// Guards against constants that stay in use where the settings ask for learned times,
+// and against learned times where nothing asks for them.
+func TestLearnSpeedsWithoutFigures(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, learn := range []bool{false, true} {
+		d := dispatch.New(dispatch.Options{FailureDomain: "a", LearnSpeeds: learn})
+		d.Sync([]discovery.Upstream{{ID: "u", Service: "desk", FailureDomain: "a", Slots: 4}}, []routing.Service{{Name: "desk"}})
+		choice, _ := d.PlacePlain("desk", nil, now)
+		job := d.Begin(choice, now)
+		job.ObserveLoad(platform.Load{Known: true, Slots: 4}, now)
+		job.End(now.Add(20*time.Millisecond), dispatch.Served)
+		if _, ok := d.Speed("u", now); ok != learn {
+			t.Errorf("LearnSpeeds %t: a speed is known: %t", learn, ok)
+		}
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -245,7 +245,7 @@
 	n = &Node{
 		Metrics: set, settings: s, logger: options.Logger.With("Node", s.Name), store: options.Store,
 		cloud: options.Cloud, clock: options.Clock, upstreams: discovery.New(upstreamGrace),
-		dispatcher: dispatch.New(dispatch.Options{FailureDomain: s.FailureDomain, Regions: s.Regions, Node: s.Name}),
+		dispatcher: dispatch.New(dispatch.Options{FailureDomain: s.FailureDomain, Regions: s.Regions, Node: s.Name, LearnSpeeds: platform.UpstreamsUnderPressure(s.Contracts)}),
 		network:    options.Network, budget: newRetryBudget(s.Bounds), memory: newMemoryBudget(s.Limits.MemoryMB), usage: newLedger(s.Bounds.UsageWindow), crashes: newCrashTracker(),
 		malformedEntries: map[string]uint64{},
 	}
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -22,7 +22,10 @@
 		// FirstStart means that the whole fleet starts for the first time, so that
 		// there was no leader before.
 		FirstStart bool
-		Store      EntryEndpoint
+		// Contracts names the parts of the platform's protocol that are in force. Unknown
+		// names have no effect.
+		Contracts []string
+		Store     EntryEndpoint
 		// Cloud receives usage reports and orders for capacity. A node without
 		// it writes no usage and never becomes the leader.
 		Cloud  EntryEndpoint
--- a/settings/entry_test.go
+++ b/settings/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 const entryText = `
 Name = "edge-1"
 FailureDomain = "a"
+Contracts = ["base", "pressure"]
 [Listen]
 Caller = "10.0.0.1:80"
 Ready = "10.0.0.1:81"
@@ -39,7 +41,8 @@
 		t.Fatal(problems)
 	}
 	if s.Regions["b"] != "r2" || s.Bounds.Revocation != 5*time.Second || s.Bounds.Grace != 8*time.Second || s.Listen.Metrics.IsValid() ||
-		s.Bounds.QuotaWindow != 8*time.Second || s.Bounds.QuotaOverage != 0.1 || s.Bounds.QuotaSlack != 190_000 {
+		s.Bounds.QuotaWindow != 8*time.Second || s.Bounds.QuotaOverage != 0.1 || s.Bounds.QuotaSlack != 190_000 ||
+		!slices.Equal(s.Contracts, []string{"base", "pressure"}) {
 		t.Errorf("settings %+v", s)
 	}
 	for name, c := range map[string]struct{ old, new, want string }{
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -18,7 +18,7 @@
 // passing part, by which the newest figure differs from the usual one.
 //
 // Failures affect the estimates as follows:
-//   - Before the first figure of a service, the model is inactive: Pace returns the
+//   - Before the first figure of a service or Activate, the model is inactive: Pace returns the
 //     usual times unchanged.
 //   - A figure loses its passing part within figureMemory, and an upstream without
 //     answers for answerTTL gets the factor of its service. Lost reports only make
@@ -238,7 +238,7 @@
 func (Report) isObservation() {}
 
 // New returns the model of a service, which is inactive until one of its upstreams
-// has sent a figure.
+// has sent a figure or Activate is called.
 func New() *Model {
 	m := &Model{answers: fit{memory: serviceAnswers}, deviations: fit{memory: serviceAnswers}, line: line{slope: 1}}
 	m.skew = average{mean: 1, count: priorAnswers, memory: fixedAnswers}
@@ -255,7 +255,10 @@
 	return m
 }
 
-// Active reports whether an upstream of the service has sent a figure.
+// Activate puts the model in force for a service whose upstreams send no figures.
+func (m *Model) Activate() { m.active = true }
+
+// Active reports whether the model is in force.
 func (m *Model) Active() (ok bool) { return m != nil && m.active }
 
 // rare reports whether most answers come without a figure. Such figures don't tell an
