entry, peer: limit the connections of the readiness, metrics, profile and peer listeners

Cause: these listeners had no time limit for a head or a message and no bound on connections, so clients could hold any number of connections for any time, use up memory with messages of up to 256 MB each, and keep readiness checks out.

Change: package connlimit bounds the connections of a listener. At the limit a new connection replaces the oldest one without a complete request, then the longest idle one; connections with a request in progress are never closed. Its HTTP servers have limits for heads, idle connections and answers. Package peer bounds connections, messages, the memory for messages that are being received, the time without another byte of a message, idle connections and unread replies; entry sets lower figures than the defaults. A message buffer now starts with 4 KB instead of up to 64 KB.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,6 +67,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/juju/errors"
 
+	"github.com/guavagauge/guavagauge/connlimit"
 	"github.com/guavagauge/guavagauge/discovery"
 	"github.com/guavagauge/guavagauge/dispatch"
 	"github.com/guavagauge/guavagauge/guard"
@@ -107,6 +108,16 @@
 	// balancer checks readiness once a second and removes a node after two failed
 	// checks.
 	withdrawDelay = 2500 * time.Millisecond
+
+	// readinessConnections and operatorConnections bound the connections of the
+	// listeners for readiness checks, and of those for metrics and for profiles. Load
+	// balancers and scrapers use one connection each.
+	readinessConnections = 64
+	operatorConnections  = 32
+	// answerTimeout bounds the time for an answer to a readiness check or a scrape, and
+	// profileTimeout that for a profile, which lasts for 30 s by default.
+	answerTimeout  = 10 * time.Second
+	profileTimeout = 5 * time.Minute
 )
 
 type (
@@ -318,18 +329,19 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	n.readinessServer = &http.Server{Handler: router}
-	go func() { n.logListenerError("readiness listener", n.readinessServer.Serve(readyListener)) }()
+	limited := n.limit("readiness listener", readyListener, readinessConnections)
+	n.readinessServer = connlimit.NewServer(limited, router, connlimit.Timeouts{Write: answerTimeout})
+	go func() { n.logListenerError("readiness listener", n.readinessServer.Serve(limited)) }()
 	metricsRouter := chi.NewRouter()
 	metricsRouter.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { n.Metrics.WritePrometheus(w) })
-	n.listenOptional("metrics listener", n.settings.Listen.Metrics, metricsRouter)
-	n.listenOptional("profile listener", n.settings.Listen.Profile, profileRouter())
+	n.listenOptional("metrics listener", n.settings.Listen.Metrics, metricsRouter, answerTimeout)
+	n.listenOptional("profile listener", n.settings.Listen.Profile, profileRouter(), profileTimeout)
 	return nil
 }
 
 // listenOptional starts a listener for operators if its address is set. The node
 // can serve callers without it, so a failure is only logged.
-func (n *Node) listenOptional(name string, address netip.AddrPort, handler http.Handler) {
+func (n *Node) listenOptional(name string, address netip.AddrPort, handler http.Handler, timeout time.Duration) {
 	if !address.IsValid() {
 		return
 	}
@@ -338,8 +350,25 @@
 		n.logger.Error("can't listen", "Listener", name, "Address", address, "Error", err)
 		return
 	}
+	limited := n.limit(name, listener, operatorConnections)
+	server := connlimit.NewServer(limited, handler, connlimit.Timeouts{Write: timeout})
 	context.AfterFunc(n.ctx, func() { listener.Close() })
-	go func() { n.logListenerError(name, http.Serve(listener, handler)) }()
+	go func() { n.logListenerError(name, server.Serve(limited)) }()
+}
+
+// limit bounds the connections of a listener.
+func (n *Node) limit(name string, listener net.Listener, connections int) (limited *connlimit.Listener) {
+	return connlimit.New(listener, connlimit.Options{
+		Name: name, Connections: connections, Logger: n.logger, Count: n.countClosed(name), Timeouts: true,
+	})
+}
+
+// countClosed returns a function that counts the connections which a limit of a
+// listener closed.
+func (n *Node) countClosed(listener string) (count func(reason connlimit.Reason)) {
+	return func(reason connlimit.Reason) {
+		n.Metrics.GetOrCreateCounter(fmt.Sprintf("guavagauge_entry_listener_closed_total{listener=%q,reason=%q}", listener, reason)).Inc()
+	}
 }
 
 // profileRouter serves the profiles of net/http/pprof at their usual paths.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -180,7 +180,7 @@
 	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(netip.MustParseAddr(address), port) }
 	s, _ := settings.ParseEntry("entry.toml", nil)
 	s.Name, s.FailureDomain, s.Regions = name, "a", map[string]string{"a": "r"}
-	s.Listen = settings.EntryListen{Caller: at(80), Ready: at(81), Peer: at(82), Profile: at(83)}
+	s.Listen = settings.EntryListen{Caller: at(80), Ready: at(81), Peer: at(82), Profile: at(83), Metrics: at(84)}
 	if f.memoryMB > 0 {
 		s.Limits.MemoryMB = f.memoryMB
 	}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -48,6 +48,16 @@
 	// usageRewritePeriod is how long after this node wrote the counts of a usage
 	// window it writes them again when another node's counts arrive late.
 	usageRewritePeriod = 10 * time.Second
+	// peerConnections bounds the connections from other nodes. A fleet of 300 nodes
+	// needs 300, and twice as many while nodes connect again before their former
+	// connections have ended.
+	peerConnections = 640
+	// peerMessageBytes bounds a call of another node. The largest, Entry.Account, has
+	// the counts of all workspaces, of at most 80 bytes each.
+	peerMessageBytes = 64 << 10
+	// peerBufferedBytes bounds the memory for calls that are being received, beyond 16
+	// KiB for each connection.
+	peerBufferedBytes = 4 << 20
 	// errCallPanicked is the result of a call of another node whose method panicked.
 	// net/rpc would end the process.
 	errCallPanicked = errors.ConstError("method panicked")
@@ -123,7 +133,10 @@
 	if err != nil {
 		return err
 	}
-	server := peer.NewServer(n.ctx, listener, peer.Options{Metrics: n.Metrics})
+	server := peer.NewServer(n.ctx, listener, peer.Options{
+		Metrics: n.Metrics, Connections: peerConnections, MessageBytes: peerMessageBytes, BufferedBytes: peerBufferedBytes,
+		Logger: n.logger, Closed: n.countClosed("peer listener"),
+	})
 	n.peerPool = peer.NewPool(n.ctx, n.network, peer.Control, peer.Options{Metrics: n.Metrics, SilenceLimit: peerSilenceLimit})
 	return server.Register("Entry", &rpcHandler{node: n})
 }
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -4,10 +4,17 @@
 	"bufio"
 	"encoding/binary"
 	"io"
+	"math"
+	"net"
 	"net/rpc"
+	"os"
+	"sync/atomic"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/connlimit"
 )
 
 const (
@@ -18,6 +25,15 @@
 	// its next message. Larger messages are rare, and their buffers would occupy
 	// memory in each connection.
 	maxRetainedBufferBytes = 64 << 10
+	// unaccountedBytes is the size up to which the buffer of a connection for incoming
+	// messages doesn't count against messageBuffers. It is also the largest one that a
+	// server retains.
+	unaccountedBytes = 16 << 10
+	// firstBufferBytes is the size of the first buffer for incoming messages. Each
+	// further one has twice the size.
+	firstBufferBytes = 4 << 10
+
+	errBuffersExhausted = errors.ConstError("the memory for incoming messages is exhausted")
 )
 
 type (
@@ -42,6 +58,15 @@
 		readBuffer  []byte // the message that was read last
 		body        []byte // the part of readBuffer after the header
 		writeBuffer []byte // reused, since net/rpc writes one message at a time
+		buffers     *messageBuffers
+		accounted   int64 // bytes of readBuffer that count against buffers
+	}
+
+	// messageBuffers bounds the memory of a process for incoming messages.
+	messageBuffers struct {
+		messageLimit int // bytes of one message
+		limit        int64
+		held         atomic.Int64
 	}
 
 	clientCodec struct{ codec }
@@ -53,7 +78,25 @@
 		sent bool
 	}
 
-	serverCodec struct{ codec }
+	serverCodec struct {
+		codec
+		progress *progressConn
+		tracker  callTracker
+		served   bool         // a message was read
+		calls    atomic.Int64 // that have no reply yet
+		// started is when the codec was made, and lastReply how long after that it last
+		// wrote a reply.
+		started   time.Time
+		lastReply atomic.Int64
+	}
+
+	// callTracker is told of the calls on a connection and of the reason for its end;
+	// see connlimit.Conn.
+	callTracker interface {
+		Begin() (ok bool)
+		End()
+		Report(reason connlimit.Reason)
+	}
 )
 
 var (
@@ -101,31 +144,89 @@
 
 // ReadRequestHeader implements rpc.ServerCodec.
 func (c *serverCodec) ReadRequestHeader(request *rpc.Request) (err error) {
+	defer func() {
+		if err != nil {
+			reportClose(c.tracker, err)
+		}
+	}()
+	if err = c.awaitMessage(); err != nil {
+		return err
+	}
 	var header requestHeader
-	err = c.read(&header)
+	if err = c.read(&header); err != nil {
+		return err
+	}
+	if !c.tracker.Begin() {
+		return net.ErrClosed
+	}
+	c.calls.Add(1)
+	c.served = true
 	request.Seq, request.ServiceMethod = header.Sequence, header.Method
-	return err
+	return nil
+}
+
+// awaitMessage waits for the first byte of a message. After the first message, it
+// fails serverIdleTimeout after the last reply, or later.
+func (c *serverCodec) awaitMessage() (err error) {
+	for {
+		if c.progress.limit = messageStallTimeout; c.served {
+			c.progress.limit = serverIdleTimeout
+		}
+		_, err = c.reader.Peek(1)
+		c.progress.limit = messageStallTimeout
+		idle := c.calls.Load() == 0 && time.Since(c.started)-time.Duration(c.lastReply.Load()) >= serverIdleTimeout
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.served || idle {
+			return err
+		}
+	}
 }
 
 // ReadRequestBody implements rpc.ServerCodec.
-func (c *serverCodec) ReadRequestBody(args any) (err error) { return c.readBody(args) }
+func (c *serverCodec) ReadRequestBody(args any) (err error) {
+	defer func() {
+		if cap(c.readBuffer) > unaccountedBytes {
+			c.readBuffer, c.body = nil, nil
+			c.release()
+		}
+	}()
+	return c.readBody(args)
+}
 
 // WriteResponse implements rpc.ServerCodec. It closes the connection on an error,
 // which net/rpc ignores; otherwise the caller would wait for the reply until its
 // deadline.
 func (c *serverCodec) WriteResponse(response *rpc.Response, reply any) (err error) {
-	_, err = c.write(&replyHeader{response.Seq, response.Error}, reply)
+	defer func() {
+		c.tracker.End()
+		c.lastReply.Store(int64(time.Since(c.started)))
+		c.calls.Add(-1)
+	}()
+	if err = c.progress.SetWriteDeadline(time.Now().Add(replyTimeout)); err == nil {
+		_, err = c.write(&replyHeader{response.Seq, response.Error}, reply)
+	}
 	if err != nil {
 		c.conn.Close()
 	}
 	return err
 }
 
-// Close implements rpc.ClientCodec and rpc.ServerCodec.
+// Close implements rpc.ServerCodec. net/rpc calls it from the goroutine that reads.
+func (c *serverCodec) Close() (err error) {
+	c.release()
+	return c.conn.Close()
+}
+
+// Close implements rpc.ClientCodec.
 func (c *codec) Close() (err error) { return c.conn.Close() }
 
 func newCodec(conn io.ReadWriteCloser) codec {
-	return codec{conn: conn, reader: bufio.NewReader(conn)}
+	return codec{conn: conn, reader: bufio.NewReader(conn), buffers: &messageBuffers{messageLimit: maxMessageBytes, limit: math.MaxInt64}}
+}
+
+func newServerCodec(progress *progressConn, tracker callTracker, buffers *messageBuffers) *serverCodec {
+	c := &serverCodec{codec: newCodec(progress), progress: progress, tracker: tracker, started: time.Now()}
+	c.buffers = buffers
+	return c
 }
 
 // write sends a message with one call of Write, so that it needs as few packets
@@ -148,13 +249,14 @@
 	if err != nil {
 		return err
 	}
-	if length > maxMessageBytes {
-		return errors.Errorf("message of %d bytes exceeds the limit of %d", length, maxMessageBytes)
+	if length > uint64(c.buffers.messageLimit) {
+		return errors.Errorf("message of %d bytes exceeds the limit of %d", length, c.buffers.messageLimit)
 	}
-	if uint64(cap(c.readBuffer)) < length || cap(c.readBuffer) > maxRetainedBufferBytes {
-		c.readBuffer = make([]byte, 0, min(length, maxRetainedBufferBytes))
+	if cap(c.readBuffer) > maxRetainedBufferBytes {
+		c.readBuffer = nil
+		c.release()
 	}
-	if c.readBuffer, err = appendFrom(c.reader, c.readBuffer[:0], int(length)); err != nil {
+	if err = c.readMessage(int(length)); err != nil {
 		return err
 	}
 	c.body, err = decMode.UnmarshalFirst(c.readBuffer, header)
@@ -170,21 +272,42 @@
 	return Decode(c.body, body)
 }
 
-// appendFrom appends bytes from the reader to buffer until it holds n. The buffer
-// grows with the bytes that arrive, so that a length prefix alone can't make it
-// allocate memory.
-func appendFrom(reader io.Reader, buffer []byte, n int) (result []byte, err error) {
-	for len(buffer) < n {
-		if len(buffer) == cap(buffer) {
-			buffer = append(buffer, 0)[:len(buffer)]
+// readMessage reads n bytes into readBuffer. The buffer grows with the bytes that
+// arrive, so that a length prefix alone can't make it allocate memory.
+func (c *codec) readMessage(n int) (err error) {
+	c.readBuffer = c.readBuffer[:0]
+	for len(c.readBuffer) < n {
+		if len(c.readBuffer) == cap(c.readBuffer) {
+			capacity := min(max(2*cap(c.readBuffer), firstBufferBytes), n)
+			if err = c.account(capacity); err != nil {
+				return err
+			}
+			c.readBuffer = append(make([]byte, 0, capacity), c.readBuffer...)
 		}
-		read, err := io.ReadFull(reader, buffer[len(buffer):min(n, cap(buffer))])
-		buffer = buffer[:len(buffer)+read]
+		read, err := io.ReadFull(c.reader, c.readBuffer[len(c.readBuffer):min(n, cap(c.readBuffer))])
+		c.readBuffer = c.readBuffer[:len(c.readBuffer)+read]
 		if err != nil {
-			return buffer, err
+			return err
 		}
 	}
-	return buffer, nil
+	return nil
+}
+
+// account counts a buffer of the given size instead of the one before.
+func (c *codec) account(capacity int) (err error) {
+	counted := int64(max(0, capacity-unaccountedBytes))
+	if held := c.buffers.held.Add(counted - c.accounted); held > c.buffers.limit {
+		c.buffers.held.Add(c.accounted - counted)
+		return errBuffersExhausted
+	}
+	c.accounted = counted
+	return nil
+}
+
+// release stops counting the buffer.
+func (c *codec) release() {
+	c.buffers.held.Add(-c.accounted)
+	c.accounted = 0
 }
 
 // appendMessage appends an encoded message to buffer: its length, its header and
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -4,20 +4,53 @@
 	"bytes"
 	"encoding/binary"
 	"io"
+	"net"
 	"net/rpc"
 	"testing"
+	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/connlimit"
 )
 
-// pipe reads from one buffer and writes to another.
-type pipe struct {
-	io.Reader
-	io.Writer
-}
+type (
+	// pipe reads from one buffer and writes to another.
+	pipe struct {
+		io.Reader
+		io.Writer
+	}
+
+	// receivingConn is a connection that only receives.
+	receivingConn struct {
+		net.Conn
+		received io.Reader
+	}
+
+	// untracked is a callTracker without a limit.
+	untracked struct{}
+)
 
 func (pipe) Close() error { return nil }
 
+func (c receivingConn) Read(b []byte) (n int, err error)    { return c.received.Read(b) }
+func (receivingConn) SetReadDeadline(time.Time) (err error) { return nil }
+func (receivingConn) Close() (err error)                    { return nil }
+
+func (untracked) Begin() (ok bool) { return true }
+func (untracked) End()             {}
+
+func (untracked) Report(connlimit.Reason) {}
+
+// receiveFrom returns the codec of a server that receives bytes.
+func receiveFrom(received io.Reader, buffers *messageBuffers) *serverCodec {
+	return newServerCodec(&progressConn{Conn: receivingConn{received: received}}, untracked{}, buffers)
+}
+
+func defaultBuffers() *messageBuffers {
+	return &messageBuffers{messageLimit: maxMessageBytes, limit: defaultBufferedBytes}
+}
+
 // Guards against a length prefix that makes the codec allocate memory before the
 // message arrives, and against taking the fewer bytes sent for the whole message.
 func TestFalseMessageLength(t *testing.T) {
@@ -30,7 +63,7 @@
 		{"longer than the limit", maxMessageBytes + 1, nil},
 	} {
 		sent := append(binary.AppendUvarint(nil, test.length), make([]byte, 100)...)
-		c := &serverCodec{newCodec(pipe{bytes.NewReader(sent), io.Discard})}
+		c := receiveFrom(bytes.NewReader(sent), defaultBuffers())
 		err := c.ReadRequestHeader(&rpc.Request{})
 		if err == nil || (test.want != nil && !errors.Is(err, test.want)) {
 			t.Errorf("%s: error %v, want %v", test.name, err, test.want)
@@ -51,7 +84,7 @@
 			t.Fatal(err)
 		}
 	}
-	s := &serverCodec{newCodec(pipe{&wire, io.Discard})}
+	s := receiveFrom(&wire, defaultBuffers())
 	var large []byte
 	var wrong, number int
 	for i, body := range []any{&large, &wrong, &number} {
@@ -68,6 +101,46 @@
 	}
 }
 
+// Guards against peers whose messages, each within the limit, together use more
+// memory than they may, and against memory that stays counted afterwards.
+func TestBufferedBytes(t *testing.T) {
+	var wire bytes.Buffer
+	if err := (&clientCodec{newCodec(pipe{nil, &wire})}).WriteRequest(&rpc.Request{ServiceMethod: "Echo.Say"}, make([]byte, 100<<10)); err != nil {
+		t.Fatal(err)
+	}
+	message := wire.Bytes()
+	buffers := &messageBuffers{messageLimit: 1 << 20, limit: 150 << 10}
+	read := func(received []byte) (c *serverCodec, err error) {
+		c = receiveFrom(bytes.NewReader(received), buffers)
+		return c, c.ReadRequestHeader(&rpc.Request{})
+	}
+	partial, err := read(message[:len(message)-1])
+	if !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("part of a message: %v", err)
+	}
+	refused, err := read(message)
+	if !errors.Is(err, errBuffersExhausted) {
+		t.Errorf("second message of 100 KB: error %v, want that of exhausted memory", err)
+	}
+	partial.Close()
+	refused.Close()
+	whole, err := read(message)
+	if err != nil {
+		t.Errorf("message after the end of the other connections: %v", err)
+	}
+	var body []byte
+	if err := whole.ReadRequestBody(&body); err != nil || len(body) != 100<<10 {
+		t.Errorf("%d bytes, error %v", len(body), err)
+	}
+	if held := buffers.held.Load(); held != 0 {
+		t.Errorf("%d bytes are counted without a message", held)
+	}
+	buffers.messageLimit = 50 << 10
+	if _, err := read(message); err == nil {
+		t.Error("a message beyond the limit was read")
+	}
+}
+
 // FuzzRead guards against bytes from a faulty peer that make the codec panic.
 func FuzzRead(f *testing.F) {
 	data, err := appendMessage(nil, &requestHeader{1, "Echo.Say"}, "text")
@@ -76,7 +149,7 @@
 	}
 	f.Add(data)
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		c := &serverCodec{newCodec(pipe{bytes.NewReader(data), io.Discard})}
+		c := receiveFrom(bytes.NewReader(data), defaultBuffers())
 		for {
 			var request rpc.Request
 			if c.ReadRequestHeader(&request) != nil {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -21,16 +21,22 @@
 // lost, the calls that were sent on it fail; others are sent on a new one. While a peer is silent, calls
 // end with their contexts; a control connection is closed after Options.SilenceLimit, a
 // data connection stays open.
+//
+// A server bounds its connections, the memory for incoming messages, and the time for
+// the rest of a message, for a peer to read a reply, and between calls.
 package peer
 
 import (
 	"context"
 	"crypto/tls"
 	"fmt"
+	"io"
+	"log/slog"
 	"maps"
 	"net"
 	"net/netip"
 	"net/rpc"
+	"os"
 	"reflect"
 	"sync"
 	"time"
@@ -38,6 +44,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 
+	"github.com/guavagauge/guavagauge/connlimit"
 	"github.com/guavagauge/guavagauge/transport"
 )
 
@@ -56,6 +63,14 @@
 	idleCheckPeriod  = time.Minute
 	// defaultSilenceLimit is twice the longest call timeout of package membership.
 	defaultSilenceLimit = 4 * time.Second
+
+	// The limits of accepted connections. A pool opens one connection to each peer and
+	// class, and closes it within idleTimeout and idleCheckPeriod of the last call.
+	defaultConnections   = 4096
+	defaultBufferedBytes = 512 << 20
+	serverIdleTimeout    = 10 * time.Minute // without a call; more than idleTimeout + idleCheckPeriod
+	messageStallTimeout  = 30 * time.Second // without another byte of a message
+	replyTimeout         = 5 * time.Minute  // for a peer to read a reply
 )
 
 type (
@@ -78,6 +93,14 @@
 		// invoke its methods without a connection.
 		Local        *Server
 		LocalAddress netip.AddrPort
+
+		// The fields below are for servers.
+
+		Connections   int // open at the same time; see package connlimit. The default is 4,096.
+		MessageBytes  int // of one incoming message; the default is 256 MiB
+		BufferedBytes int // of incoming messages beyond the first 16 KiB of each; the default is 512 MiB
+		Logger        *slog.Logger
+		Closed        func(reason connlimit.Reason) // called for each connection that a limit closed
 	}
 
 	// RPCClient makes calls to peers. Pool implements it.
@@ -89,6 +112,7 @@
 	Server struct {
 		rpc     *rpc.Server
 		options Options
+		buffers *messageBuffers
 
 		mu      sync.RWMutex
 		methods map[string]localMethod
@@ -126,6 +150,13 @@
 		waitingSince time.Time // zero if no call was sent since the last read
 	}
 
+	// progressConn fails a read that takes longer than limit. Only the goroutine that
+	// reads may change limit.
+	progressConn struct {
+		net.Conn
+		limit time.Duration
+	}
+
 	countingConn struct {
 		net.Conn
 		read, written *metrics.Counter
@@ -135,18 +166,30 @@
 // NewServer returns a Server that accepts connections until ctx ends. Calls fail
 // until Register has been called for their receiver.
 func NewServer(ctx context.Context, listener net.Listener, options Options) *Server {
-	s := &Server{rpc: rpc.NewServer(), options: options, methods: make(map[string]localMethod)}
+	setDefault(&options.Connections, defaultConnections)
+	setDefault(&options.MessageBytes, maxMessageBytes)
+	setDefault(&options.BufferedBytes, defaultBufferedBytes)
+	if options.Logger == nil {
+		options.Logger = slog.New(slog.DiscardHandler)
+	}
+	s := &Server{
+		rpc: rpc.NewServer(), options: options, methods: make(map[string]localMethod),
+		buffers: &messageBuffers{messageLimit: options.MessageBytes, limit: int64(options.BufferedBytes)},
+	}
+	limited := connlimit.New(listener, connlimit.Options{
+		Name: "peer listener", Connections: options.Connections, Logger: options.Logger, Count: options.Closed,
+	})
 	context.AfterFunc(ctx, func() { listener.Close() })
 	go func() {
 		for {
-			conn, err := listener.Accept()
+			conn, err := limited.Accept()
 			if err != nil {
 				if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 					return
 				}
 				continue
 			}
-			go s.serve(ctx, conn)
+			go s.serve(ctx, conn.(*connlimit.Conn))
 		}
 	}()
 	return s
@@ -163,21 +206,51 @@
 	return nil
 }
 
-func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
+func (s *Server) serve(ctx context.Context, accepted *connlimit.Conn) {
+	stop := context.AfterFunc(ctx, func() { accepted.Close() })
 	defer stop()
-	defer conn.Close()
+	defer accepted.Close()
+	var conn net.Conn = accepted
 	if s.options.TLS != nil {
 		conn = tls.Server(conn, s.options.TLS)
 	}
 	class := make([]byte, 1)
 	conn.SetReadDeadline(time.Now().Add(firstByteTimeout))
 	if _, err := conn.Read(class); err != nil {
+		reportClose(accepted, err)
 		return
 	}
-	conn.SetReadDeadline(time.Time{})
 	if c := Class(class[0]); c == Control || c == Data {
-		s.rpc.ServeCodec(&serverCodec{newCodec(withCounters(conn, c, "server", s.options.Metrics))})
+		progress := &progressConn{Conn: withCounters(conn, c, "server", s.options.Metrics)}
+		s.rpc.ServeCodec(newServerCodec(progress, accepted, s.buffers))
+	} else {
+		accepted.Report(connlimit.Malformed)
+	}
+}
+
+// reportClose reports why a server closes a connection after an error, unless the
+// connection was lost or the peer closed it.
+func reportClose(tracker callTracker, err error) {
+	var lost net.Error
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		tracker.Report(connlimit.Timeout)
+	case !errors.As(err, &lost) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, net.ErrClosed):
+		tracker.Report(connlimit.Malformed)
+	}
+}
+
+// Read implements net.Conn.
+func (c *progressConn) Read(b []byte) (n int, err error) {
+	if err = c.SetReadDeadline(time.Now().Add(c.limit)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(b)
+}
+
+func setDefault(value *int, byDefault int) {
+	if *value == 0 {
+		*value = byDefault
 	}
 }
 
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
+	"os"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -10,6 +13,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/guavagauge/guavagauge/connlimit"
 	"github.com/guavagauge/guavagauge/nettest"
 	"github.com/guavagauge/guavagauge/peer"
 )
@@ -170,3 +174,89 @@
 		}
 	})
 }
+
+// Guards against connections with a part of a message, or without one, that keep
+// peers out or stay open, and against the end of a connection on which a call runs.
+func TestLimitsOfServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); synctest.Wait() }()
+		network, address := nettest.New(), netip.MustParseAddrPort("10.0.0.2:7000")
+		listener, err := network.Host("10.0.0.2").Listen(ctx, address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		closed := map[connlimit.Reason]int{}
+		var mu sync.Mutex
+		server := peer.NewServer(ctx, listener, peer.Options{Connections: 3, Closed: func(reason connlimit.Reason) {
+			mu.Lock()
+			defer mu.Unlock()
+			closed[reason]++
+		}})
+		receiver := &waiting{release: make(chan struct{})}
+		if err := server.Register("Waiting", receiver); err != nil {
+			t.Fatal(err)
+		}
+		pool := peer.NewPool(ctx, network.Host("10.0.0.1"), peer.Control, peer.Options{})
+		done := make(chan error)
+		call := func(method string) {
+			var reply string
+			done <- pool.Call(ctx, address, method, "hello", &reply)
+		}
+		go call("Waiting.Wait")
+		synctest.Wait()
+		const crowd = 20
+		var conns []net.Conn
+		for range crowd {
+			conn, err := network.Host("10.0.0.3").Dial(ctx, address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := conn.Write([]byte("C\x20")); err != nil { // the length of a message
+				t.Fatal(err)
+			}
+			synctest.Wait()
+			conns = append(conns, conn)
+		}
+		open := func() (n int) {
+			for _, conn := range conns {
+				conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+				if _, err := conn.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+					n++
+				}
+			}
+			return n
+		}
+		if n := open(); n != 2 {
+			t.Errorf("%d connections beside the peer's are open, want 2", n)
+		}
+		go call("Waiting.Say")
+		if err := <-done; err != nil {
+			t.Errorf("call beside the crowd: %v", err)
+		}
+		time.Sleep(time.Hour) // longer than any limit of a connection without a call
+		if n := open(); n != 0 {
+			t.Errorf("%d connections with a part of a message are open, want 0", n)
+		}
+		close(receiver.release)
+		if err := <-done; err != nil {
+			t.Errorf("call that ran for an hour: %v", err)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if closed[connlimit.Replaced] != crowd-2 || closed[connlimit.Timeout] != 2 {
+			t.Errorf("counted %v, want %d replaced and 2 timeouts", closed, crowd-2)
+		}
+	})
+}
+
+// waiting has a method that returns when it is told to.
+type waiting struct {
+	echo
+	release chan struct{}
+}
+
+func (w *waiting) Wait(_ string, _ *string) error {
+	<-w.release
+	return nil
+}
