node, dev: limit the connections of the caller, operator and peer listeners

Cause: nothing bounded the connections of these listeners, operators' answers had no time limit, and the stand-ins of dev had no idle timeout.

Change: connlimit bounds them (4,096 callers, 64 operators, 4,096 peers, 1,024 for each stand-in) and replaces connections without a request first.

--- a/dev/dev.go
+++ b/dev/dev.go
@@ -23,6 +23,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/guavagauge/guavagauge/connlimit"
 	"github.com/guavagauge/guavagauge/distribution"
 	"github.com/guavagauge/guavagauge/enginetest"
 	"github.com/guavagauge/guavagauge/fleet"
@@ -47,6 +48,11 @@
 	listenerWithdraw  = time.Millisecond // no load balancer has to notice that the listener closes
 	usageWindow       = time.Minute      // a node's default
 	region            = "dev"
+
+	// The limits of the listeners of stand-ins, which serve all nodes of a fleet.
+	standinConnections   = 1024
+	standinHeaderTimeout = 10 * time.Second
+	standinIdleTimeout   = 2 * time.Minute
 )
 
 //go:embed fleet.toml
@@ -255,10 +261,13 @@
 // serve starts an HTTP server that runs until the fleet stops. If it fails before,
 // the error is only logged.
 func (c *Cluster) serve(listener net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	limited := connlimit.New(listener, connlimit.Options{
+		Name: "stand-in listener", Connections: standinConnections, Logger: c.logger, Timeouts: true,
+	})
+	server := &http.Server{Handler: limited.Handler(handler), ReadHeaderTimeout: standinHeaderTimeout, IdleTimeout: standinIdleTimeout}
 	context.AfterFunc(c.ctx, func() { server.Close() })
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 			c.logger.Error("stand-in server failed", "Error", err)
 		}
 	}()
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -7,12 +7,14 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/guavagauge/guavagauge/caller"
 	"github.com/guavagauge/guavagauge/certificate"
 	"github.com/guavagauge/guavagauge/claim"
+	"github.com/guavagauge/guavagauge/connlimit"
 	"github.com/guavagauge/guavagauge/engine"
 	"github.com/guavagauge/guavagauge/fleet"
 	"github.com/guavagauge/guavagauge/http1"
@@ -31,6 +33,17 @@
 // of limited size, so a higher bound allows fewer claims at a time.
 const maxClaimRecordBytes = 4 << 10
 
+const (
+	// callerConnections, operatorConnections and peerConnections bound the connections
+	// of the listeners; see package connlimit.
+	callerConnections   = 4096
+	operatorConnections = 64
+	peerConnections     = 4096
+	// operatorAnswerTimeout bounds the time for reading a call of an operator and
+	// writing its answer. A call itself takes at most 30 s.
+	operatorAnswerTimeout = 5 * time.Minute
+)
+
 // servePeers starts the listener for other nodes and all services behind it. It
 // comes before the other listeners, which use its pool, follower and ledger.
 func (n *Node) servePeers() (err error) {
@@ -39,7 +52,9 @@
 		return err
 	}
 	n.addresses.peer = transport.ListenAddress(listener)
-	options := peer.Options{Metrics: n.Metrics}
+	options := peer.Options{
+		Metrics: n.Metrics, Connections: peerConnections, Logger: n.logger, Closed: n.countClosed("peer listener"),
+	}
 	if options.TLS, err = n.peerTLS(); err != nil {
 		return err
 	}
@@ -88,10 +103,11 @@
 		MaxBodyBytes: limits.BodyBytes, ModelDeadline: limits.RequestDeadline, WriteTimeout: limits.WriteTimeout,
 		BodyTimeout: limits.BodyReadTimeout,
 	})
-	if listener, err = n.withTLS(listener, n.settings.TLS.CallerCertificate, n.settings.TLS.CallerKey); err != nil {
+	limited := n.limit("caller listener", listener, callerConnections, false) // http1 counts timeouts
+	if listener, err = n.withTLS(limited, n.settings.TLS.CallerCertificate, n.settings.TLS.CallerKey); err != nil {
 		return err
 	}
-	handler := n.callerServer.Handler()
+	handler := limited.Handler(n.callerServer.Handler())
 	n.callerHTTPServer = http1.New(n.ctx, listener, http1.Options{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if n.stopping.Load() {
@@ -131,10 +147,11 @@
 		Removed:          n.removedNodes,
 		CredentialSHA256: n.settings.Operator.CredentialSHA256,
 	})
-	if listener, err = n.withTLS(listener, n.settings.TLS.OperatorCertificate, n.settings.TLS.OperatorKey); err != nil {
+	limited := n.limit("operator listener", listener, operatorConnections, true)
+	if listener, err = n.withTLS(limited, n.settings.TLS.OperatorCertificate, n.settings.TLS.OperatorKey); err != nil {
 		return err
 	}
-	n.serveHTTP(listener, server.Handler())
+	n.serveHTTP(listener, limited.Handler(server.Handler()))
 	return nil
 }
 
@@ -157,13 +174,28 @@
 	return tls.NewListener(listener, files.ServerConfig()), nil
 }
 
-// serveHTTP starts an HTTP server that runs until the node's context ends. If the
+// limit bounds the connections of a listener. timeouts is connlimit.Options.Timeouts.
+func (n *Node) limit(name string, listener net.Listener, connections int, timeouts bool) (limited *connlimit.Listener) {
+	return connlimit.New(listener, connlimit.Options{
+		Name: name, Connections: connections, Logger: n.logger, Count: n.countClosed(name), Timeouts: timeouts,
+	})
+}
+
+// countClosed returns a function that counts the connections which a limit of a
+// listener closed.
+func (n *Node) countClosed(listener string) (count func(reason connlimit.Reason)) {
+	return func(reason connlimit.Reason) {
+		n.Metrics.GetOrCreateCounter(fmt.Sprintf("guavagauge_listener_closed_total{listener=%q,reason=%q}", listener, reason)).Inc()
+	}
+}
+
+// serveHTTP starts an HTTP server for operators that runs until the node's context ends. If the
 // listener fails, the error is only logged.
 func (n *Node) serveHTTP(listener net.Listener, handler http.Handler) {
 	limits := n.settings.Limits
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: limits.HeaderReadTimeout, IdleTimeout: limits.IdleTimeout,
-		MaxHeaderBytes: limits.HeaderBytes, BaseContext: func(net.Listener) context.Context { return n.ctx },
+		WriteTimeout: operatorAnswerTimeout, MaxHeaderBytes: limits.HeaderBytes, BaseContext: func(net.Listener) context.Context { return n.ctx },
 	}
 	context.AfterFunc(n.ctx, func() { server.Close() })
 	go func() {
