peer, connlimit: make calls between nodes as fast as before the limits

Reads take no lock. Servers retain buffers of up to 64 KiB, as before the limits, while they hold less than half of the memory for messages. The first buffer of a message has up to 64 KiB again, which counts against that memory. clienttest imports package command, so that go test doesn't take cached results after a change of the program.

--- a/clienttest/process_test.go
+++ b/clienttest/process_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/juju/errors"
 
+	_ "github.com/guavagauge/guavagauge/command" // a change of the program makes cached test results invalid
 	"github.com/guavagauge/guavagauge/platform"
 	"github.com/guavagauge/guavagauge/platformtest"
 	"github.com/guavagauge/guavagauge/settings"
--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -21,6 +21,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -85,16 +86,18 @@
 	// Conn is a connection that was accepted by a Listener.
 	Conn struct {
 		net.Conn
-		listener *Listener
+		listener     *Listener
+		remote       string       // address
+		received     atomic.Bool  // bytes since the last request
+		failed       atomic.Bool  // a read failed
+		readDeadline atomic.Int64 // in Unix seconds; 0: none
 
 		// listener.mu guards these:
-		element      *list.Element // in list; nil while a request is in progress or after removal
-		list         *list.List
-		requests     int  // in progress
-		replaced     bool // closed in favor of a new connection
-		received     bool // bytes since the last request
-		failed       bool // a read failed
-		readDeadline time.Time
+		element  *list.Element // in list; nil while a request is in progress or after removal
+		list     *list.List
+		requests int  // in progress
+		removed  bool // from the listener
+		replaced bool // closed in favor of a new connection
 	}
 )
 
@@ -153,17 +156,18 @@
 		replaced.replaced = true
 		l.remove(replaced)
 	}
-	c = &Conn{Conn: accepted, listener: l}
-	l.conns[accepted.RemoteAddr().String()] = c
+	c = &Conn{Conn: accepted, listener: l, remote: accepted.RemoteAddr().String()}
+	l.conns[c.remote] = c
 	c.enter(&l.unserved)
 	return c, replaced
 }
 
 // remove forgets a connection. The caller holds mu.
 func (l *Listener) remove(c *Conn) {
-	if remote := c.RemoteAddr().String(); l.conns[remote] == c {
-		delete(l.conns, remote)
+	if l.conns[c.remote] == c {
+		delete(l.conns, c.remote)
 	}
+	c.removed = true
 	c.leave()
 }
 
@@ -210,7 +214,7 @@
 		return false
 	}
 	c.requests++
-	c.received = false
+	c.received.Store(false)
 	c.leave()
 	return true
 }
@@ -219,8 +223,8 @@
 func (c *Conn) End() {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.received = false
-	if c.requests--; c.requests == 0 && c.listener.conns[c.RemoteAddr().String()] == c {
+	c.received.Store(false)
+	if c.requests--; c.requests == 0 && !c.removed {
 		c.enter(&c.listener.idle)
 	}
 }
@@ -239,23 +243,33 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
-	c.listener.mu.Lock()
-	c.received = c.received || n > 0
-	c.failed = c.failed || err != nil
-	// net/http ends its own reads with a deadline in 1970.
-	timeout := errors.Is(err, os.ErrDeadlineExceeded) && c.readDeadline.Unix() > 1 && c.requests == 0 && !c.replaced
-	c.listener.mu.Unlock()
-	if timeout && c.listener.options.Timeouts {
-		c.listener.report(Timeout)
+	if n > 0 {
+		c.received.Store(true)
+	}
+	if err != nil {
+		c.failed.Store(true)
+		// net/http ends its own reads with a deadline in 1970.
+		if c.listener.options.Timeouts && errors.Is(err, os.ErrDeadlineExceeded) && c.readDeadline.Load() > 1 && c.waits() {
+			c.listener.report(Timeout)
+		}
 	}
 	return n, err
 }
 
+// waits reports whether the connection is open and has no request in progress.
+func (c *Conn) waits() (ok bool) {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	return c.requests == 0 && !c.removed
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *Conn) SetReadDeadline(t time.Time) (err error) {
-	c.listener.mu.Lock()
-	c.readDeadline = t
-	c.listener.mu.Unlock()
+	if t.IsZero() {
+		c.readDeadline.Store(0)
+	} else {
+		c.readDeadline.Store(t.Unix())
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -285,9 +299,8 @@
 
 // Close implements net.Conn.
 func (c *Conn) Close() (err error) {
+	malformed := c.received.Load() && !c.failed.Load() && c.waits()
 	c.listener.mu.Lock()
-	open := c.listener.conns[c.RemoteAddr().String()] == c
-	malformed := open && c.received && !c.failed && c.requests == 0
 	c.listener.remove(c)
 	c.listener.mu.Unlock()
 	if malformed && c.listener.options.Timeouts {
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -26,12 +26,8 @@
 	// memory in each connection.
 	maxRetainedBufferBytes = 64 << 10
 	// unaccountedBytes is the size up to which the buffer of a connection for incoming
-	// messages doesn't count against messageBuffers. It is also the largest one that a
-	// server retains.
+	// messages doesn't count against messageBuffers.
 	unaccountedBytes = 16 << 10
-	// firstBufferBytes is the size of the first buffer for incoming messages. Each
-	// further one has twice the size.
-	firstBufferBytes = 4 << 10
 
 	errBuffersExhausted = errors.ConstError("the memory for incoming messages is exhausted")
 )
@@ -184,8 +180,8 @@
 // ReadRequestBody implements rpc.ServerCodec.
 func (c *serverCodec) ReadRequestBody(args any) (err error) {
 	defer func() {
-		if cap(c.readBuffer) > unaccountedBytes {
-			c.readBuffer, c.body = nil, nil
+		if c.accounted > 0 && (cap(c.readBuffer) > maxRetainedBufferBytes || c.buffers.held.Load() > c.buffers.limit/2) {
+			c.readBuffer, c.body = nil, nil // what idle connections retain leaves room for messages
 			c.release()
 		}
 	}()
@@ -201,7 +197,7 @@
 		c.lastReply.Store(int64(time.Since(c.started)))
 		c.calls.Add(-1)
 	}()
-	if err = c.progress.SetWriteDeadline(time.Now().Add(replyTimeout)); err == nil {
+	if err = c.progress.beginWrite(); err == nil {
 		_, err = c.write(&replyHeader{response.Seq, response.Error}, reply)
 	}
 	if err != nil {
@@ -272,13 +268,14 @@
 	return Decode(c.body, body)
 }
 
-// readMessage reads n bytes into readBuffer. The buffer grows with the bytes that
-// arrive, so that a length prefix alone can't make it allocate memory.
+// readMessage reads n bytes into readBuffer. Beyond maxRetainedBufferBytes, the buffer
+// grows with the bytes that arrive, so that a length prefix alone can't make it allocate
+// memory.
 func (c *codec) readMessage(n int) (err error) {
 	c.readBuffer = c.readBuffer[:0]
 	for len(c.readBuffer) < n {
 		if len(c.readBuffer) == cap(c.readBuffer) {
-			capacity := min(max(2*cap(c.readBuffer), firstBufferBytes), n)
+			capacity := min(max(2*cap(c.readBuffer), maxRetainedBufferBytes), n)
 			if err = c.account(capacity); err != nil {
 				return err
 			}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -150,11 +150,14 @@
 		waitingSince time.Time // zero if no call was sent since the last read
 	}
 
-	// progressConn fails a read that takes longer than limit. Only the goroutine that
-	// reads may change limit.
+	// progressConn fails a read that takes longer than limit, or up to a tenth less, since
+	// it doesn't set a deadline anew for each read. Only the goroutine that reads may
+	// change limit, and beginWrite must be called by one goroutine at a time.
 	progressConn struct {
 		net.Conn
-		limit time.Duration
+		limit         time.Duration
+		readDeadline  time.Time
+		writeDeadline time.Time
 	}
 
 	countingConn struct {
@@ -242,12 +245,24 @@
 
 // Read implements net.Conn.
 func (c *progressConn) Read(b []byte) (n int, err error) {
-	if err = c.SetReadDeadline(time.Now().Add(c.limit)); err != nil {
-		return 0, err
+	if left := time.Until(c.readDeadline); left > c.limit || left < c.limit-c.limit/10 {
+		c.readDeadline = time.Now().Add(c.limit)
+		if err = c.SetReadDeadline(c.readDeadline); err != nil {
+			return 0, err
+		}
 	}
 	return c.Conn.Read(b)
 }
 
+// beginWrite sets the time until which a reply must be written.
+func (c *progressConn) beginWrite() (err error) {
+	if time.Until(c.writeDeadline) >= replyTimeout-replyTimeout/10 {
+		return nil
+	}
+	c.writeDeadline = time.Now().Add(replyTimeout)
+	return c.SetWriteDeadline(c.writeDeadline)
+}
+
 func setDefault(value *int, byDefault int) {
 	if *value == 0 {
 		*value = byDefault
