--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -184,7 +184,7 @@
 	if domain, ok := f.domains[name]; ok {
 		s.FailureDomain = domain
 	}
-	s.Listen = settings.EntryListen{Caller: at(80), Ready: at(81), Peer: at(82), Profile: at(83)}
+	s.Listen = settings.EntryListen{Caller: at(80), Ready: at(81), Peer: at(82), Profile: at(83), Metrics: at(84)}
 	if f.memoryMB > 0 {
 		s.Limits.MemoryMB = f.memoryMB
 	}
