speed: bound slow answers more, learn the skew for each kind

Waits and noise only make answers slower, so one counts by at most 0.25 above the expected factor and 0.5 below it.

Figures of TestSimulatedSpeeds were drawn in the random order of its cases; now each case has its own, so that runs are the same.

--- a/dispatch/prompt.go
+++ b/dispatch/prompt.go
@@ -285,14 +285,14 @@
 		step, transferFactor = costs.StepTime, pacedTransferFactor
 	}
 	usual := step + prefillTime(prompt.Tokens, cached, rate, costs.TimePerMillionPairs)
-	estimate = prefillEstimate{kind: kind, duration: state.pace.Work(usual), cached: cached, usual: usual, wait: state.backlog + state.concurrencyDelay(engine)}
+	estimate = prefillEstimate{kind: kind, duration: state.pace.Work(kind, usual), cached: cached, usual: usual, wait: state.backlog + state.concurrencyDelay(engine)}
 	surcharge := time.Duration(0)
 	if source, fetchable := d.bestKVSource(u, sources, cached); source != nil {
 		// The source has more of the prompt, but fetching it can take longer than
 		// prefilling it again.
 		transfer := d.transferTime(source, u, fetchable-cached, engine)
 		remaining := step + prefillTime(prompt.Tokens, fetchable, rate, costs.TimePerMillionPairs)
-		duration := state.pace.Transfer(transfer) + state.pace.Work(remaining)
+		duration := state.pace.Transfer(transfer) + state.pace.Work(kind, remaining)
 		if transferSurcharge := time.Duration(float64(transfer) * transferFactor); duration+transferSurcharge < estimate.duration {
 			estimate.duration, estimate.cached, estimate.fetchFrom = duration, fetchable, source
 			estimate.usual, estimate.usualTransfer, surcharge = remaining, transfer, transferSurcharge
@@ -354,7 +354,7 @@
 		evictionCost := d.options.Costs.EvictionCost * time.Duration(u.cache.evictedTokens(prompt.Tokens-state.cached))
 		cost := state.wait + u.networkCost + evictionCost
 		if state.pace.Active() {
-			start := state.pace.Work(d.options.Costs.HandoffOverhead)
+			start := state.pace.Work(speed.Handoff, d.options.Costs.HandoffOverhead)
 			cost += start + u.spread(start)
 		}
 		if cost < lowest {
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -42,7 +42,9 @@
 		noise  [][]time.Duration
 		free   []time.Duration // by engine
 		random *rand.Rand
-		nodes  []*dispatch.Dispatcher
+		// figures is apart from random, so that arrivals are the same for all figures.
+		figures *rand.Rand
+		nodes   []*dispatch.Dispatcher
 	}
 
 	simulatedEvent struct {
@@ -143,7 +145,7 @@
 
 // run returns the times of short and long prompts.
 func (s *simulation) run() (short, long *simulated) {
-	s.random = rand.New(rand.NewPCG(s.seed, 1))
+	s.random, s.figures = rand.New(rand.NewPCG(s.seed, 1)), rand.New(rand.NewPCG(s.seed, 2))
 	var upstreams []discovery.Upstream
 	for i := range s.speeds {
 		stage := discovery.Prefill
@@ -199,7 +201,6 @@
 	for i := range 22 {
 		speeds = append(speeds, []float64{.6, 1, 1.6}[i%7%3])
 	}
-	random := rand.New(rand.NewPCG(7, 7))
 	_, unlearned := (&simulation{speeds: speeds, duration: simulatedRun, seed: 1}).run()
 	_, _, before := unlearned.accuracy()
 	honest := func(_ *simulation, _ int, slowdown float64) int { return int(100 * slowdown) }
@@ -207,15 +208,15 @@
 		"true":     honest,
 		"noise":    func(_ *simulation, engine int, slowdown float64) int { return int(100 * slowdown / speeds[engine]) },
 		"constant": func(*simulation, int, float64) int { return 100 },
-		"random":   func(*simulation, int, float64) int { return 20 + random.IntN(600) },
+		"random":   func(s *simulation, _ int, _ float64) int { return 20 + s.figures.IntN(600) },
 		"one lies": func(_ *simulation, engine int, slowdown float64) int {
 			if engine == 4 {
 				return 20
 			}
 			return int(100 * slowdown)
 		},
-		"rare": func(_ *simulation, _ int, slowdown float64) int {
-			if random.IntN(50) > 0 {
+		"rare": func(s *simulation, _ int, slowdown float64) int {
+			if s.figures.IntN(50) > 0 {
 				return 0
 			}
 			return int(100 * slowdown)
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -98,7 +98,7 @@
 	upstreamPriorAnswers = 0.1
 	upstreamPriorSquares = 1
 	servicePriorAnswers  = 2
-	servicePriorSquares  = 4
+	servicePriorSquares  = 1
 	// fixedAnswers is the number of answers over which fixed times and transfers are
 	// averaged. The prior counts as priorAnswers of them.
 	fixedAnswers = 64
@@ -114,9 +114,14 @@
 	// minSkewShare is the least share of the work in the expected time of an answer from
 	// which the skew is learned.
 	minSkewShare = 0.7
-	// factorLimit bounds the logarithm by which the factor of an answer differs from
-	// the expected one. At first it is higher by firstFactorLimit.
+	// generationSkew is the prior of the skew for prefills at engines that decode, as
+	// measured for long prompts: few nodes see enough of these to learn it.
+	generationSkew = 1.3
+	// factorLimit and slowerLimit bound the logarithm by which the factor of an answer is
+	// lower and higher than the expected one: waits and noise only make it higher. At
+	// first they are higher by firstFactorLimit.
 	factorLimit      = 0.5
+	slowerLimit      = 0.25
 	firstFactorLimit = 1.5
 	// engineStart is the prior of the fixed time: engines need 14 ms before their first
 	// token, and the nodes and the network 6 ms.
@@ -153,7 +158,7 @@
 		line                line           // prior of an upstream
 		fixed               [kinds]average // milliseconds
 		start               [kinds]average // the same without waits that aren't known
-		skew                average        // mean ratio of the work's duration to that by the line
+		skew                [kinds]average // mean ratio of the work's duration to that by the line
 		withFigure          average        // share of answers that came with a figure
 		level               average        // logarithm of the factor at figure 100, from rare figures
 		transfer            average        // logarithm of the factor
@@ -241,14 +246,15 @@
 // has sent a figure.
 func New() *Model {
 	m := &Model{answers: fit{memory: serviceAnswers}, deviations: fit{memory: serviceAnswers}, line: line{slope: 1}}
-	m.skew = average{mean: 1, count: priorAnswers, memory: fixedAnswers}
-	m.withFigure = average{mean: 0.4, count: priorAnswers, memory: fixedAnswers}
+	m.withFigure = average{mean: 0.6, count: priorAnswers, memory: fixedAnswers}
 	m.level.memory = fixedAnswers
 	m.transfer, m.transferFactor = average{mean: logUsualTransfer, count: priorAnswers, memory: fixedAnswers}, 2
 	m.jobTime = average{mean: milliseconds(defaultJobTime), memory: fixedAnswers}
 	for kind := range m.fixed {
 		m.fixed[kind] = average{mean: milliseconds(engineStart), count: priorAnswers, memory: fixedAnswers}
+		m.skew[kind] = average{mean: 1, count: priorAnswers, memory: fixedAnswers}
 	}
+	m.skew[Generation].mean = generationSkew
 	m.fixed[Handoff].mean = milliseconds(handoffStart)
 	m.fixed[Plain] = average{}
 	m.start = m.fixed
@@ -359,9 +365,11 @@
 	}
 	figure := u.figureDuring(basis.figure, a.Took, now)
 	expected := u.line.at(figure)
-	sample := expected + clamp(logOf(ratio)-expected, factorLimit+firstFactorLimit/(1+u.answers.weight))
+	first := 1 + u.answers.weight
+	deviation := min(logOf(ratio)-expected, slowerLimit+firstFactorLimit/(first*first))
+	sample := expected + max(deviation, -factorLimit-firstFactorLimit/first)
 	if share > minSkewShare {
-		m.skew.add(ratio*math.Exp(-expected), 1)
+		m.skew[basis.Kind].add(ratio*math.Exp(-expected), 1)
 	}
 	u.fade(now)
 	if u.answers.weight > 0 {
@@ -441,7 +449,7 @@
 	if u.percent != 0 && now.Sub(u.figureAt) < figureTTL {
 		usual = u.usualFigure
 	}
-	u.lasting = math.Exp(u.line.at(usual)) * u.model.skew.mean
+	u.lasting = math.Exp(u.line.at(usual))
 	u.passing = math.Exp(float64(u.line.slope * (u.figure - usual)))
 }
 
@@ -463,7 +471,7 @@
 		u.line = u.answers.line(u.line)
 	}
 	u.answered = u.line.at(usual)
-	u.lasting = math.Exp(u.answered) * m.skew.mean
+	u.lasting = math.Exp(u.answered)
 	if deviation := m.level.mean + u.figure - u.answered; known && math.Abs(deviation) >= minDeviation {
 		u.deviation = deviation
 		u.passing = math.Exp(clamp(float64(m.line.slope*deviation), maxLogFactor))
@@ -497,12 +505,12 @@
 // Active reports whether times differ from the usual ones.
 func (p Pace) Active() (ok bool) { return p.model != nil }
 
-// Work returns the expected duration of work that usually takes a time.
-func (p Pace) Work(usual time.Duration) (duration time.Duration) {
+// Work returns the expected duration of work of a kind that usually takes a time.
+func (p Pace) Work(kind Kind, usual time.Duration) (duration time.Duration) {
 	if p.model == nil {
 		return usual
 	}
-	lasting := float64(usual) * p.lasting
+	lasting := float64(usual) * p.lasting * p.model.skew[kind].mean
 	duration = time.Duration(lasting * p.passing)
 	if p.passing != 1 && duration > p.remaining {
 		// Only the part that is done until the end of the passing change.
@@ -531,7 +539,7 @@
 
 // Expect completes a basis with the expected time of the answer, and returns it.
 func (p Pace) Expect(basis *Basis) (expected time.Duration) {
-	basis.work = p.Work(basis.Usual)
+	basis.work = p.Work(basis.Kind, basis.Usual)
 	basis.expected = p.Fixed(basis.Kind) + basis.work + basis.Wait + basis.RoundTrip
 	if basis.HasTransfer {
 		basis.expected += p.Transfer(basis.Transfer)
--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -36,7 +36,7 @@
 
 // factor returns the factor of an upstream.
 func factor(u *speed.Upstream, now time.Time) float64 {
-	return float64(u.Pace(now).Work(usual)) / float64(usual)
+	return float64(u.Pace(now).Work(speed.Prefill, usual)) / float64(usual)
 }
 
 func expect(t *testing.T, what string, got, want float64) {
@@ -53,7 +53,7 @@
 	u.Observe(speed.Answer{Basis: speed.Basis{Kind: speed.Prefill, Usual: usual}, Took: time.Hour}, start)
 	u.Observe(speed.Figure{Percent: 0}, start)
 	u.Observe(speed.Figure{Percent: -100}, start)
-	if pace := u.Pace(start); model.Active() || pace.Active() || pace.Work(usual) != usual || pace.Transfer(usual) != usual {
+	if pace := u.Pace(start); model.Active() || pace.Active() || pace.Work(speed.Prefill, usual) != usual || pace.Transfer(usual) != usual {
 		t.Errorf("the model is active without a figure: %+v", pace)
 	}
 	if report, ok := u.Report(start, time.Hour); ok {
@@ -95,7 +95,7 @@
 	if f := factor(u, now); f < 0.8 {
 		t.Errorf("factor %.3f after a figure of 2.5 times the usual one", f)
 	}
-	if short := float64(u.Pace(now).Work(usual/20)) / float64(usual/20); math.Abs(short-1.5) > 0.2 {
+	if short := float64(u.Pace(now).Work(speed.Prefill, usual/20)) / float64(usual/20); math.Abs(short-1.5) > 0.2 {
 		t.Errorf("factor %.3f of work that ends before the change does, want 1.5", short)
 	}
 	now = now.Add(700 * time.Millisecond)
