recall, entry: call back requests that wait at the wrong upstream

Cause: a request that was sent to an upstream stayed there until its deadline, even if the upstream stood still and others were free.

Change: package recall decides, from what is expected here and elsewhere, whether a request or a separate prefill that hasn't begun is recalled. Package entry sets a timer for each attempt that may be recalled, closes the connection and sends the request again, with a retry of the shared budget and one of max_attempts. Recalls are on for a service only while its upstreams send the fourth figure of Instance-Load, which package platform now parses.

Not measured on a fleet yet.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -55,8 +55,8 @@
 	// Broken means that the upstream sent no response, or an invalid or
 	// incomplete one.
 	Broken
-	// Abandoned means that the caller left or the request's deadline passed. It
-	// counts neither as a success nor as a failure of the upstream.
+	// Abandoned means that the caller left, the request's deadline passed or the
+	// request was recalled. It counts neither as a success nor as a failure of the upstream.
 	Abandoned
 )
 
@@ -97,6 +97,8 @@
 		// loadedBy has the upstreams whose peerLoads have an entry of a source.
 		loadedBy map[string][]*upstream
 		leaving  map[instance]time.Time // instances that said that they leave, by the time of their last notice
+		// slowdownReportedAt is when an upstream of a service last reported a slowdown.
+		slowdownReportedAt map[string]time.Time
 		// engineStates is reused by each placement of a prompt.
 		engineStates []engineState
 	}
@@ -176,6 +178,7 @@
 	return &Dispatcher{
 		options: options, upstreams: map[string]*upstream{}, upstreamsByService: map[string][]*upstream{},
 		serviceConfigs: map[string]*routing.Service{}, loadedBy: map[string][]*upstream{}, leaving: map[instance]time.Time{},
+		slowdownReportedAt: map[string]time.Time{},
 	}
 }
 
@@ -255,6 +258,9 @@
 	}
 	j.dispatcher.mu.Lock()
 	defer j.dispatcher.mu.Unlock()
+	if load.SlowdownPercent > 0 {
+		j.dispatcher.slowdownReportedAt[j.choice.service] = now
+	}
 	if u := j.upstream; u != nil {
 		u.reportedLoad, u.reportedAt, u.ownJobsAtReport = load, now, len(u.jobs)
 	}
--- a/entry/call.go
+++ b/entry/call.go
@@ -85,6 +85,7 @@
 func (e *exchange) retryServerError(failed *relay.Response, content []byte) (done bool) {
 	choice, ok := e.node.dispatcher.PlacePlain(e.service, e.tried, time.Now())
 	if ok {
+		e.recall.off = true // the failed response is lost if this attempt is
 		e.tried = append(e.tried, choice.Upstream.ID)
 		response, job, err := e.send(choice, platform.UpstreamHeaders{Priority: platform.DefaultPriority})
 		e.calls++
@@ -124,7 +125,7 @@
 	var failure *relay.Failure
 	if errors.As(err, &failure) && !failure.MayHaveRun {
 		e.lastReason = reasonUnreachable
-		if e.ctx.Err() != nil || errors.Is(err, errWithdrawn) {
+		if e.ctx.Err() != nil || errors.Is(err, errWithdrawn) || e.recalled() {
 			job.End(time.Now(), dispatch.Abandoned)
 			return
 		}
@@ -148,6 +149,9 @@
 	switch {
 	case e.r.Context().Err() != nil:
 		job.End(time.Now(), dispatch.Abandoned)
+	case e.recalled():
+		e.lastReason = reasonRecalled
+		e.holdRecalled(job)
 	default:
 		job.End(time.Now(), dispatch.Broken)
 		e.log("upstream response broken", "Error", err)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -73,6 +73,7 @@
 	"github.com/guavagauge/guavagauge/http1"
 	"github.com/guavagauge/guavagauge/peer"
 	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/recall"
 	"github.com/guavagauge/guavagauge/relay"
 	"github.com/guavagauge/guavagauge/routing"
 	"github.com/guavagauge/guavagauge/settings"
@@ -174,6 +175,7 @@
 		upstreamPool    *relay.Pool
 		guard           *guard.Guard
 		budget          *retryBudget
+		recalls         *recall.Decider
 		memory          *memoryBudget
 		usage           *ledger
 		crashes         *crashTracker
@@ -245,7 +247,7 @@
 		Metrics: set, settings: s, logger: options.Logger.With("Node", s.Name), store: options.Store,
 		cloud: options.Cloud, clock: options.Clock, upstreams: discovery.New(upstreamGrace),
 		dispatcher: dispatch.New(dispatch.Options{FailureDomain: s.FailureDomain, Regions: s.Regions}),
-		network:    options.Network, budget: newRetryBudget(s.Bounds), memory: newMemoryBudget(s.Limits.MemoryMB), usage: newLedger(s.Bounds.UsageWindow), crashes: newCrashTracker(),
+		network:    options.Network, budget: newRetryBudget(s.Bounds), recalls: recall.New(), memory: newMemoryBudget(s.Limits.MemoryMB), usage: newLedger(s.Bounds.UsageWindow), crashes: newCrashTracker(),
 		malformedEntries: map[string]uint64{},
 	}
 	n.startedAt = n.clock()
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -34,6 +34,8 @@
 		 "priority":0,"service":"models","max_attempts":2,"session_affinity":true,"resumable":true},
 		{"name":"rulings","hostname":"a.example","prefix":"/rulings/","kind":"streaming","timeout_ms":3000,"target_latency_ms":500,
 		 "priority":1,"service":"models","max_attempts":1,"session_affinity":true},
+		{"name":"drafts","hostname":"a.example","prefix":"/drafts/","kind":"streaming","timeout_ms":3000,"target_latency_ms":500,
+		 "priority":1,"service":"models","max_attempts":2,"session_affinity":true},
 		{"name":"entries","hostname":"a.example","prefix":"/entries/","kind":"non_idempotent","timeout_ms":3000,
 		 "target_latency_ms":400,"priority":2,"service":"desk","max_attempts":2},
 		{"name":"draws","hostname":"a.example","prefix":"/draws/","kind":"idempotent","timeout_ms":3000,
--- /dev/null
+++ b/entry/recall_test.go
@@ -0,0 +1,118 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/guavagauge/guavagauge/platformtest"
+)
+
+const (
+	loadWithSlowdown = "1,0,8,100"
+	loadOfThree      = "1,0,8"
+)
+
+// startRecallFleet starts two prefill engines, two decode engines and two plain
+// upstreams that report a load, and a node. Requests before return let the node know
+// how long work takes.
+func (f *testFleet) startRecallFleet(load string) {
+	f.configure(1, key)
+	for i, u := range []struct{ id, service, stage string }{
+		{"p1", "models", "prefill"}, {"p2", "models", "prefill"}, {"g1", "models", "decode"}, {"g2", "models", "decode"}, {"d1", "desk", ""}, {"d2", "desk", ""},
+	} {
+		upstream := &platformtest.Upstream{Load: load, Script: &platformtest.FaultScript{}}
+		if u.service == "models" {
+			upstream.Events = 10
+		}
+		f.startUpstream(u.id, u.service, u.stage, fmt.Sprintf("10.3.0.%d:80", i+1), upstream)
+	}
+	f.startNodeAndWait("n1", n1)
+	for i := range 40 {
+		f.expect(f.request(n1+":80", http.MethodPost, "/models/1", "x", uniquePrompt(fmt.Sprint("w", i), 200)), http.StatusOK, "piece 1")
+		f.expect(f.request(n1+":80", http.MethodPost, "/draws/1", "x", nil), http.StatusOK, "answer")
+	}
+	f.advance(time.Second)
+}
+
+// uniquePrompt returns the headers of a request whose prompt no engine has cached.
+func uniquePrompt(id string, tokens int) (header http.Header) {
+	header = http.Header{}
+	platformtest.DescribePrompt(header, platformtest.PromptPart{ID: id, Tokens: tokens})
+	return header
+}
+
+// recallCounters returns the lines of the node's counters of recalls.
+func (f *testFleet) recallCounters() (lines string) {
+	var text strings.Builder
+	f.nodes["n1"].Metrics.WritePrometheus(&text)
+	for line := range strings.Lines(text.String()) {
+		if strings.HasPrefix(line, "guavagauge_entry_recalls") {
+			lines += line
+		}
+	}
+	return lines
+}
+
+// Guards against a request that stays at an upstream that stands still while another
+// one is free, and against a recall that breaks a promise: of a request that may have run
+// and may not run again, of a response that has begun, or where upstreams don't report
+// their slowdown.
+func TestRecallOfWaitingRequests(t *testing.T) {
+	const long, short = 5000, 200
+	for name, c := range map[string]struct {
+		path     string
+		tokens   int
+		load     string
+		slow     []string // upstreams that take 2.2 s before each answer
+		gap      time.Duration
+		refusals []string // upstreams that refuse the next request
+		within   time.Duration
+		counters string
+		runs     int // that may have happened
+	}{
+		"resumable stream":         {"/models/1", short, loadWithSlowdown, []string{"g1"}, 0, nil, 300 * time.Millisecond, `reason="Late",outcome="Sooner"} 1`, 2},
+		"idempotent request":       {"/draws/1", 0, loadWithSlowdown, []string{"d1"}, 0, nil, 400 * time.Millisecond, `reason="Late",outcome="Sooner"} 1`, 2},
+		"separate prefill":         {"/models/1", long, loadWithSlowdown, []string{"p1"}, 0, nil, 700 * time.Millisecond, `reason="Late",outcome="Sooner"} 1`, 1},
+		"prefill of a single run":  {"/drafts/1", long, loadWithSlowdown, []string{"p1"}, 0, nil, 700 * time.Millisecond, `reason="Late",outcome="Sooner"} 1`, 1},
+		"next upstream refuses":    {"/drafts/1", long, loadWithSlowdown, []string{"p1"}, 0, []string{"p2"}, 700 * time.Millisecond, `reason="Late",outcome="Refused"} 1`, 1},
+		"next upstream slow, too":  {"/models/1", short, loadWithSlowdown, []string{"g1", "g2"}, 0, nil, 2400 * time.Millisecond, `reason="Late",outcome="Later"} 1`, 2},
+		"no attempt for the run":   {"/rulings/1", long, loadWithSlowdown, []string{"p1"}, 0, nil, 2400 * time.Millisecond, "", 1},
+		"stream that runs once":    {"/drafts/1", short, loadWithSlowdown, []string{"g1"}, 0, nil, 2400 * time.Millisecond, "", 1},
+		"request that runs once":   {"/entries/1", 0, loadWithSlowdown, []string{"d1"}, 0, nil, 2400 * time.Millisecond, "", 1},
+		"response that has begun":  {"/models/1", short, loadWithSlowdown, nil, 140 * time.Millisecond, nil, 2 * time.Second, "", 1},
+		"slowdown is not reported": {"/models/1", short, loadOfThree, []string{"g1"}, 0, nil, 2400 * time.Millisecond, "", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithFleet(t, func(f *testFleet) {
+				f.startRecallFleet(c.load)
+				for _, id := range c.slow {
+					f.upstreams[id].Delay = 2200 * time.Millisecond
+				}
+				for _, id := range c.refusals {
+					f.upstreams[id].Script.Add(platformtest.Reject)
+				}
+				ran := map[string]int{}
+				for id, u := range f.upstreams {
+					u.Gap = c.gap
+					ran[id] = len(u.Runs())
+				}
+				begun := time.Now()
+				r := f.request(n1+":80", http.MethodPost, c.path, "x", uniquePrompt("last", c.tokens))
+				if took := time.Since(begun); r.status != http.StatusOK || took > c.within {
+					t.Errorf("%v after %s, want 200 within %s", r, took, c.within)
+				}
+				f.advance(time.Second)
+				runs := 0
+				for id, u := range f.upstreams {
+					runs += len(u.Runs()) - ran[id]
+				}
+				if counters := f.recallCounters(); !strings.Contains(counters, c.counters) || c.counters == "" && counters != "" || runs != c.runs {
+					t.Errorf("%d runs, counters %q, want %d, %q", runs, counters, c.runs, c.counters)
+				}
+			})
+		})
+	}
+}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -41,6 +41,7 @@
 	reasonStopping    reason = "Stopping"    // the node stops before it could finish the request
 	reasonInternal    reason = "Internal"    // this program panicked while it handled the request
 	reasonPaused      reason = "Paused"      // all upstreams that could serve the request asked for a pause
+	reasonRecalled    reason = "Recalled"    // the request was recalled from an upstream, and may have run there
 )
 
 const (
@@ -92,6 +93,7 @@
 		// responseBegun is set once an upstream has sent an event of its response, in
 		// any attempt.
 		responseBegun bool
+		recall        recallState
 	}
 )
 
@@ -112,6 +114,7 @@
 	ctx, cancel := context.WithDeadline(e.ctx, e.deadline)
 	defer cancel()
 	e.ctx = ctx
+	defer e.endRecall()
 	n.budget.countRequest(e.service, e.arrivedAt)
 	if e.route.RetryClass == routing.Stream {
 		e.serveStream()
@@ -242,7 +245,8 @@
 	job = e.node.dispatcher.Begin(choice, now)
 	e.job = job
 	target := relay.Target{ID: choice.Upstream.ID, Address: choice.Upstream.Address}
-	response, err = e.node.upstreamPool.Send(e.ctx, target, &relay.Request{
+	attemptCtx := e.watchAttempt(job, upstreamHeaders.PrefillOnly, now)
+	response, err = e.node.upstreamPool.Send(attemptCtx, target, &relay.Request{
 		Method: e.r.Method, URI: requestURI(e.r), Host: e.r.Host, Header: header, Body: e.body, ID: e.request.ID,
 		Check: func() (err error) {
 			condition, registered := e.node.dispatcher.Condition(choice.Upstream.ID, time.Now())
@@ -254,6 +258,7 @@
 	})
 	if err == nil {
 		e.observe(job, response.Reply)
+		err = e.settleAttempt(job, upstreamHeaders.PrefillOnly, response)
 	}
 	return response, job, err
 }
@@ -289,9 +294,9 @@
 	switch {
 	case e.ctx.Err() != nil:
 		return false
-	case mayHaveRun && (!e.route.Retryable() || e.runs >= e.route.MaxAttempts):
+	case mayHaveRun && (!e.route.Retryable() || e.runs+e.recall.prefills >= e.route.MaxAttempts):
 		return false
-	case e.calls > 0 && !e.node.budget.spend(e.service, time.Now()):
+	case e.calls > 0 && !e.spendRetry(time.Now()):
 		e.lastReason = reasonRetryBudget
 		return false
 	}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -94,7 +94,7 @@
 			s.finishUnserved(defaultRetryAfter)
 			return
 		}
-		noSeparatePrefill = true // in a retry, one engine prefills and decodes
+		noSeparatePrefill = !e.recalled() // in a retry after a failure, one engine prefills and decodes
 	}
 }
 
@@ -125,9 +125,12 @@
 			return platform.KVSource{}, false
 		}
 		e.calls++
-		if e.ctx.Err() != nil {
+		switch {
+		case e.recalled():
+			e.holdRecalled(job)
+		case e.ctx.Err() != nil:
 			job.End(time.Now(), dispatch.Abandoned)
-		} else {
+		default:
 			job.End(time.Now(), dispatch.Broken)
 			e.log("prefill failed", "Error", err)
 		}
@@ -258,6 +261,9 @@
 		}
 		if first {
 			first = false
+			if !s.beginAttempt() {
+				return errRecalled
+			}
 			s.responseBegun = true
 			s.clearParts()
 			job.PrefillDone(time.Now())
--- a/platformtest/upstream.go
+++ b/platformtest/upstream.go
@@ -36,6 +36,10 @@
 		Script *FaultScript
 		// Pause is the Retry-After header of a RejectWithPause.
 		Pause string
+		// Load is the Instance-Load header of each answer; empty: none.
+		Load string
+		// Delay is the pause before the answer to each run and prefill.
+		Delay time.Duration
 
 		leaving  atomic.Bool
 		arrivals atomic.Int64
@@ -64,7 +68,7 @@
 		Deadline  string
 		From      string // Last-Event-Id header: the last event that the caller received
 		Header    http.Header
-		Abandoned bool // its connection closed before the stream ended
+		Abandoned bool // its connection closed before the response was complete
 	}
 
 	// Fault is a fault of one request.
@@ -138,6 +142,9 @@
 	w.Header().Set("Request-Id", id)
 	u.arrivals.Add(1)
 	u.recordArrival(id)
+	if u.Load != "" {
+		w.Header().Set("Instance-Load", u.Load)
+	}
 	if u.leaving.Load() {
 		w.Header().Set("Server-Leaving", "1")
 	}
@@ -170,7 +177,9 @@
 	}
 	u.cachePrefix(r.Header.Get("Prompt-Prefix"))
 	if r.Header.Get("Stage") == "prefill" {
-		u.prefill(w, id)
+		if u.pause(r, u.Delay) {
+			u.prefill(w, id)
+		}
 		return
 	}
 	// A KV source has the form address/handle.
@@ -191,6 +200,10 @@
 	if fault == Reset {
 		panic(http.ErrAbortHandler)
 	}
+	if !u.pause(r, u.Delay) {
+		u.abandon(index)
+		return
+	}
 	if fault != NoSeal {
 		w.Header().Set("Response-Seal", "seal-"+u.ID+"-"+id)
 	}
@@ -270,6 +283,26 @@
 	return len(u.runs) - 1
 }
 
+// pause waits, and reports whether the connection of the request is still open.
+func (u *Upstream) pause(r *http.Request, d time.Duration) (ok bool) {
+	if d <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(d):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// abandon records that the connection of a run closed before its response was complete.
+func (u *Upstream) abandon(index int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.runs[index].Abandoned = true
+}
+
 // streamEvents sends the events after the Last-Event-Id of the request.
 func (u *Upstream) streamEvents(w http.ResponseWriter, r *http.Request, index int, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -279,15 +312,9 @@
 	}
 	controller := http.NewResponseController(w)
 	for event := first + 1; event <= u.Events; event++ {
-		if u.Gap > 0 {
-			select {
-			case <-time.After(u.Gap):
-			case <-r.Context().Done():
-				u.mu.Lock()
-				u.runs[index].Abandoned = true
-				u.mu.Unlock()
-				return
-			}
+		if !u.pause(r, u.Gap) {
+			u.abandon(index)
+			return
 		}
 		if fault == Truncate && event == first+2 {
 			fmt.Fprintf(w, "id: %d\ndata: ha", event)
