entry: judge the recall of a run by its first event, not by a prefill before it

Cause: a recalled run that is repeated with a separate prefill counted as begun sooner when the prefill had ended.

Change: the outcome waits for the run. The tests no longer depend on which of two equal upstreams a node prefers, so that they also hold with the placements of package speed.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -57,7 +57,7 @@
 		packets             *platformtest.PacketNetwork
 		store               *platformtest.Store
 		cloud               *platformtest.Cloud
-		script              platformtest.FaultScript // shared by the upstreams of startFleet but p1
+		script              platformtest.FaultScript // shared by the upstreams of startFleet but p1, and by those of startRecallFleet
 		upstreams           map[string]*platformtest.Upstream
 		nodes               map[string]*entry.Node
 		start               time.Time
--- a/entry/recall.go
+++ b/entry/recall.go
@@ -148,6 +148,12 @@
 	}
 }
 
+// isPrefill reports whether the attempt is a separate prefill.
+func (a *attempt) isPrefill() (ok bool) {
+	_, ok = a.work.(recall.Prefill)
+	return ok
+}
+
 // expectedElsewhere returns what is expected of the upstream that would get the request
 // next. A separate prefill is compared up to its end, and a run up to its first event.
 func (e *exchange) expectedElsewhere(a *attempt, now time.Time) (there recall.There) {
@@ -160,7 +166,7 @@
 		choice, there.Expected = plan.Decode, plan.Expected
 		if plan.Prefill != nil {
 			choice = *plan.Prefill
-			if _, isPrefill := a.work.(recall.Prefill); isPrefill {
+			if a.isPrefill() {
 				there.Expected = choice.Expected
 			}
 		}
@@ -209,12 +215,14 @@
 	}
 	now := time.Now()
 	e.node.recalls.Observe(e.service, a.work, a.situation(now).Here.Expected, now.Sub(a.sentAt), now)
-	if recalled := e.recall.pending; recalled != nil {
-		outcome := recalledSooner
-		if now.Sub(recalled.recalledAt) > recalled.verdict.Here {
-			outcome = recalledLater
-		}
-		e.concludeRecall(outcome)
+	switch recalled := e.recall.pending; {
+	case recalled == nil:
+	case a.isPrefill() && !recalled.isPrefill():
+		e.recall.resent = false // the run itself follows
+	case now.Sub(recalled.recalledAt) > recalled.verdict.Here:
+		e.concludeRecall(recalledLater)
+	default:
+		e.concludeRecall(recalledSooner)
 	}
 	return true
 }
@@ -239,7 +247,7 @@
 	}
 	if !r.off {
 		r.off, r.prepaid, r.pending = true, true, a
-		if _, isPrefill := a.work.(recall.Prefill); isPrefill {
+		if a.isPrefill() {
 			r.prefills++
 		}
 	}
@@ -279,8 +287,7 @@
 	a := e.recall.pending
 	e.recall.pending = nil
 	e.node.Metrics.GetOrCreateCounter(fmt.Sprintf("guavagauge_entry_recalls_total{reason=%q,outcome=%q}", a.verdict.Reason, outcome)).Inc()
-	_, isPrefill := a.work.(recall.Prefill)
-	e.log("request recalled", "From", a.job.Upstream().ID, "Prefill", isPrefill, "Reason", a.verdict.Reason, "Outcome", outcome,
+	e.log("request recalled", "From", a.job.Upstream().ID, "Prefill", a.isPrefill(), "Reason", a.verdict.Reason, "Outcome", outcome,
 		"Waited", a.recalledAt.Sub(a.sentAt), "Here", a.verdict.Here, "There", a.verdict.There, "Took", time.Since(a.recalledAt))
 }
 
--- a/entry/recall_test.go
+++ b/entry/recall_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -22,7 +23,7 @@
 
 type (
 	// crossingNetwork is a network on which, once on is set, the answer on the next
-	// connection to p1 reaches the node at the moment at which the node closes it.
+	// connection to a prefill engine reaches the node when the node closes the connection.
 	crossingNetwork struct {
 		transport.Network
 		on atomic.Bool
@@ -38,7 +39,7 @@
 // Dial implements transport.Network.
 func (n *crossingNetwork) Dial(ctx context.Context, address netip.AddrPort) (conn net.Conn, err error) {
 	conn, err = n.Network.Dial(ctx, address)
-	if address.String() == "10.3.0.1:80" && n.on.CompareAndSwap(true, false) {
+	if prefills := []string{"10.3.0.1:80", "10.3.0.2:80"}; slices.Contains(prefills, address.String()) && n.on.CompareAndSwap(true, false) {
 		c := &crossingConn{Conn: conn}
 		c.closed, c.close = context.WithCancel(context.Background())
 		return c, err
@@ -66,12 +67,19 @@
 		network := &crossingNetwork{Network: f.network.Host(n1)}
 		f.nodeNetwork = network
 		f.startRecallFleet(loadWithSlowdown)
-		before := f.upstreams["p1"].Handles()
+		handles := func() (n int) { return f.upstreams["p1"].Handles() + f.upstreams["p2"].Handles() }
+		before := handles()
 		network.on.Store(true)
 		f.expect(f.request(n1+":80", http.MethodPost, "/drafts/1", "x", uniquePrompt("last", 5000)), http.StatusOK, "piece 1")
 		f.advance(time.Second)
-		if counters := f.recallCounters(); f.upstreams["p1"].Handles() != before || counters == "" {
-			t.Errorf("%d handles at p1, counters %q, want %d after a recall", f.upstreams["p1"].Handles(), counters, before)
+		used := 0
+		for _, run := range slices.Concat(f.runs("g1"), f.runs("g2")) {
+			if run.Path == "/drafts/1" && platformtest.KVSource(run.Header) != "" {
+				used++
+			}
+		}
+		if counters := f.recallCounters(); handles() != before+used || counters == "" {
+			t.Errorf("%d more handles, counters %q, want %d after a recall", handles()-before, counters, used)
 		}
 	})
 }
@@ -84,7 +92,7 @@
 	for i, u := range []struct{ id, service, stage string }{
 		{"p1", "models", "prefill"}, {"p2", "models", "prefill"}, {"g1", "models", "decode"}, {"g2", "models", "decode"}, {"d1", "desk", ""}, {"d2", "desk", ""},
 	} {
-		upstream := &platformtest.Upstream{Load: load, Script: &platformtest.FaultScript{}}
+		upstream := &platformtest.Upstream{Load: load, Script: &f.script}
 		if u.service == "models" {
 			upstream.Events = 10
 		}
@@ -98,6 +106,14 @@
 	f.advance(time.Second)
 }
 
+// ofKind returns the upstreams whose IDs begin with a letter, the one that the node
+// prefers first.
+func (f *testFleet) ofKind(letter string) (upstreams []*platformtest.Upstream) {
+	upstreams = []*platformtest.Upstream{f.upstreams[letter+"1"], f.upstreams[letter+"2"]}
+	slices.SortStableFunc(upstreams, func(a, b *platformtest.Upstream) int { return b.Arrivals() - a.Arrivals() })
+	return upstreams
+}
+
 // uniquePrompt returns the headers of a request whose prompt no engine has cached.
 func uniquePrompt(id string, tokens int) (header http.Header) {
 	header = http.Header{}
@@ -127,33 +143,37 @@
 		path     string
 		tokens   int
 		load     string
-		slow     []string // upstreams that take 2.2 s before each answer
+		kind     string // of the upstreams of which one stands still
+		then     bool   // the other one does, too
+		refuses  bool   // the next upstream refuses the request
 		gap      time.Duration
-		refusals []string // upstreams that refuse the next request
 		within   time.Duration
 		counters string
 		runs     int // that may have happened
 	}{
-		"resumable stream":         {"/models/1", short, loadWithSlowdown, []string{"g1"}, 0, nil, 300 * time.Millisecond, `reason="Late",outcome="Sooner"} 1`, 2},
-		"idempotent request":       {"/draws/1", 0, loadWithSlowdown, []string{"d1"}, 0, nil, 400 * time.Millisecond, `reason="Late",outcome="Sooner"} 1`, 2},
-		"separate prefill":         {"/models/1", long, loadWithSlowdown, []string{"p1"}, 0, nil, 700 * time.Millisecond, `reason="Late",outcome="Sooner"} 1`, 1},
-		"prefill of a single run":  {"/drafts/1", long, loadWithSlowdown, []string{"p1"}, 0, nil, 700 * time.Millisecond, `reason="Late",outcome="Sooner"} 1`, 1},
-		"next upstream refuses":    {"/drafts/1", long, loadWithSlowdown, []string{"p1"}, 0, []string{"p2"}, 700 * time.Millisecond, `reason="Late",outcome="Refused"} 1`, 1},
-		"next upstream slow, too":  {"/models/1", short, loadWithSlowdown, []string{"g1", "g2"}, 0, nil, 2400 * time.Millisecond, `reason="Late",outcome="Later"} 1`, 2},
-		"no attempt for the run":   {"/rulings/1", long, loadWithSlowdown, []string{"p1"}, 0, nil, 2400 * time.Millisecond, "", 1},
-		"stream that runs once":    {"/drafts/1", short, loadWithSlowdown, []string{"g1"}, 0, nil, 2400 * time.Millisecond, "", 1},
-		"request that runs once":   {"/entries/1", 0, loadWithSlowdown, []string{"d1"}, 0, nil, 2400 * time.Millisecond, "", 1},
-		"response that has begun":  {"/models/1", short, loadWithSlowdown, nil, 140 * time.Millisecond, nil, 2 * time.Second, "", 1},
-		"slowdown is not reported": {"/models/1", short, loadOfThree, []string{"g1"}, 0, nil, 2400 * time.Millisecond, "", 1},
+		"resumable stream":         {"/models/1", short, loadWithSlowdown, "g", false, false, 0, 300 * time.Millisecond, `reason="Late",outcome="Sooner"} 1`, 2},
+		"idempotent request":       {"/draws/1", 0, loadWithSlowdown, "d", false, false, 0, 400 * time.Millisecond, `reason="Late",outcome="Sooner"} 1`, 2},
+		"separate prefill":         {"/models/1", long, loadWithSlowdown, "p", false, false, 0, 700 * time.Millisecond, `reason="Late",outcome="Sooner"} 1`, 1},
+		"prefill of a single run":  {"/drafts/1", long, loadWithSlowdown, "p", false, false, 0, 700 * time.Millisecond, `reason="Late",outcome="Sooner"} 1`, 1},
+		"next upstream refuses":    {"/drafts/1", long, loadWithSlowdown, "p", false, true, 0, 700 * time.Millisecond, `reason="Late",outcome="Refused"} 1`, 1},
+		"next upstream slow, too":  {"/models/1", short, loadWithSlowdown, "g", true, false, 0, 2400 * time.Millisecond, `reason="Late",outcome="Later"} 1`, 2},
+		"no attempt for the run":   {"/rulings/1", long, loadWithSlowdown, "p", false, false, 0, 2400 * time.Millisecond, "", 1},
+		"stream that runs once":    {"/drafts/1", short, loadWithSlowdown, "g", false, false, 0, 2400 * time.Millisecond, "", 1},
+		"request that runs once":   {"/entries/1", 0, loadWithSlowdown, "d", false, false, 0, 2400 * time.Millisecond, "", 1},
+		"response that has begun":  {"/models/1", short, loadWithSlowdown, "", false, false, 140 * time.Millisecond, 2 * time.Second, "", 1},
+		"slowdown is not reported": {"/models/1", short, loadOfThree, "g", false, false, 0, 2400 * time.Millisecond, "", 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runWithFleet(t, func(f *testFleet) {
 				f.startRecallFleet(c.load)
-				for _, id := range c.slow {
-					f.upstreams[id].Delay = 2200 * time.Millisecond
-				}
-				for _, id := range c.refusals {
-					f.upstreams[id].Script.Add(platformtest.Reject)
+				if c.kind != "" {
+					upstreams := f.ofKind(c.kind)
+					if upstreams[0].Delay = 2200 * time.Millisecond; c.then {
+						upstreams[1].Delay = upstreams[0].Delay
+					}
+					if c.refuses {
+						f.script.Add(0, platformtest.Reject)
+					}
 				}
 				ran := map[string]int{}
 				for id, u := range f.upstreams {
