--- a/dispatch/outlook.go
+++ b/dispatch/outlook.go
@@ -1,14 +1,15 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/guavagauge/guavagauge/speed"
+)
 
 const (
 	// slowdownTTL is how long after the last report of a slowdown by an upstream of a
 	// service the service counts as one whose upstreams report it.
 	slowdownTTL = 5 * time.Second
-	// maxSlowdown bounds a reported slowdown, and 1/maxSlowdown bounds it from below, so
-	// that an absurd figure isn't taken for the speed.
-	maxSlowdown = 8
 	// reportDelay is the time after a job was sent from which a report of its upstream is
 	// certain to include it: a round trip between regions.
 	reportDelay = 60 * time.Millisecond
@@ -29,8 +30,8 @@
 
 	// Standing is what is known of an upstream beside the expected times of a choice.
 	Standing struct {
-		Condition   Condition
-		Slowdown    float64 // how many times as long as was expected work takes there
+		Condition Condition
+		// NetworkCost is the cost of reaching an engine that expected times don't contain.
 		NetworkCost time.Duration
 	}
 )
@@ -56,7 +57,8 @@
 	if u == nil {
 		return Standing{}, false
 	}
-	return Standing{Condition: u.condition(now), Slowdown: u.slowdown(now), NetworkCost: d.networkCost(u)}, true
+	state := engineState{upstream: u, pace: u.speed.Pace(now)}
+	return Standing{Condition: u.condition(now), NetworkCost: state.networkSurcharge()}, true
 }
 
 // Outlook returns what is known of the job.
@@ -67,8 +69,7 @@
 	if u == nil {
 		return Outlook{Expected: j.choice.Expected, Own: j.choice.Expected, Slowdown: 1}
 	}
-	scale := func(d time.Duration) time.Duration { return time.Duration(float64(d) * j.slowdown) }
-	o = Outlook{Expected: scale(j.choice.Expected), Own: scale(j.prefillTime), Slowdown: u.slowdown(now) / j.slowdown}
+	o = Outlook{Expected: j.choice.Expected, Own: j.prefillTime, Slowdown: u.slowdown(j.choice.Expected, now) / j.slowdown}
 	if o.Own == 0 { // a request without a prompt, or a step that only decodes
 		o.Own = o.Expected
 	}
@@ -76,11 +77,20 @@
 	return o
 }
 
-// slowdown returns how many times as long as usual work takes at an upstream, as it
-// reported lately. It is 1 if it didn't. Expected times don't contain it.
-func (u *upstream) slowdown(now time.Time) (factor float64) {
-	if u.reportedLoad.SlowdownPercent == 0 || now.Sub(u.reportedAt) >= reportedLoadTTL {
-		return 1
+// Recalled records that the job was recalled. If it had waited for longer than expected,
+// the model of the upstream's speed learns that the answer would have taken at least this
+// long. Otherwise it would learn only from answers that weren't late.
+func (j *Job) Recalled(now time.Time) {
+	j.dispatcher.mu.Lock()
+	defer j.dispatcher.mu.Unlock()
+	if waited := now.Sub(j.startedAt); j.upstream != nil && waited > j.choice.Expected {
+		j.upstream.speed.Observe(speed.Answer{Basis: j.choice.basis, Took: waited}, now)
 	}
-	return min(max(float64(u.reportedLoad.SlowdownPercent)/100, 1.0/maxSlowdown), maxSlowdown)
+}
+
+// slowdown returns how many times as long as usual work of a duration takes at an
+// upstream, by the model of its speed. Expected times contain it.
+func (u *upstream) slowdown(work time.Duration, now time.Time) (factor float64) {
+	work = max(work, time.Millisecond)
+	return float64(u.speed.Pace(now).Work(work)) / float64(work)
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -59,7 +59,7 @@
 		return false
 	}
 	e.calls++
-	e.runs++
+	e.countRun()
 	n.usage.record(e.workspace, n.medianNow())
 	content, err := e.readAhead(response)
 	if err == nil && response.Status/100 == 2 && !response.Reply.Sealed {
@@ -117,6 +117,7 @@
 	}
 	e.clearRequest()
 	job.End(time.Now(), dispatch.Served)
+	e.observeDeviation(job)
 }
 
 // handleSendError records that a request couldn't be sent, or that no response
@@ -134,7 +135,7 @@
 		return
 	}
 	e.calls++
-	e.runs++
+	e.countRun()
 	if e.route.RetryClass != routing.Stream { // a generation counts as usage from its first event
 		e.node.usage.record(e.workspace, e.node.medianNow())
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -181,6 +181,7 @@
 		memory          *memoryBudget
 		usage           *ledger
 		crashes         *crashTracker
+		quotas          *quotas
 		peers           *peers
 		callerServer    *http1.Server
 		readinessServer *http.Server
@@ -248,11 +249,12 @@
 	n = &Node{
 		Metrics: set, settings: s, logger: options.Logger.With("Node", s.Name), store: options.Store,
 		cloud: options.Cloud, clock: options.Clock, upstreams: discovery.New(upstreamGrace),
-		dispatcher: dispatch.New(dispatch.Options{FailureDomain: s.FailureDomain, Regions: s.Regions}),
+		dispatcher: dispatch.New(dispatch.Options{FailureDomain: s.FailureDomain, Regions: s.Regions, Node: s.Name}),
 		network:    options.Network, budget: newRetryBudget(s.Bounds), recalls: recall.New(), memory: newMemoryBudget(s.Limits.MemoryMB), usage: newLedger(s.Bounds.UsageWindow), crashes: newCrashTracker(),
 		malformedEntries: map[string]uint64{},
 	}
 	n.startedAt = n.clock()
+	n.quotas = newQuotas(n)
 	set.NewGauge("guavagauge_entry_held_body_bytes", func() float64 { return float64(n.memory.heldBytes()) })
 	n.guard = guard.New(n.logger, set)
 	n.engineClient = platform.NewEngineClient(options.Network)
@@ -282,13 +284,14 @@
 		ticker := time.NewTicker(sweepInterval)
 		defer ticker.Stop()
 		summary := time.Now()
-		outdated := false
+		outdated, partialQuotas := false, false
 		for {
 			select {
 			case now := <-ticker.C:
 				n.upstreamPool.Sweep(now)
 				n.syncDispatcher()
 				outdated = n.logConfigAge(outdated)
+				partialQuotas = n.logQuotaNodes(partialQuotas)
 				if now.Sub(summary) >= summaryInterval {
 					summary = now
 					n.logCounters()
@@ -422,3 +425,8 @@
 func (n *Node) count(name, label string) {
 	n.Metrics.GetOrCreateCounter("guavagauge_entry_" + name + `_total{reason="` + label + `"}`).Inc()
 }
+
+// addSeconds adds a time to a counter of the node with the label reason.
+func (n *Node) addSeconds(name, label string, d time.Duration) {
+	n.Metrics.GetOrCreateFloatCounter("guavagauge_entry_" + name + `_seconds_total{reason="` + label + `"}`).Add(d.Seconds())
+}
--- a/entry/recall.go
+++ b/entry/recall.go
@@ -178,7 +178,7 @@
 	if !ok || !registered || standing.Condition != dispatch.Available {
 		return recall.There{}
 	}
-	there.Found, there.Expected = true, time.Duration(float64(there.Expected)*standing.Slowdown)
+	there.Found = true
 	if e.route.RetryClass == routing.Stream { // otherwise, Choice.Expected contains it
 		there.Network = standing.NetworkCost
 	}
@@ -257,6 +257,7 @@
 // holdRecalled ends the job of the last attempt, which was recalled, after a time for
 // which placements still count it; see recall.Recall.
 func (e *exchange) holdRecalled(job *dispatch.Job) {
+	job.Recalled(time.Now())
 	time.AfterFunc(e.recall.attempt.verdict.Hold, func() { job.End(time.Now(), dispatch.Abandoned) })
 }
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -15,6 +15,7 @@
 	"github.com/guavagauge/guavagauge/dispatch"
 	"github.com/guavagauge/guavagauge/http1"
 	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/quota"
 	"github.com/guavagauge/guavagauge/relay"
 	"github.com/guavagauge/guavagauge/routing"
 )
@@ -42,6 +43,7 @@
 	reasonInternal    reason = "Internal"    // this program panicked while it handled the request
 	reasonPaused      reason = "Paused"      // all upstreams that could serve the request asked for a pause
 	reasonRecalled    reason = "Recalled"    // the request was recalled from an upstream, and may have run there
+	reasonQuota       reason = "Quota"       // the workspace has used up its quota
 )
 
 const (
@@ -76,6 +78,7 @@
 		route      *routing.Route
 		version    uint64 // of the configuration that decides the request; 0 without one
 		service    string
+		charge     *quota.Charge // to the workspace's quota; nil without one
 		request    platform.RequestHeaders
 		workspace  string
 		priority   int
@@ -89,7 +92,10 @@
 		runs       int // attempts that the upstream may have run; prefills don't count
 		lastReason reason
 		job        *dispatch.Job // the last one; nil before the first
-		responded  bool          // the status of a response was written to the caller
+		// prefillDeviation has log attributes of how far off the expected time of a
+		// separate prefill was, if the speeds of upstreams are known.
+		prefillDeviation []any
+		responded        bool // the status of a response was written to the caller
 		// responseBegun is set once an upstream has sent an event of its response, in
 		// any attempt.
 		responseBegun bool
@@ -103,6 +109,7 @@
 	defer n.inFlight.Add(-1)
 	e := &exchange{node: n, w: w, r: r, ctx: r.Context(), arrivedAt: time.Now()}
 	defer e.releaseBuffers()
+	defer e.refundQuota()
 	defer e.endPanic()
 	if n.requestCtx.Err() != nil { // read after the node began to cut requests off
 		e.refuse(reasonStopping, defaultRetryAfter)
@@ -134,6 +141,7 @@
 		panic(value)
 	}
 	e.node.guard.Report("request", value)
+	e.charge.Keep() // it isn't known whether the request ran
 	if e.job != nil {
 		e.job.End(time.Now(), dispatch.Abandoned)
 	}
@@ -192,6 +200,9 @@
 		e.refuse(reasonStaleConfig, defaultRetryAfter)
 		return false
 	}
+	if !e.chargeQuota() {
+		return false
+	}
 	limit := table.Limits.BodyBytes
 	if limit <= 0 {
 		limit = maxHeaderBytes
@@ -278,6 +289,27 @@
 	}
 }
 
+// observeDeviation counts how far off the expected time of a prefill was, and returns
+// log attributes that say so. It does nothing if the speeds of upstreams aren't known.
+func (e *exchange) observeDeviation(job *dispatch.Job) (attributes []any) {
+	deviation, ok := job.Deviation(time.Now())
+	if !ok {
+		return nil
+	}
+	outcome := "Later"
+	if deviation.WithinTwice {
+		outcome = "WithinTwice"
+	}
+	n, class := e.node, deviation.Class.String()
+	n.count("speed_answers", class+outcome)
+	n.addSeconds("speed_expected", class, deviation.Expected)
+	n.addSeconds("speed_took", class, deviation.Took)
+	return []any{
+		"Own", deviation.Took, "Figure", deviation.Figure, "Factor", deviation.Factor, "Class", class,
+		"RecentRatio", deviation.Recent.Ratio, "RecentWithinTwice", deviation.Recent.WithinTwice,
+	}
+}
+
 // requestURI returns the request's URI as it was received. An absolute URI is
 // reduced to its path and query.
 func requestURI(r *http.Request) (uri string) {
@@ -349,7 +381,9 @@
 // fail responds with an error of this node, and logs and counts its cause.
 func (e *exchange) fail(status int, cause reason, err error) {
 	e.node.count("failed", string(cause))
-	e.log("request failed", "Status", status, "Reason", cause, "Error", err)
+	if cause != reasonQuota { // see refusalLogInterval
+		e.log("request failed", "Status", status, "Reason", cause, "Error", err)
+	}
 	text := fmt.Sprintf(`{"Reason":%q}`+"\n", cause)
 	e.w.Header().Set("Content-Type", "application/json")
 	e.w.Header().Set("Content-Length", strconv.Itoa(len(text)))
