--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -56,8 +56,8 @@
 	// Broken means that the upstream sent no response, or an invalid or
 	// incomplete one.
 	Broken
-	// Abandoned means that the caller left or the request's deadline passed. It
-	// counts neither as a success nor as a failure of the upstream.
+	// Abandoned means that the caller left, the request's deadline passed or the
+	// request was recalled. It counts neither as a success nor as a failure of the upstream.
 	Abandoned
 )
 
@@ -146,6 +146,7 @@
 		choice       Choice
 		prefillTime  time.Duration
 		startedAt    time.Time
+		slowdown     float64       // of the upstream at startedAt; see upstream.slowdown
 		prefillEnded bool          // the prompt was prefilled, or never will be
 		prefillTook  time.Duration // 0 if the prompt wasn't prefilled
 		ended        bool
@@ -251,6 +252,7 @@
 		job.ended = true
 		return job
 	}
+	job.slowdown = u.slowdown(choice.Expected, now)
 	if u.pendingPrefill == 0 {
 		u.busySince = now
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -42,7 +42,9 @@
 //     Otherwise the caller gets status 503 if the request has not run, and 502 or
 //     504 if it may have. A response that has begun is cut off. A crash of the
 //     upstream counts against the request, see crashLimit, and against the parts
-//     of its prompt, see policy.Suspects.
+//     of its prompt, see policy.Suspects. A request that waits at an upstream while
+//     others have room is recalled, if its upstreams report a slowdown; see package
+//     recall.
 //   - Platform: callers are served as before. The leader repeats usage reports until
 //     Bounds.UsageLateness, and orders after orderRetryDelay.
 //   - A panic of this program: it ends the request, message or call in which it
@@ -74,6 +76,7 @@
 	"github.com/guavagauge/guavagauge/http1"
 	"github.com/guavagauge/guavagauge/peer"
 	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/recall"
 	"github.com/guavagauge/guavagauge/relay"
 	"github.com/guavagauge/guavagauge/routing"
 	"github.com/guavagauge/guavagauge/settings"
@@ -185,6 +188,7 @@
 		upstreamPool    *relay.Pool
 		guard           *guard.Guard
 		budget          *retryBudget
+		recalls         *recall.Decider
 		memory          *memoryBudget
 		usage           *ledger
 		crashes         *crashTracker
@@ -257,7 +261,7 @@
 		Metrics: set, settings: s, logger: options.Logger.With("Node", s.Name), store: options.Store,
 		cloud: options.Cloud, clock: options.Clock, upstreams: discovery.New(upstreamGrace),
 		dispatcher: dispatch.New(dispatch.Options{FailureDomain: s.FailureDomain, Regions: s.Regions, Node: s.Name, LearnSpeeds: platform.UpstreamsUnderPressure(s.Contracts)}),
-		network:    options.Network, budget: newRetryBudget(s.Bounds), memory: newMemoryBudget(s.Limits.MemoryMB), usage: newLedger(s.Bounds.UsageWindow), crashes: newCrashTracker(),
+		network:    options.Network, budget: newRetryBudget(s.Bounds), recalls: recall.New(), memory: newMemoryBudget(s.Limits.MemoryMB), usage: newLedger(s.Bounds.UsageWindow), crashes: newCrashTracker(),
 		malformedEntries: map[string]uint64{},
 	}
 	n.startedAt = n.clock()
