dispatch: count choices from before the model of speeds as plain work

Cause: took them for generations, whose skew begins at 1.3: TestOutlook failed on it, with a slowdown of 3.25 where the upstream says 2.5.

Change: such a choice counts as work without a skew.

--- a/dispatch/outlook.go
+++ b/dispatch/outlook.go
@@ -91,8 +91,8 @@
 
 // slowdown returns how many times as long as usual the work of a choice takes at an
 // upstream, by the model of its speed. Expected times contain it. A choice that was made
-// before the model was in force has no kind, and counts as a generation.
+// before the model was in force has no kind, and counts as one without a prompt.
 func (u *upstream) slowdown(choice *Choice, now time.Time) (factor float64) {
 	work := max(choice.Expected, time.Millisecond)
-	return float64(u.speed.Pace(now).Work(cmp.Or(choice.basis.Kind, speed.Generation), work)) / float64(work)
+	return float64(u.speed.Pace(now).Work(cmp.Or(choice.basis.Kind, speed.Plain), work)) / float64(work)
 }
