entry, http1: bound what callers' connections hold, by package resources

Cause: nothing bounded the connections of callers, the heads on them, the answers that they don't read and the descriptors. Clients that don't keep to the limits took a node of 48 MB to 282 MiB and 1,219 descriptors.

Change: package resources accounts for the memory and the descriptors of connections, heads, requests, bodies, answers and connections to upstreams, and chooses which connections leave when they run out. Package http1 applies the limits of the configuration in force to heads and idle connections (431, 408), ends connections to make room from the goroutine that reads them, and gives up answers of which the client takes nothing for 6 s. entry copies long answers with a buffer that counts, releases an upstream once it has its whole response, and bounds the bytes of requests under way to an upstream.

--- a/entry/call.go
+++ b/entry/call.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"io"
 	"net/http"
 	"time"
 
@@ -106,13 +105,19 @@
 		length = int64(len(content))
 	}
 	e.writeHead(response, length)
+	if response.Complete() { // a caller that reads slowly doesn't occupy the upstream
+		response.Close()
+		e.endUnderWay()
+		e.clearRequest()
+		job.End(time.Now(), dispatch.Served)
+		e.w.Write(content)
+		return
+	}
 	e.w.Write(content)
-	if !response.Complete() {
-		if _, err := io.Copy(e.w, response); err != nil {
-			job.End(time.Now(), dispatch.Broken)
-			e.log("response to caller cut off", "Error", err)
-			e.cutResponse()
-		}
+	if err := e.copyRest(response); err != nil {
+		job.End(time.Now(), dispatch.Broken)
+		e.log("response to caller cut off", "Error", err)
+		e.cutResponse()
 	}
 	e.clearRequest()
 	job.End(time.Now(), dispatch.Served)
@@ -124,7 +129,7 @@
 	var failure *relay.Failure
 	if errors.As(err, &failure) && !failure.MayHaveRun {
 		e.lastReason = reasonUnreachable
-		if e.ctx.Err() != nil || errors.Is(err, errWithdrawn) {
+		if e.ctx.Err() != nil || notSent(err) {
 			job.End(time.Now(), dispatch.Abandoned)
 			return
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -75,6 +75,7 @@
 	"github.com/guavagauge/guavagauge/peer"
 	"github.com/guavagauge/guavagauge/platform"
 	"github.com/guavagauge/guavagauge/relay"
+	"github.com/guavagauge/guavagauge/resources"
 	"github.com/guavagauge/guavagauge/routing"
 	"github.com/guavagauge/guavagauge/settings"
 	"github.com/guavagauge/guavagauge/store"
@@ -87,12 +88,14 @@
 	// three seconds after which no node may send requests to an upstream whose entry
 	// is gone.
 	upstreamGrace = 2 * time.Second
-	// callerIdleTimeout exceeds every idle timeout that callers are configured
-	// with, so that callers close idle connections first.
-	callerIdleTimeout = 2 * time.Minute
-	// maxHeaderBytes exceeds the header limit of any configuration. It is also the
-	// body limit if the configuration has none.
-	maxHeaderBytes = 64 << 10
+	// callerIdleTimeout, defaultHeaderTimeout and defaultHeaderBytes are the limits for
+	// callers' connections where the configuration has none. No caller reaches them.
+	// defaultHeaderBytes is also the body limit if the configuration has none.
+	callerIdleTimeout    = 2 * time.Minute
+	defaultHeaderTimeout = 10 * time.Second
+	defaultHeaderBytes   = 64 << 10
+	// maxHeaderBytes exceeds the header limit of any configuration.
+	maxHeaderBytes = 1 << 20
 	// summaryInterval is the time between log lines with the counters.
 	summaryInterval = 10 * time.Second
 	// sweepInterval is the time between closing idle connections to upstreams, and
@@ -185,7 +188,8 @@
 		upstreamPool    *relay.Pool
 		guard           *guard.Guard
 		budget          *retryBudget
-		memory          *memoryBudget
+		resources       *resources.Account
+		underWay        *resources.UnderWay
 		usage           *ledger
 		crashes         *crashTracker
 		peers           *peers
@@ -256,14 +260,17 @@
 		Metrics: set, settings: s, logger: options.Logger.With("Node", s.Name), store: options.Store,
 		cloud: options.Cloud, clock: options.Clock, upstreams: discovery.New(upstreamGrace),
 		dispatcher: dispatch.New(dispatch.Options{FailureDomain: s.FailureDomain, Regions: s.Regions}),
-		network:    options.Network, budget: newRetryBudget(s.Bounds), memory: newMemoryBudget(s.Limits.MemoryMB), usage: newLedger(s.Bounds.UsageWindow), crashes: newCrashTracker(),
+		network:    options.Network, budget: newRetryBudget(s.Bounds), underWay: resources.NewUnderWay(), usage: newLedger(s.Bounds.UsageWindow), crashes: newCrashTracker(),
 		malformedEntries: map[string]uint64{},
 	}
 	n.startedAt = n.clock()
-	set.NewGauge("guavagauge_entry_held_body_bytes", func() float64 { return float64(n.memory.heldBytes()) })
+	n.resources = n.newAccount()
 	n.guard = guard.New(n.logger, set)
 	n.engineClient = platform.NewEngineClient(options.Network)
-	n.upstreamPool = relay.New(relay.Options{Network: options.Network, Count: func(event string) { n.count("connections", event) }})
+	n.upstreamPool = relay.New(relay.Options{
+		Network: options.Network, Count: func(event string) { n.count("connections", event) },
+		Opening: func() (ok bool) { return n.resources.OpenUpstream(time.Now()) }, Closed: n.resources.CloseUpstream,
+	})
 	n.ctx, n.cancel = context.WithCancel(ctx)
 	n.requestCtx, n.cancelRequests = context.WithCancel(n.ctx)
 	if err = n.listen(); err != nil {
@@ -320,7 +327,7 @@
 	}
 	n.addresses = Addresses{Caller: addressOf(listener), Ready: addressOf(readyListener)}
 	n.callerServer = http1.New(n.ctx, listener, http1.Options{
-		Handler: http.HandlerFunc(n.serve), IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: http.HandlerFunc(n.serve), MaxHeaderBytes: maxHeaderBytes, Limits: n.callerLimits, Account: n.resources, WriteStall: writeStall,
 		RequestContext: n.requestCtx, Logger: n.logger, Count: func(event string) { n.count("caller_connections", event) },
 	})
 	router := chi.NewRouter()
--- a/entry/memory.go
+++ b/entry/memory.go
@@ -3,83 +3,72 @@
 import (
 	"io"
 	"net/http"
-	"sync"
+	"time"
 
 	"github.com/juju/errors"
 
+	"github.com/guavagauge/guavagauge/discovery"
+	"github.com/guavagauge/guavagauge/http1"
 	"github.com/guavagauge/guavagauge/relay"
+	"github.com/guavagauge/guavagauge/resources"
 )
 
 const (
-	// bodyMemoryPercent is the part of the VM's memory that the bodies which a node
-	// holds may occupy, in percent. While a buffer grows, its old copy is still there,
-	// and so is garbage that hasn't been collected.
-	bodyMemoryPercent = 25
-	// largeBufferBytes is the size above which a buffer may only occupy largeMemoryPercent
-	// of the memory for bodies, so that large bodies leave room for small ones.
-	largeBufferBytes   = 256 << 10
-	largeMemoryPercent = 75
 	// firstBufferBytes is the size of a body's first buffer. Each further one has twice
 	// the size, so that a body occupies memory only as it arrives.
 	firstBufferBytes = 4 << 10
+	// copyBufferBytes is the size of the buffer with which the rest of a long answer is
+	// copied, if the node has memory for it.
+	copyBufferBytes = 32 << 10
+	// writeStall is how long an answer of which the caller takes nothing is kept. It is
+	// longer than interruptions of the network after which connections go on.
+	writeStall = 6 * time.Second
 
 	errMemoryExhausted = errors.ConstError("the memory for bodies is exhausted")
 )
 
-type (
-	// memoryBudget bounds the bytes of all bodies that a node holds.
-	memoryBudget struct {
-		limit int64
+// heldBuffer is a buffer whose capacity counts against the node's memory until it is
+// released.
+type heldBuffer struct {
+	account *resources.Account
+	member  *resources.Member // whose body it is, or nil
+	kind    resources.Kind
+	data    []byte
+	// wholeOnly means that a part of the body is of no use. A buffer that can't grow
+	// makes room for the others at once: of several that need more memory at the
+	// same time, not all fail.
+	wholeOnly bool
+}
 
-		mu   sync.Mutex
-		held int64
+// callerLimits returns the limits of the configuration in force for callers'
+// connections, and before there is one those that no caller exceeds.
+func (n *Node) callerLimits() (limits http1.Limits) {
+	if table := n.table.Load(); table != nil {
+		l := table.Limits
+		limits = http1.Limits{HeaderBytes: l.HeaderBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
 	}
-
-	// heldBuffer is a buffer whose capacity counts against a memoryBudget until it is
-	// released.
-	heldBuffer struct {
-		budget *memoryBudget
-		data   []byte
-		// wholeOnly means that a part of the body is of no use. A buffer that can't grow
-		// makes room for the others at once: of several that need more memory at the
-		// same time, not all fail.
-		wholeOnly bool
+	if limits.HeaderBytes <= 0 {
+		limits.HeaderBytes = defaultHeaderBytes
 	}
-)
-
-func newMemoryBudget(memoryMB int) *memoryBudget {
-	return &memoryBudget{limit: int64(memoryMB) << 20 * bodyMemoryPercent / 100}
-}
-
-// acquire counts n more bytes of a buffer that has the given size then. If they exceed
-// the limit, it returns false and counts forfeited bytes less.
-func (b *memoryBudget) acquire(n, size, forfeited int) (ok bool) {
-	limit := b.limit
-	if size > largeBufferBytes {
-		limit = limit * largeMemoryPercent / 100
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.held+int64(n) > limit {
-		b.held -= int64(forfeited)
-		return false
+	if limits.HeaderTimeout <= 0 {
+		limits.HeaderTimeout = defaultHeaderTimeout
 	}
-	b.held += int64(n)
-	return true
-}
-
-// release counts n bytes less.
-func (b *memoryBudget) release(n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.held -= int64(n)
+	if limits.IdleTimeout <= 0 {
+		limits.IdleTimeout = callerIdleTimeout
+	}
+	return limits
 }
 
-// heldBytes returns the bytes that all bodies occupy.
-func (b *memoryBudget) heldBytes() (n int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.held
+// newAccount returns the owner of the node's memory and descriptors.
+func (n *Node) newAccount() (a *resources.Account) {
+	a = resources.New(resources.Options{
+		MemoryBytes: int64(n.settings.Limits.MemoryMB) << 20, Descriptors: n.settings.Limits.Descriptors,
+		Logger: n.logger, Metrics: n.Metrics, MetricPrefix: "guavagauge_entry_",
+	})
+	n.Metrics.NewGauge("guavagauge_entry_held_body_bytes", func() float64 {
+		return float64(a.Held(resources.Bodies) + a.Held(resources.Answers))
+	})
+	return a
 }
 
 // grow makes room for at least one more byte, in a buffer of at most limit bytes.
@@ -96,7 +85,7 @@
 	if b.wholeOnly {
 		forfeited = cap(b.data)
 	}
-	if !b.budget.acquire(capacity-cap(b.data), capacity, forfeited) {
+	if !b.account.Hold(b.kind, b.member, capacity-cap(b.data), capacity, forfeited, time.Now()) {
 		if b.wholeOnly {
 			b.data = nil
 		}
@@ -138,19 +127,20 @@
 
 // release stops counting the buffer, which must not be used any more.
 func (b *heldBuffer) release() {
-	b.budget.release(cap(b.data))
+	b.account.Release(b.kind, b.member, cap(b.data))
 	b.data = nil
 }
 
 // newBuffer returns an empty buffer that is released at the end of the exchange.
-func (e *exchange) newBuffer() (b *heldBuffer) {
-	b = &heldBuffer{budget: e.node.memory}
+func (e *exchange) newBuffer(kind resources.Kind) (b *heldBuffer) {
+	b = &heldBuffer{account: e.node.resources, kind: kind}
 	e.buffers = append(e.buffers, b)
 	return b
 }
 
-// releaseBuffers releases all buffers of the exchange.
+// releaseBuffers releases all buffers of the exchange, at its end.
 func (e *exchange) releaseBuffers() {
+	e.endUnderWay()
 	for _, b := range e.buffers {
 		b.release()
 	}
@@ -163,9 +153,9 @@
 	if e.r.ContentLength == 0 {
 		return nil
 	}
-	buffer := e.newBuffer()
-	buffer.wholeOnly = true
-	if n := e.r.ContentLength + 1; n > 0 && n <= min(limit, largeBufferBytes) {
+	buffer := e.newBuffer(resources.Bodies)
+	buffer.member, buffer.wholeOnly = http1.Member(e.r.Context()), true
+	if n := e.r.ContentLength + 1; n > 0 && n <= min(limit, resources.LargeBufferBytes) {
 		buffer.resize(int(n))
 	}
 	// One byte more lets the reader report a body that exceeds the limit.
@@ -180,7 +170,41 @@
 // readAhead reads the beginning of a response, at most readAheadBytes and less if the
 // node holds too many bodies. The rest of a longer one remains to be read.
 func (e *exchange) readAhead(response *relay.Response) (content []byte, err error) {
-	buffer := e.newBuffer()
+	buffer := e.newBuffer(resources.Answers)
 	_, err = buffer.readFrom(response, readAheadBytes)
 	return buffer.data, err
 }
+
+// copyRest forwards the rest of a response whose beginning readAhead returned and the
+// caller has got. What the node holds of it is one buffer that counts.
+func (e *exchange) copyRest(response *relay.Response) (err error) {
+	buffer := e.buffers[len(e.buffers)-1]
+	if cap(buffer.data) > copyBufferBytes || cap(buffer.data) == 0 {
+		buffer.release()
+		buffer.resize(copyBufferBytes)
+	}
+	space := buffer.data[:cap(buffer.data)]
+	if len(space) == 0 {
+		space = make([]byte, firstBufferBytes) // counts as a part of the request
+	}
+	_, err = io.CopyBuffer(struct{ io.Writer }{e.w}, struct{ io.Reader }{response}, space)
+	return err
+}
+
+// beginUnderWay counts the request as under way to an upstream, in place of the last one.
+func (e *exchange) beginUnderWay(upstream discovery.Upstream) (ok bool) {
+	e.endUnderWay()
+	if ok = e.node.underWay.Begin(upstream.ID, upstream.Slots, len(e.body)); ok {
+		e.underWayTo = upstream.ID
+		return true
+	}
+	e.node.count("resources_under_way_refused", "Bytes")
+	return false
+}
+
+func (e *exchange) endUnderWay() {
+	if e.underWayTo != "" {
+		e.node.underWay.End(e.underWayTo, len(e.body))
+		e.underWayTo = ""
+	}
+}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -30,6 +30,7 @@
 	reasonMalformed   reason = "Malformed"   // the request can't be parsed or read
 	reasonTooLarge    reason = "TooLarge"    // the body exceeds the limit
 	reasonMemory      reason = "Memory"      // the node holds too many bodies
+	reasonStalled     reason = "Stalled"     // the body made no progress while the node had no memory left
 	reasonNoUpstream  reason = "NoUpstream"  // no upstream is available
 	reasonOverload    reason = "Overload"    // the request would wait for too long
 	reasonRejected    reason = "Rejected"    // an upstream rejected the request without running it
@@ -57,6 +58,9 @@
 	// errWithdrawn means that the chosen upstream left or asked for a pause while a
 	// connection to it was being opened. The request was not sent.
 	errWithdrawn = errors.ConstError("upstream was withdrawn before the request was sent")
+	// errUpstreamFull means that this node has as many bytes of requests under way to the
+	// upstream as it may have memory for. The request was not sent.
+	errUpstreamFull = errors.ConstError("too many bytes of requests are under way to the upstream")
 	// upstreamMargin is the time reserved for the response's way back from an
 	// upstream. The deadline that the upstream gets is earlier by it.
 	upstreamMargin = 5 * time.Millisecond
@@ -79,7 +83,8 @@
 		workspace  string
 		priority   int
 		body       []byte
-		buffers    []*heldBuffer // those that count against the node's memory budget
+		buffers    []*heldBuffer // those that count against the node's memory
+		underWayTo string        // upstream to which the request counts as under way
 		header     http.Header   // end-to-end headers of the request
 		arrivedAt  time.Time
 		deadline   time.Time
@@ -191,7 +196,7 @@
 	}
 	limit := table.Limits.BodyBytes
 	if limit <= 0 {
-		limit = maxHeaderBytes
+		limit = defaultHeaderBytes
 	}
 	if err = e.readBody(limit); err != nil {
 		e.failBody(err)
@@ -221,6 +226,9 @@
 	switch {
 	case e.node.requestCtx.Err() != nil:
 		e.refuse(reasonStopping, defaultRetryAfter)
+	case http1.GivenUp(e.r.Context()):
+		e.w.Header().Set("Connection", "close")
+		e.fail(http.StatusRequestTimeout, reasonStalled, err)
 	case errors.Is(err, errMemoryExhausted):
 		e.w.Header().Set("Connection", "close")
 		e.refuse(reasonMemory, defaultRetryAfter)
@@ -241,6 +249,9 @@
 	platform.SetUpstreamHeaders(header, upstreamHeaders)
 	job = e.node.dispatcher.Begin(choice, now)
 	e.job = job
+	if !e.beginUnderWay(choice.Upstream) {
+		return nil, job, &relay.Failure{Err: errUpstreamFull}
+	}
 	target := relay.Target{ID: choice.Upstream.ID, Address: choice.Upstream.Address}
 	response, err = e.node.upstreamPool.Send(e.ctx, target, &relay.Request{
 		Method: e.r.Method, URI: requestURI(e.r), Host: e.r.Host, Header: header, Body: e.body, ID: e.request.ID,
@@ -258,6 +269,12 @@
 	return response, job, err
 }
 
+// notSent reports whether an attempt failed for a reason that is no fault of the upstream,
+// before a byte was sent.
+func notSent(err error) (ok bool) {
+	return errors.Is(err, errWithdrawn) || errors.Is(err, errUpstreamFull) || errors.Is(err, relay.ErrNoConnection)
+}
+
 // observe passes on to the dispatcher what an upstream said of itself in an answer.
 func (e *exchange) observe(job *dispatch.Job, reply platform.ResponseHeaders) {
 	now := time.Now()
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -14,6 +14,7 @@
 	"github.com/guavagauge/guavagauge/dispatch"
 	"github.com/guavagauge/guavagauge/platform"
 	"github.com/guavagauge/guavagauge/relay"
+	"github.com/guavagauge/guavagauge/resources"
 )
 
 const (
@@ -120,7 +121,7 @@
 		// A prefill doesn't count as a run, so it may be repeated even if it
 		// happened.
 		e.lastReason = reasonRejected
-		if errors.Is(err, errWithdrawn) {
+		if notSent(err) {
 			job.End(time.Now(), dispatch.Abandoned)
 			return platform.KVSource{}, false
 		}
@@ -226,7 +227,7 @@
 func (s *stream) copyEvents(response *relay.Response, job *dispatch.Job) (err error) {
 	reader := bufio.NewReaderSize(response, eventBufferBytes)
 	controller := http.NewResponseController(s.w)
-	event := s.newBuffer()
+	event := s.newBuffer(resources.Answers)
 	defer event.release()
 	eventID := s.lastEventID // of the event that is being read
 	hasID := false           // the event that is being read has an ID
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/resources"
 )
 
 const (
@@ -26,9 +29,28 @@
 	lastReadTime = 20 * time.Millisecond
 	// refusalTime bounds the time for writing incompleteResponse.
 	refusalTime = 100 * time.Millisecond
+	// refusalReadTime and refusalReadBytes bound what is read after a refusal. A client
+	// that still sends would get a reset instead of the answer otherwise.
+	refusalReadTime  = 500 * time.Millisecond
+	refusalReadBytes = 256 << 10
+	// acceptWait is how long a new connection waits for room before it is closed.
+	acceptWait = 300 * time.Millisecond
+	// progressBytes are the bytes of a body that count as progress.
+	progressBytes = 1 << 10
+	// maxEmptyBytes are the bytes of empty lines that may come before a request. More of
+	// them are a part of its head.
+	maxEmptyBytes = 64
+	// minLineBytes is the size of the shortest header line.
+	minLineBytes = 3
+
 	// incompleteResponse answers a request whose head isn't complete in time. The
 	// status promises that the request hasn't run.
 	incompleteResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	tooLargeResponse   = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// retryAfter is short, since another node probably has room.
+	retryAfter = "0.300"
+	// noRoomResponse promises that the request hasn't run either. Another node may have room.
+	noRoomResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + retryAfter + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
 // longAgo is a deadline that has passed.
@@ -47,8 +69,12 @@
 	conn struct {
 		net.Conn
 		server  *Server
-		closed  atomic.Bool // Close was called
-		refused atomic.Bool // incompleteResponse was written
+		closed  atomic.Bool       // Close was called
+		refused atomic.Bool       // a head was answered without the handler
+		givenUp atomic.Bool       // a body was ended to make room
+		member  *resources.Member // nil without an account
+		// writeDeadline is that of Conn. Only the goroutine that writes uses it.
+		writeDeadline time.Time
 
 		mu          sync.Mutex
 		phase       phase
@@ -61,16 +87,29 @@
 		tail        [4]byte   // the bytes that were read last
 		waiting     bool      // for the first byte of a request, with no byte of one buffered
 		lastRead    bool      // the read that comes before the end of an idle connection
+		limits      Limits    // of the head that is read, or of the time until one begins
+		head        head
+		emptyBytes  int  // of empty lines since the last answer
+		readingBody bool // the handler hasn't read to the end of the body yet
+		bodyState   bool // the member is in the state of a body that isn't complete
+		bodyBytes   int  // of the body that were read since the member's last progress
+		leaving     bool // to make room
 	}
 )
 
 // Accept implements net.Listener.
 func (l trackingListener) Accept() (accepted net.Conn, err error) {
-	if accepted, err = l.Listener.Accept(); err != nil {
-		return nil, err
-	}
 	s := l.server
-	c := &conn{Conn: accepted, server: s, idleSince: time.Now()}
+	var c *conn
+	for c == nil {
+		if accepted, err = l.Listener.Accept(); err != nil {
+			return nil, err
+		}
+		if c = s.newConn(accepted); c == nil {
+			s.options.Count("no room")
+			accepted.Close()
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.stage = s.stage
@@ -79,9 +118,39 @@
 	return c, nil
 }
 
+// newConn returns nil if there is no room for a connection.
+func (s *Server) newConn(accepted net.Conn) (c *conn) {
+	now := time.Now()
+	c = &conn{Conn: accepted, server: s, idleSince: now, limits: s.limits()}
+	if s.options.Account == nil {
+		return c
+	}
+	for deadline := now.Add(acceptWait); ; now = time.Now() {
+		var ok bool
+		if c.member, ok = s.options.Account.Open(now, c.leave); ok {
+			limitUnsent(accepted)
+			return c
+		}
+		if !now.Before(deadline) || s.currentStage() != serving {
+			return nil
+		}
+		<-time.After(pollInterval)
+	}
+}
+
+// limits returns the limits that hold at present.
+func (s *Server) limits() (limits Limits) {
+	if s.options.Limits != nil {
+		limits = s.options.Limits()
+	}
+	return limits
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() (err error) {
-	c.closed.Store(true)
+	if !c.closed.Swap(true) && c.member != nil {
+		c.member.Close()
+	}
 	return c.Conn.Close()
 }
 
@@ -95,8 +164,49 @@
 	for {
 		n, err = c.Conn.Read(p)
 		if c.endRead(p[:n], err) {
-			return n, err
+			break
+		}
+	}
+	if n > 0 && !c.checkHead(p) {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// checkHead refuses a head that exceeds the limits or for which there is no room. buffer
+// is used to read what the client still sends.
+func (c *conn) checkHead(buffer []byte) (ok bool) {
+	if c.phase != readingHead || c.head.bytes == 0 {
+		return true
+	}
+	response := noRoomResponse
+	switch limit := c.limits.HeaderBytes; {
+	case limit > 0 && (c.head.firstLine > limit || c.head.bytes-c.head.firstLine > limit):
+		response = tooLargeResponse
+		c.server.options.Count("too large")
+	case c.member == nil || c.member.HoldHead(c.head.bytes, c.head.lines, time.Now()):
+		return true
+	default:
+		c.server.options.Count("no room")
+	}
+	c.refuse(response)
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		c.skipRest(buffer)
+	}
+	return false
+}
+
+// skipRest reads what a client sends after a refusal.
+func (c *conn) skipRest(buffer []byte) {
+	if c.Conn.SetReadDeadline(time.Now().Add(refusalReadTime)) != nil {
+		return
+	}
+	for skipped := 0; skipped < refusalReadBytes; {
+		n, err := c.Conn.Read(buffer)
+		if err != nil {
+			return
 		}
+		skipped += n
 	}
 }
 
@@ -118,10 +228,18 @@
 	if c.bufferBytes == 0 {
 		c.bufferBytes = size
 	}
-	if c.phase == idle && !c.onlyLineEnds(c.bufferBytes-size) {
+	if buffered := c.bufferBytes - size; c.phase == idle && !c.onlyLineEnds(buffered) {
 		c.beginHead()
+		c.head = head{
+			bytes: buffered, firstLine: buffered, lines: buffered / minLineBytes, begun: true,
+			inLine: !bytes.HasSuffix(c.tail[:], []byte("\n")) && !bytes.HasSuffix(c.tail[:], []byte("\n\r")),
+		}
 	}
 	c.waiting = c.phase == idle
+	if c.readingBody && c.member != nil && (!c.bodyState || c.bodyBytes >= progressBytes) {
+		c.bodyState, c.bodyBytes = true, 0
+		c.member.Enter(resources.Body, time.Now())
+	}
 	c.applyDeadline()
 }
 
@@ -134,9 +252,16 @@
 		kept := min(len(read), len(c.tail))
 		copy(c.tail[:], c.tail[kept:])
 		copy(c.tail[len(c.tail)-kept:], read[len(read)-kept:])
-		if c.phase == idle && len(bytes.Trim(read, lineEnds)) > 0 {
+		c.emptyBytes += len(read)
+		if c.phase == idle && (c.emptyBytes > maxEmptyBytes || len(bytes.Trim(read, lineEnds)) > 0) {
 			c.beginHead()
 		}
+		switch {
+		case c.phase == readingHead && c.server.options.Limits != nil:
+			c.head.scan(read)
+		case c.readingBody:
+			c.bodyBytes += len(read)
+		}
 	}
 	if len(read) > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.waiting, c.lastRead = false, false
@@ -144,16 +269,27 @@
 	}
 	now := time.Now()
 	passed := func(t time.Time) bool { return !t.IsZero() && !now.Before(t) }
+	if c.waiting && passed(c.idleEnd()) { // unless the limit has risen meanwhile
+		c.limits.IdleTimeout = max(c.limits.IdleTimeout, c.server.limits().IdleTimeout)
+	}
 	switch {
-	case c.waiting && (c.stage == ending || c.stage == draining && passed(c.drainedAt())):
+	case c.waiting && (c.leaving || c.stage == ending || c.stage == draining && passed(c.drainedAt()) || passed(c.idleEnd())):
 		if !c.lastRead {
 			c.lastRead = true
 			c.applyDeadline()
 			return false
 		}
-		c.server.options.Count("idle")
-	case c.phase == readingHead && (c.stage == ending || passed(c.deadline) || c.stage != serving && passed(c.headEnd())):
-		c.refuseIncomplete()
+		c.server.options.Count(c.idleEvent())
+	case c.phase == readingHead && (c.leaving || c.stage == ending || passed(c.deadline) || passed(c.headLimit()) || c.stage != serving && passed(c.headEnd())):
+		if c.leaving {
+			c.server.options.Count("room")
+		}
+		c.server.options.Count("incomplete")
+		c.refuse(incompleteResponse)
+	case c.leaving && c.readingBody:
+		if !c.givenUp.Swap(true) {
+			c.server.options.Count("room")
+		}
 	case c.stage != ending && !passed(c.deadline):
 		before := c.applied
 		c.applyDeadline()
@@ -167,35 +303,92 @@
 	return n <= len(c.tail) && len(bytes.Trim(c.tail[len(c.tail)-n:], lineEnds)) == 0
 }
 
+// idleEvent returns the event of a connection that ends between requests.
+func (c *conn) idleEvent() (event string) {
+	switch {
+	case c.stage != serving:
+		return "idle"
+	case c.leaving:
+		return "room"
+	}
+	return "expired"
+}
+
 // beginHead notes that a byte of a request was read. The caller holds mu.
-func (c *conn) beginHead() { c.phase, c.headSince = readingHead, time.Now() }
+func (c *conn) beginHead() {
+	c.phase, c.headSince, c.head = readingHead, time.Now(), head{}
+	c.limits = c.server.limits()
+	if c.member != nil {
+		c.member.Enter(resources.Head, c.headSince)
+	}
+}
 
-// refuseIncomplete answers a request whose head isn't complete. The caller holds mu.
-func (c *conn) refuseIncomplete() {
-	c.server.options.Count("incomplete")
+// refuse answers a request whose head isn't passed on to the handler.
+func (c *conn) refuse(response string) {
 	c.refused.Store(true)
 	err := c.Conn.SetWriteDeadline(time.Now().Add(refusalTime))
 	if err == nil {
-		_, err = c.Conn.Write([]byte(incompleteResponse))
+		_, err = c.Conn.Write([]byte(response))
 	}
 	if err != nil {
-		c.server.options.Logger.Debug("incomplete request not answered", "Error", err)
+		c.server.options.Logger.Debug("request not answered", "Error", err)
 	}
 }
 
-// Write implements net.Conn. net/http may take the part of a line that was read before a
-// timeout for a malformed one, and answer it as well.
-func (c *conn) Write(p []byte) (n int, err error) {
-	if c.refused.Load() {
-		return 0, net.ErrClosed
+// leave ends the connection as soon as the goroutine that reads it sees this, unless its
+// request is handled by then.
+func (c *conn) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == idle || c.phase == readingHead && !c.head.done || c.phase == handling && c.readingBody {
+		c.leaving = true
+		c.applyDeadline()
 	}
-	return c.Conn.Write(p)
+}
+
+// beginBody notes that the handler reads a body. Until its end, it may be given up.
+func (c *conn) beginBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readingBody, c.bodyState, c.bodyBytes = true, false, 0
+}
+
+// endBody notes that a body was read to its end. The caller holds mu.
+func (c *conn) endBody() {
+	c.readingBody, c.leaving = false, false
+	if c.bodyState {
+		c.bodyState = false
+		c.member.Enter(resources.Busy, time.Now())
+	}
+}
+
+// chargeHead counts the head of a request that was read whole before its turn came, so
+// that checkHead didn't count it.
+func (c *conn) chargeHead(r *http.Request) (ok bool) {
+	c.mu.Lock()
+	counted := c.head.bytes > 0
+	c.mu.Unlock()
+	if counted {
+		return true
+	}
+	size, lines := len(r.RequestURI), 0
+	for name, values := range r.Header {
+		lines += len(values)
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return c.member.HoldHead(size, lines, time.Now())
 }
 
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) (err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.phase == handling && c.readingBody && t.IsZero() {
+		// net/http begins to watch the connection, which it does at the end of the body.
+		c.endBody()
+	}
 	c.deadline = t
 	return c.applyDeadline()
 }
@@ -205,7 +398,7 @@
 	if err = c.SetReadDeadline(t); err != nil {
 		return err
 	}
-	return c.Conn.SetWriteDeadline(t)
+	return c.SetWriteDeadline(t)
 }
 
 // applyDeadline sets the time at which a read ends. The caller holds mu.
@@ -219,13 +412,19 @@
 	switch {
 	case c.lastRead:
 		earlier(time.Now().Add(lastReadTime))
-	case c.stage == ending:
+	case c.stage == ending || c.leaving:
 		deadline = longAgo
 	case c.stage == draining && c.waiting:
 		earlier(c.drainedAt())
 	case c.stage != serving && c.phase == readingHead:
 		earlier(c.headEnd())
 	}
+	if end := c.idleEnd(); c.waiting && !c.lastRead && !end.IsZero() {
+		earlier(end)
+	}
+	if end := c.headLimit(); c.phase == readingHead && !end.IsZero() {
+		earlier(end)
+	}
 	if deadline.Equal(c.applied) {
 		return nil
 	}
@@ -241,6 +440,22 @@
 // request isn't complete. The caller holds mu.
 func (c *conn) headEnd() (t time.Time) { return c.headSince.Add(drainHeadTime) }
 
+// idleEnd returns the time at which the connection ends if it is idle; zero: never.
+func (c *conn) idleEnd() (t time.Time) {
+	if c.limits.IdleTimeout <= 0 {
+		return time.Time{}
+	}
+	return c.idleSince.Add(c.limits.IdleTimeout)
+}
+
+// headLimit returns the time at which an incomplete head is refused; zero: never.
+func (c *conn) headLimit() (t time.Time) {
+	if c.limits.HeaderTimeout <= 0 {
+		return time.Time{}
+	}
+	return c.headSince.Add(c.limits.HeaderTimeout)
+}
+
 // setPhase is called by the goroutine that reads from the connection.
 func (c *conn) setPhase(p phase) {
 	c.mu.Lock()
@@ -248,6 +463,22 @@
 	c.phase = p
 	if p == idle {
 		c.idleSince = time.Now()
+		c.head, c.emptyBytes, c.limits = head{}, 0, c.server.limits()
+	}
+	if c.member == nil {
+		return
+	}
+	switch p {
+	case idle:
+		c.readingBody, c.bodyState = false, false
+		c.member.Enter(resources.Idle, c.idleSince)
+	case handling:
+		c.member.Enter(resources.Busy, time.Now())
+		if c.leaving {
+			c.leaving = false
+			c.applyDeadline()
+		}
+	case readingHead, lingering:
 	}
 }
 
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -17,6 +17,11 @@
 //	cancelHandlers()
 //	server.Close(answerCtx)
 //
+// With Options.Account, a connection is also ended to make room for others, by the same
+// goroutine: between requests, in a head, or in a body that the handler is still reading.
+// GivenUp tells the handler of the latter. With Options.Limits, the limits may change
+// while the server runs.
+//
 // A handler can tell whether this process closed its connection or the client did:
 //
 //	if r.Context().Err() != nil && http1.ClosedLocally(r.Context()) { ... }
@@ -31,6 +36,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/resources"
 )
 
 const (
@@ -59,6 +66,15 @@
 		HeaderTimeout  time.Duration // for reading the head of a request
 		IdleTimeout    time.Duration // of connections between requests
 		MaxHeaderBytes int
+		// Limits returns the limits that hold at present. It is called when a head begins
+		// and when a connection becomes idle. The limits above then apply as well, where
+		// they aren't 0. It may be nil.
+		Limits func() Limits
+		// Account owns the memory and the descriptors of the connections. It may be nil.
+		Account *resources.Account
+		// WriteStall is how long an answer of which the client takes nothing is kept: for
+		// this time at least, and for at most a third more. 0: without limit.
+		WriteStall time.Duration
 		// RequestContext is the parent of the contexts of requests; that of New by
 		// default.
 		RequestContext context.Context
@@ -66,10 +82,22 @@
 		// Count is called with the name of each event: "accepted", "idle" for a
 		// connection that Drain or Close ended between requests, "incomplete" for one
 		// that ended by a timeout or by Close in the head of a request, and "cut" for
-		// one that Close ended during a request. It may be nil.
+		// one that Close ended during a request. With Limits and Account, "expired" is
+		// for one that ended by Limits.IdleTimeout, "too large" for a head above
+		// Limits.HeaderBytes, "room" for a connection that was ended to make room,
+		// "no room" for one that was refused, and "unread" for one whose answer the client
+		// didn't read. It may be nil.
 		Count func(event string)
 	}
 
+	// Limits bound the heads of requests and the time between requests. 0: no limit.
+	Limits struct {
+		// HeaderBytes is for the header lines. The request line may be as long.
+		HeaderBytes   int
+		HeaderTimeout time.Duration // from the first byte of a head to its end
+		IdleTimeout   time.Duration
+	}
+
 	// Server serves the connections of one listener.
 	Server struct {
 		options  Options
@@ -97,8 +125,12 @@
 		options.RequestContext = ctx
 	}
 	s := &Server{options: options, listener: listener, served: make(chan struct{}), conns: map[*conn]struct{}{}}
+	handler := options.Handler
+	if options.Account != nil {
+		handler = http.HandlerFunc(s.serve)
+	}
 	s.http = &http.Server{
-		Handler: options.Handler, ReadHeaderTimeout: options.HeaderTimeout, IdleTimeout: options.IdleTimeout,
+		Handler: handler, ReadHeaderTimeout: options.HeaderTimeout, IdleTimeout: options.IdleTimeout,
 		MaxHeaderBytes: options.MaxHeaderBytes, ConnState: s.connStateChanged,
 		BaseContext: func(net.Listener) context.Context { return options.RequestContext },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
@@ -121,6 +153,22 @@
 	return ok && c.closed.Load()
 }
 
+// GivenUp reports whether the server ended the body of a request, whose context is given,
+// to make room for others. The handler should then answer with status 408.
+func GivenUp(ctx context.Context) (givenUp bool) {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && c.givenUp.Load()
+}
+
+// Member returns the member of the server's account that has the connection of a request,
+// whose context is given, or nil.
+func Member(ctx context.Context) (m *resources.Member) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		return c.member
+	}
+	return nil
+}
+
 // ResetOnClose makes the close of the connection of a request, whose context is given,
 // reset it. Bytes that haven't been delivered are discarded.
 func ResetOnClose(ctx context.Context) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -69,8 +69,8 @@
 	errStrayResponse = errors.ConstError("response belongs to another request")
 	errHeadTooLong   = errors.ConstError("head of the response is too long")
 	errTruncated     = errors.ConstError("response body is truncated")
-	// ErrNoConnection means that all connections that Target.MaxConnections
-	// allows are in use.
+	// ErrNoConnection means that all connections that Target.MaxConnections or
+	// Options.Opening allow are in use.
 	ErrNoConnection = errors.ConstError("all connections to the upstream are in use")
 )
 
@@ -83,6 +83,11 @@
 		// that can't be reused, and "stray" for a response to another request. It
 		// may be nil.
 		Count func(event string)
+		// Opening is called before a connection is opened. If it returns false there is no
+		// descriptor for it, and Send fails with ErrNoConnection. Closed is called once for
+		// each connection for which it returned true, at its end. Both may be nil.
+		Opening func() (ok bool)
+		Closed  func()
 	}
 
 	// Pool holds the connections to all upstreams. It is safe for concurrent use.
@@ -133,9 +138,10 @@
 		body           io.ReadCloser
 		conn           *conn
 		stopCancel     func() bool // detaches the connection from ctx; false if ctx has already closed it
-		begun          bool        // Read returned a byte
-		complete       bool        // Read returned io.EOF
-		closeDelimited bool        // the body ends where the upstream closes the connection
+		closed         bool
+		begun          bool // Read returned a byte
+		complete       bool // Read returned io.EOF
+		closeDelimited bool // the body ends where the upstream closes the connection
 	}
 
 	// Failure is the error of a request that got no response.
@@ -188,6 +194,12 @@
 	if options.Count == nil {
 		options.Count = func(string) {}
 	}
+	if options.Opening == nil {
+		options.Opening = func() (ok bool) { return true }
+	}
+	if options.Closed == nil {
+		options.Closed = func() {}
+	}
 	return &Pool{options: options, conns: map[string]*upstreamConns{}}
 }
 
@@ -260,7 +272,7 @@
 	idle := p.forget(id)
 	p.mu.Unlock()
 	for _, c := range idle {
-		c.Conn.Close()
+		p.end(c)
 	}
 }
 
@@ -295,7 +307,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range expired {
-		c.Conn.Close()
+		p.end(c)
 	}
 }
 
@@ -306,7 +318,7 @@
 		var outdated []*conn
 		c, upstream, outdated, err = p.takeIdle(target)
 		for _, old := range outdated {
-			old.Conn.Close()
+			p.end(old)
 		}
 		if err != nil {
 			return nil, err
@@ -321,10 +333,15 @@
 		p.options.Count("stale")
 		p.discard(c)
 	}
+	if !p.options.Opening() {
+		p.release(upstream)
+		return nil, ErrNoConnection
+	}
 	p.options.Count("dial")
 	raw, err := p.options.Network.Dial(ctx, target.Address)
 	if err != nil {
 		p.release(upstream)
+		p.options.Closed()
 		return nil, err
 	}
 	limiter := &headLimiter{conn: raw}
@@ -366,9 +383,15 @@
 	upstream.open--
 }
 
+// end closes a connection.
+func (p *Pool) end(c *conn) {
+	c.Conn.Close()
+	p.options.Closed()
+}
+
 // discard closes a connection that isn't reused.
 func (p *Pool) discard(c *conn) {
-	c.Conn.Close()
+	p.end(c)
 	p.release(c.upstream)
 }
 
@@ -522,6 +545,10 @@
 // the body was read up to io.EOF and the upstream allows it; otherwise it is
 // closed, at which the upstream cancels a request that is still running.
 func (r *Response) Close() {
+	if r.closed {
+		return
+	}
+	r.closed = true
 	canceled := !r.stopCancel()
 	reusable := r.complete && !r.closeDelimited && !r.Reply.Close && !canceled && r.conn.reader.Buffered() == 0
 	if reusable && r.conn.written != nil {
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -47,6 +47,7 @@
 	// EntryLimits holds the resources of the VM.
 	EntryLimits struct {
 		MemoryMB       int     // of the whole VM; the Go memory limit is a part of it
+		Descriptors    int     // file descriptors of the process; 200 of them are reserved for files
 		ProcessorShare float64 // in cores; not enforced by the node
 	}
 
@@ -100,6 +101,7 @@
 		c.report("nothing", "the region of failure domain "+fleet.FormatValue(s.FailureDomain), "Regions", s.FailureDomain)
 	}
 	checkRange(c, s.Limits.MemoryMB, 32, 1<<20, "Limits", "MemoryMB")
+	checkRange(c, s.Limits.Descriptors, 400, 1<<20, "Limits", "Descriptors")
 	checkRange(c, s.Limits.ProcessorShare, 0.01, 1024, "Limits", "ProcessorShare")
 	b := &s.Bounds
 	checkRange(c, b.Configuration, 500*time.Millisecond, time.Minute, "Bounds", "Configuration")
@@ -117,6 +119,7 @@
 // bounds that the platform documents.
 func (s *EntrySettings) fillDefaults() {
 	setDefault(&s.Limits.MemoryMB, 284)
+	setDefault(&s.Limits.Descriptors, 3075)
 	setDefault(&s.Limits.ProcessorShare, 1)
 	b := &s.Bounds
 	setDefault(&b.Configuration, 3*time.Second)
