--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,7 +47,9 @@
 //     Bounds.UsageLateness, and orders after orderRetryDelay.
 //   - A panic of this program: it ends the request, message or call in which it
 //     happened. Background loops start again, see package guard.
-//   - Caller: when it disconnects, the request to the upstream is canceled.
+//   - Caller: when it disconnects, the request to the upstream is canceled. One that
+//     doesn't keep to the limits is refused, and what it may hold is bounded, see package
+//     resources.
 package entry
 
 import (
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -132,6 +132,7 @@
 			return c
 		}
 		if !now.Before(deadline) || s.currentStage() != serving {
+			s.options.Account.Refused(now)
 			return nil
 		}
 		<-time.After(pollInterval)
@@ -292,6 +293,7 @@
 		}
 	case c.stage != ending && !passed(c.deadline):
 		before := c.applied
+		c.lastRead = false
 		c.applyDeadline()
 		return c.applied.Equal(before) // without a new deadline, reading again would fail at once
 	}
@@ -362,23 +364,31 @@
 	}
 }
 
-// chargeHead counts the head of a request that was read whole before its turn came, so
-// that checkHead didn't count it.
-func (c *conn) chargeHead(r *http.Request) (ok bool) {
+// checkBuffered checks the head of a request that was read whole before its turn came, as
+// checkHead does with others. status is 0 if it is within the limits and fits.
+func (c *conn) checkBuffered(r *http.Request) (status int) {
 	c.mu.Lock()
-	counted := c.head.bytes > 0
+	checked, limit := c.head.bytes > 0, c.limits.HeaderBytes
 	c.mu.Unlock()
-	if counted {
-		return true
+	if checked {
+		return 0
 	}
-	size, lines := len(r.RequestURI), 0
+	size, lines := 0, 0
 	for name, values := range r.Header {
 		lines += len(values)
 		for _, value := range values {
-			size += len(name) + len(value)
+			size += len(name) + len(value) + len(": \r\n")
 		}
 	}
-	return c.member.HoldHead(size, lines, time.Now())
+	switch {
+	case limit > 0 && size > limit:
+		c.server.options.Count("too large")
+		return http.StatusRequestHeaderFieldsTooLarge
+	case !c.member.HoldHead(size+len(r.RequestURI), lines, time.Now()):
+		c.server.options.Count("no room")
+		return http.StatusServiceUnavailable
+	}
+	return 0
 }
 
 // SetReadDeadline implements net.Conn.
--- a/http1/head.go
+++ b/http1/head.go
@@ -41,12 +41,13 @@
 // serve handles a request on a connection that has an account.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	c, ok := r.Context().Value(connKey{}).(*conn)
-	if ok && !c.chargeHead(r) {
-		s.options.Count("no room")
-		w.Header().Set("Connection", "close")
-		w.Header().Set("Retry-After", retryAfter)
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+	if ok {
+		if status := c.checkBuffered(r); status != 0 {
+			w.Header().Set("Connection", "close")
+			w.Header().Set("Retry-After", retryAfter)
+			w.WriteHeader(status)
+			return
+		}
 	}
 	if ok && r.ContentLength != 0 {
 		c.beginBody()
--- a/resources/resources.go
+++ b/resources/resources.go
@@ -23,6 +23,9 @@
 //
 //	account := resources.New(resources.Options{MemoryBytes: 144 << 20, Descriptors: 3075})
 //	member, ok := account.Open(now, func() { /* end the connection soon */ })
+//	if !ok {
+//		account.Refused(now) // or wait for room
+//	}
 //	defer member.Close()
 //	member.Enter(resources.Head, now)
 //	ok = member.HoldHead(bytes, lines, now)
@@ -96,10 +99,11 @@
 	// memory for bodies.
 	LargeBufferBytes = 256 << 10
 
-	// reservedDescriptors are for files, and ownDescriptors for listeners, other nodes
-	// and the platform.
+	// reservedDescriptors are for files and for the node's own calls.
 	reservedDescriptors = 200
-	ownDescriptors      = 100
+	// ownPercent is the part of all descriptors that is for the other listeners, in
+	// percent: the 768 connections that they accept are a quarter on the smallest VM.
+	ownPercent = 25
 	// memberPercent is the part of the other descriptors that callers' connections may
 	// have, in percent. The rest is always left for upstreams.
 	memberPercent = 85
@@ -180,7 +184,7 @@
 // New returns an account of a process in which nothing is held.
 func New(options Options) (a *Account) {
 	bodyLimit := options.MemoryBytes * bodyPercent / 100
-	descriptors := max(options.Descriptors-reservedDescriptors-ownDescriptors, 2)
+	descriptors := max(options.Descriptors*(100-ownPercent)/100-reservedDescriptors, 2)
 	a = &Account{
 		options: options, bodyLimit: bodyLimit, lastLogged: map[string]time.Time{}, unlogged: map[string]int{},
 		// A VM of less than 48 MB has no more than the bodies of before.
@@ -192,18 +196,12 @@
 }
 
 // Open counts a new connection of a caller. If ok is false there is no room at present,
-// and members were asked to make some. leave is called at most once for each time that
-// the member stops being Busy; it doesn't end the connection itself, but has its owner
-// end it.
+// and members were asked to make some; Refused counts that it was closed. leave is called
+// at most once for each time that the member stops being Busy; it doesn't end the
+// connection itself, but has its owner end it.
 func (a *Account) Open(now time.Time, leave func()) (m *Member, ok bool) {
 	a.mu.Lock()
-	var cause Cause
-	switch {
-	case a.members >= a.memberLimit || a.members+a.upstreams >= a.descriptorLimit:
-		cause = Descriptors
-	case a.total()+connectionBytes > a.memoryLimit:
-		cause = Memory
-	default:
+	if a.lacking() == "" {
 		m, ok = &Member{account: a, leave: leave}, true
 		a.members++
 		a.held[Connections] += connectionBytes
@@ -212,12 +210,31 @@
 	departures := a.makeRoom(now, connectionBytes, 0, 1)
 	a.mu.Unlock()
 	a.notify(departures, now)
-	if !ok {
-		a.refused(cause, Connections, now)
-	}
 	return m, ok
 }
 
+// Refused notes that a new connection was closed for which Open had no room.
+func (a *Account) Refused(now time.Time) {
+	a.mu.Lock()
+	cause := a.lacking()
+	a.mu.Unlock()
+	if cause == "" { // there is room by now
+		cause = Descriptors
+	}
+	a.refused(cause, Connections, now)
+}
+
+// lacking returns what a new connection doesn't fit into, if any. The caller holds mu.
+func (a *Account) lacking() (cause Cause) {
+	switch {
+	case a.members >= a.memberLimit || a.members+a.upstreams >= a.descriptorLimit:
+		return Descriptors
+	case a.total()+connectionBytes > a.memoryLimit:
+		return Memory
+	}
+	return ""
+}
+
 // Close releases all that the member holds but its body, which its owner releases.
 func (m *Member) Close() {
 	a := m.account
