--- a/entry/call.go
+++ b/entry/call.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"io"
 	"net/http"
 	"time"
 
@@ -111,13 +110,19 @@
 		job.IgnoreTime()
 	}
 	e.writeHead(response, length)
+	if response.Complete() { // a caller that reads slowly doesn't occupy the upstream
+		response.Close()
+		e.endUnderWay()
+		e.clearRequest()
+		job.End(time.Now(), dispatch.Served)
+		e.w.Write(content)
+		return
+	}
 	e.w.Write(content)
-	if !response.Complete() {
-		if _, err := io.Copy(e.w, response); err != nil {
-			job.End(time.Now(), dispatch.Broken)
-			e.log("response to caller cut off", "Error", err)
-			e.cutResponse()
-		}
+	if err := e.copyRest(response); err != nil {
+		job.End(time.Now(), dispatch.Broken)
+		e.log("response to caller cut off", "Error", err)
+		e.cutResponse()
 	}
 	e.clearRequest()
 	job.End(time.Now(), dispatch.Served)
@@ -130,7 +135,7 @@
 	var failure *relay.Failure
 	if errors.As(err, &failure) && !failure.MayHaveRun {
 		e.lastReason = reasonUnreachable
-		if e.ctx.Err() != nil || errors.Is(err, errWithdrawn) || e.recalled() {
+		if e.ctx.Err() != nil || notSent(err) || e.recalled() {
 			job.End(time.Now(), dispatch.Abandoned)
 			return
 		}
--- a/settings/entry_test.go
+++ b/settings/entry_test.go
@@ -25,6 +25,7 @@
 Address = "10.0.0.9:80"
 [Limits]
 MemoryMB = 284
+Descriptors = 5125
 ProcessorShare = 0.4
 [Bounds]
 Revocation = "5000ms"
@@ -42,7 +43,7 @@
 	}
 	if s.Regions["b"] != "r2" || s.Bounds.Revocation != 5*time.Second || s.Bounds.Grace != 8*time.Second || s.Listen.Metrics.IsValid() ||
 		s.Bounds.QuotaWindow != 8*time.Second || s.Bounds.QuotaOverage != 0.1 || s.Bounds.QuotaSlack != 190_000 ||
-		!slices.Equal(s.Contracts, []string{"base", "pressure"}) {
+		s.Limits.Descriptors != 5125 || !slices.Equal(s.Contracts, []string{"base", "pressure"}) {
 		t.Errorf("settings %+v", s)
 	}
 	for name, c := range map[string]struct{ old, new, want string }{
@@ -53,6 +54,7 @@
 		"value out of range":       {`"5000ms"`, `"1h"`, `1s to 1m0s`},
 		"negative overage":         {"QuotaOverage = 0.1", "QuotaOverage = -0.1", `0 to 10`},
 		"value not a duration":     {`"5000ms"`, `"soon"`, `Revocation`},
+		"too few descriptors":      {"Descriptors = 5125", "Descriptors = 399", `400 to`},
 		"zero value in the file":   {"MemoryMB = 284", "MemoryMB = 0", `32 to`},
 	} {
 		t.Run(name, func(t *testing.T) {
