--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -252,7 +252,7 @@
 		job.ended = true
 		return job
 	}
-	job.slowdown = u.slowdown(choice.Expected, now)
+	job.slowdown = u.slowdown(choice.basis.Kind, choice.Expected, now)
 	if u.pendingPrefill == 0 {
 		u.busySince = now
 	}
--- a/dispatch/outlook.go
+++ b/dispatch/outlook.go
@@ -69,7 +69,7 @@
 	if u == nil {
 		return Outlook{Expected: j.choice.Expected, Own: j.choice.Expected, Slowdown: 1}
 	}
-	o = Outlook{Expected: j.choice.Expected, Own: j.prefillTime, Slowdown: u.slowdown(j.choice.Expected, now) / j.slowdown}
+	o = Outlook{Expected: j.choice.Expected, Own: j.prefillTime, Slowdown: u.slowdown(j.choice.basis.Kind, j.choice.Expected, now) / j.slowdown}
 	if o.Own == 0 { // a request without a prompt, or a step that only decodes
 		o.Own = o.Expected
 	}
@@ -88,9 +88,9 @@
 	}
 }
 
-// slowdown returns how many times as long as usual work of a duration takes at an
+// slowdown returns how many times as long as usual work of a kind and duration takes at an
 // upstream, by the model of its speed. Expected times contain it.
-func (u *upstream) slowdown(work time.Duration, now time.Time) (factor float64) {
+func (u *upstream) slowdown(kind speed.Kind, work time.Duration, now time.Time) (factor float64) {
 	work = max(work, time.Millisecond)
-	return float64(u.speed.Pace(now).Work(work)) / float64(work)
+	return float64(u.speed.Pace(now).Work(kind, work)) / float64(work)
 }
