http1: keep an unread answer for the whole of WriteStall

A client that took a part of an answer between two deadlines, without making room for another write, and then paused was cut off after 4 of the 6 seconds that WriteStall promises. The time is now counted in periods that begin after the last one in which the client took something.

--- a/http1/limits_test.go
+++ b/http1/limits_test.go
@@ -213,3 +213,54 @@
 		})
 	}
 }
+
+// Guards against cutting off a client that takes nothing for less than the time for which
+// an answer is kept, after it has taken less than makes room for another write.
+func TestPauseInReadingAnswer(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		client, accepted := net.Pipe()
+		var unread atomic.Bool
+		http1.New(ctx, &pipeListener{accepted: accepted, ctx: ctx}, http1.Options{
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Write(make([]byte, 4<<10)) }),
+			Logger:  slog.New(slog.DiscardHandler), WriteStall: 6 * time.Second,
+			Count: func(event string) { unread.Store(unread.Load() || event == "unread") },
+		})
+		io.WriteString(client, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+		for range 20 {
+			<-time.After(5900 * time.Millisecond)
+			if n, err := io.ReadFull(client, make([]byte, 100)); err != nil {
+				t.Fatalf("%d bytes received, error %v", n, err)
+			}
+		}
+		if <-time.After(5900 * time.Millisecond); unread.Load() {
+			t.Error("cut off within the time")
+		}
+		if <-time.After(2200 * time.Millisecond); !unread.Load() {
+			t.Error("not cut off after a third more than the time")
+		}
+	})
+}
+
+// pipeListener accepts one connection, in which each part of a write can be read apart.
+type pipeListener struct {
+	accepted net.Conn
+	ctx      context.Context
+}
+
+// Accept implements net.Listener.
+func (l *pipeListener) Accept() (accepted net.Conn, err error) {
+	if accepted, l.accepted = l.accepted, nil; accepted == nil {
+		<-l.ctx.Done()
+		return nil, net.ErrClosed
+	}
+	return accepted, nil
+}
+
+// Close implements net.Listener.
+func (l *pipeListener) Close() (err error) { return nil }
+
+// Addr implements net.Listener.
+func (l *pipeListener) Addr() (address net.Addr) { return &net.TCPAddr{} }
--- a/http1/write.go
+++ b/http1/write.go
@@ -14,6 +14,10 @@
 // for. At 200 Mbit/s it lasts for 10 ms.
 const unsentBytes = 256 << 10
 
+// stallPeriods is the number of periods into which Options.WriteStall is divided. A write
+// is given up at the end of one, at most one period late.
+const stallPeriods = 3
+
 // Write implements net.Conn. net/http may take the part of a line that was read before a
 // timeout for a malformed one, and answer it as well.
 //
@@ -27,10 +31,11 @@
 	if c.server.options.WriteStall == 0 {
 		return c.Conn.Write(p)
 	}
-	// The first deadline is one to two steps away, and the second one, at which nothing
-	// must have been taken, two more.
-	step := c.server.options.WriteStall / 3
+	// The first deadline is one to two steps away. That the client has taken something by
+	// then isn't known. Nothing must have been taken in stallPeriods of two steps each.
+	step := c.server.options.WriteStall / (2 * stallPeriods)
 	queued := -1 // bytes that the client hadn't taken at the last deadline
+	stalled := 0 // periods in succession in which it has taken nothing
 	for {
 		if now := time.Now(); c.writeDeadline.Sub(now) < step {
 			c.writeDeadline = now.Add(2 * step)
@@ -44,8 +49,11 @@
 			return n, err
 		}
 		before := queued
-		queued = sendQueue(c.Conn)
-		if written == 0 && before >= 0 && queued >= before {
+		if queued = sendQueue(c.Conn); written > 0 || before < 0 || queued < before {
+			stalled = 0
+			continue
+		}
+		if stalled++; stalled == stallPeriods {
 			c.server.options.Count("unread")
 			return n, err
 		}
