http1, resources: serve a long head on a connection that is asked to leave

A request that arrives in the last read of an idle connection is served. If its head exceeded the first read (4 KiB), the next read ended at once and the request got 408: the connection was still being asked to leave.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -94,6 +94,7 @@
 		bodyState   bool // the member is in the state of a body that isn't complete
 		bodyBytes   int  // of the body that were read since the member's last progress
 		leaving     bool // to make room
+		answered    bool // at least one request
 	}
 )
 
@@ -319,6 +320,9 @@
 // beginHead notes that a byte of a request was read. The caller holds mu.
 func (c *conn) beginHead() {
 	c.phase, c.headSince, c.head = readingHead, time.Now(), head{}
+	if c.answered { // the request came before the end of a connection that was idle
+		c.leaving = false
+	}
 	c.limits = c.server.limits()
 	if c.member != nil {
 		c.member.Enter(resources.Head, c.headSince)
@@ -480,7 +484,7 @@
 	}
 	switch p {
 	case idle:
-		c.readingBody, c.bodyState = false, false
+		c.readingBody, c.bodyState, c.answered = false, false, true
 		c.member.Enter(resources.Idle, c.idleSince)
 	case handling:
 		c.member.Enter(resources.Busy, time.Now())
--- a/http1/limits_test.go
+++ b/http1/limits_test.go
@@ -214,6 +214,31 @@
 	}
 }
 
+// Guards against a request with a long head that is refused because it arrived just when
+// its idle connection was closed for room.
+func TestLongHeadOnConnectionThatLeaves(t *testing.T) {
+	runLimited(t, func(f *limitedFixture) {
+		f.limits.Store(&http1.Limits{HeaderBytes: 16 << 10, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
+		conn := f.send(fmt.Sprintf(request, 1))
+		reader := bufio.NewReader(conn)
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, response.Body)
+		<-time.After(time.Millisecond) // the connection is idle by then
+		for range crowdLimit + 1 {
+			defer f.send("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n").Close()
+		}
+		defer close(f.block)
+		<-time.After(10 * time.Millisecond)
+		io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\nX: "+strings.Repeat("x", 8<<10)+"\r\n\r\n")
+		if response, err = http.ReadResponse(reader, nil); err != nil || response.StatusCode != http.StatusOK {
+			t.Errorf("answer %v, error %v", response, err)
+		}
+	})
+}
+
 // Guards against cutting off a client that takes nothing for less than the time for which
 // an answer is kept, after it has taken less than makes room for another write.
 func TestPauseInReadingAnswer(t *testing.T) {
--- a/resources/resources.go
+++ b/resources/resources.go
@@ -197,7 +197,7 @@
 
 // Open counts a new connection of a caller. If ok is false there is no room at present,
 // and members were asked to make some; Refused counts that it was closed. leave is called
-// at most once for each time that the member stops being Busy; it doesn't end the
+// at most once for each time that the member stops being Busy or Idle; it doesn't end the
 // connection itself, but has its owner end it.
 func (a *Account) Open(now time.Time, leave func()) (m *Member, ok bool) {
 	a.mu.Lock()
@@ -253,7 +253,8 @@
 }
 
 // Enter changes the state of the member, or notes the progress of its body. A member
-// that was asked to leave and becomes Busy stays. Idle releases the head.
+// that was asked to leave stays if it becomes Busy, or goes from Idle to Head. Idle
+// releases the head.
 func (m *Member) Enter(state State, now time.Time) {
 	m.account.mu.Lock()
 	defer m.account.mu.Unlock()
@@ -277,6 +278,9 @@
 	case Idle:
 		m.hold(-m.head)
 	}
+	if m.state == Idle && state == Head {
+		m.setLeaving(false)
+	}
 	firstByte := m.state == Silent && state == Head // the head keeps the place of its connection
 	m.state = state
 	if firstByte {
