http1: let one connection at a time wait in vain for room

When nothing could be closed, each new connection waited for 300 ms in the accept loop before it was refused, so that a caller behind 20 of them learned only after 6 s that there was no room on this node. After a wait in vain, connections that find no room within the next 300 ms are refused at once.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -119,21 +119,27 @@
 	return c, nil
 }
 
-// newConn returns nil if there is no room for a connection.
+// newConn returns nil if there is no room for a connection. Only one connection in
+// acceptWait waits for room in vain: those behind it, which can't be accepted meanwhile,
+// would wait for the sum.
 func (s *Server) newConn(accepted net.Conn) (c *conn) {
-	now := time.Now()
-	c = &conn{Conn: accepted, server: s, idleSince: now, limits: s.limits()}
+	begin := time.Now()
+	c = &conn{Conn: accepted, server: s, idleSince: begin, limits: s.limits()}
 	if s.options.Account == nil {
 		return c
 	}
-	for deadline := now.Add(acceptWait); ; now = time.Now() {
+	mayWait := begin.Sub(s.waitedInVain) >= acceptWait
+	for now := begin; ; now = time.Now() {
 		var ok bool
 		if c.member, ok = s.options.Account.Open(now, c.leave); ok {
 			limitUnsent(accepted)
 			return c
 		}
-		if !now.Before(deadline) || s.currentStage() != serving {
+		if !mayWait || now.Sub(begin) >= acceptWait || s.currentStage() != serving {
 			s.options.Account.Refused(now)
+			if mayWait {
+				s.waitedInVain = now
+			}
 			return nil
 		}
 		<-time.After(pollInterval)
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -104,6 +104,9 @@
 		listener net.Listener
 		http     *http.Server
 		served   chan struct{} // closed when no more connections are accepted
+		// waitedInVain is when a new connection was last refused after it had waited for
+		// room. Only the goroutine that accepts connections uses it.
+		waitedInVain time.Time
 
 		mu    sync.Mutex
 		conns map[*conn]struct{}
--- a/http1/limits_test.go
+++ b/http1/limits_test.go
@@ -214,6 +214,33 @@
 	}
 }
 
+// Guards against connections without room that each wait in the accept loop, so that
+// those behind them learn only after the sum that there is no room here.
+func TestConnectionsWithoutRoomDontDelayOthers(t *testing.T) {
+	runLimited(t, func(f *limitedFixture) {
+		for range crowdLimit + 3 { // as many as there can be
+			defer f.send("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n").Close()
+		}
+		<-time.After(time.Millisecond)
+		for range 20 {
+			defer f.send("").Close()
+		}
+		begin := time.Now()
+		if got := f.answers(f.send(fmt.Sprintf(request, 1))); got != "" {
+			t.Errorf("answers %q, want none", got)
+		}
+		if took := time.Since(begin); took > 500*time.Millisecond {
+			t.Errorf("refused after %v, want 500ms at most", took)
+		}
+		<-time.After(time.Second)
+		time.AfterFunc(200*time.Millisecond, func() { close(f.block) })
+		response, err := http.ReadResponse(bufio.NewReader(f.send(fmt.Sprintf(request, 1))), nil)
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Errorf("answer %v, error %v to a connection for which there is room soon", response, err)
+		}
+	})
+}
+
 // Guards against a request with a long head that is refused because it arrived just when
 // its idle connection was closed for room.
 func TestLongHeadOnConnectionThatLeaves(t *testing.T) {
