entry: don't count an upstream as failed when a caller leaves

A caller that left during an answer of more than 1 MiB, or didn't read it, made the node avoid a sound upstream: its job ended as Broken, with a backoff of up to 4 s. Streams already ended such jobs as Abandoned.

--- a/entry/call.go
+++ b/entry/call.go
@@ -100,7 +100,7 @@
 
 // forwardResponse forwards a response to the caller. content is the part of the
 // body that has been read already. If the rest can't be copied, the upstream counts
-// as failed, even if it was the caller that disconnected.
+// as failed, unless the caller left or didn't read the response.
 func (e *exchange) forwardResponse(response *relay.Response, job *dispatch.Job, content []byte) {
 	length := response.Length
 	if response.Complete() {
@@ -120,7 +120,11 @@
 	}
 	e.w.Write(content)
 	if err := e.copyRest(response); err != nil {
-		job.End(time.Now(), dispatch.Broken)
+		outcome := dispatch.Broken
+		if e.r.Context().Err() != nil { // a failed write ends it, too
+			outcome = dispatch.Abandoned
+		}
+		job.End(time.Now(), outcome)
 		e.log("response to caller cut off", "Error", err)
 		e.cutResponse()
 	}
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -153,3 +153,46 @@
 	d.sent, b[0] = true, 'x'
 	return 1, nil
 }
+
+// Guards against a caller that leaves during a long answer, for which the node avoids the
+// upstream as if that had failed.
+func TestCallerThatLeavesIsNoFaultOfTheUpstream(t *testing.T) {
+	runWithFleet(t, func(f *testFleet) {
+		var mu sync.Mutex
+		long, short := "", map[string]int{} // the upstream of the long answer, and the short answers of each
+		upstream := func(id string) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				platformtest.BeginResponse(w, r)
+				mu.Lock()
+				isLong := r.URL.Path == "/draws/long"
+				if isLong {
+					long = id
+				} else {
+					short[id]++
+				}
+				mu.Unlock()
+				for range 256 { // 64 MiB
+					if !isLong {
+						return
+					}
+					w.Write(make([]byte, 256<<10))
+				}
+			})
+		}
+		f.startSmallNode(upstream("d1"))
+		f.startServer("10.2.0.2:80", upstream("d2"))
+		f.registerUpstream("d2", "desk", "", "10.2.0.2:80", "ready")
+		f.advance(time.Second)
+		conn := f.dialNode(n1)
+		fmt.Fprintf(conn, "GET /draws/long HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token %s\r\nRequest-Id: long\r\n\r\n", key)
+		f.advance(100 * time.Millisecond)
+		conn.Close()
+		f.advance(10 * time.Millisecond)
+		for range 40 {
+			f.request(n1+":80", http.MethodGet, "/draws/1", "", nil)
+		}
+		if long == "" || short[long] == 0 {
+			t.Errorf("upstream %q of the long answer isn't used any more: %v", long, short)
+		}
+	})
+}
