entry: don't blame an upstream when the node has no memory for an event

An event of a stream for which the node had no memory ended the attempt as a broken response: the upstream was avoided for a time and probed, and the caller got 502 with reason Broken. The reason is now Memory, and the job is Abandoned.

--- a/entry/call.go
+++ b/entry/call.go
@@ -156,8 +156,8 @@
 }
 
 // handleBrokenResponse records that a response is missing, incomplete or invalid.
-// Unless the caller left or the deadline passed, it probes the upstream, which
-// may have crashed.
+// Unless the caller left, the deadline passed or this node has no memory for the response,
+// it probes the upstream, which may have crashed.
 func (e *exchange) handleBrokenResponse(job *dispatch.Job, err error) {
 	e.lastReason = reasonBroken
 	switch {
@@ -166,6 +166,10 @@
 	case e.recalled():
 		e.lastReason = reasonRecalled
 		e.holdRecalled(job)
+	case errors.Is(err, errMemoryExhausted):
+		e.lastReason = reasonMemory
+		job.End(time.Now(), dispatch.Abandoned)
+		e.log("no memory for an upstream's response", "Error", err)
 	default:
 		job.End(time.Now(), dispatch.Broken)
 		e.log("upstream response broken", "Error", err)
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -196,3 +196,32 @@
 		}
 	})
 }
+
+// Guards against an error that blames the upstream when this node has no memory for an
+// event of its stream.
+func TestEventWithoutMemory(t *testing.T) {
+	runWithFleet(t, func(f *testFleet) {
+		f.startSmallNode(&platformtest.Upstream{ID: "d1"})
+		f.startServer("10.3.0.1:80", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			platformtest.BeginResponse(w, r)
+			w.Header().Set("Content-Type", "text/event-stream")
+			fmt.Fprintf(w, "id: 1\ndata: %s\n\n", make([]byte, 600<<10))
+		}))
+		f.registerUpstream("g1", "models", "decode", "10.3.0.1:80", "ready")
+		f.advance(time.Second)
+		f.expect(f.request(n1+":80", http.MethodPost, "/rulings/1", "prompt", promptHeaders(200)), http.StatusOK, "data")
+		rest := make(chan struct{})
+		var wait sync.WaitGroup
+		for range 8 {
+			wait.Go(func() {
+				body := io.MultiReader(bytes.NewReader(make([]byte, 2*mebibyte-1)), channelReader(rest))
+				f.send(context.Background(), n1+":80", http.MethodPost, "/entries/1", body, nil)
+			})
+		}
+		f.advance(time.Second)
+		f.expect(f.request(n1+":80", http.MethodPost, "/rulings/1", "prompt", promptHeaders(200)), http.StatusBadGateway, "Memory")
+		close(rest)
+		wait.Wait()
+		f.expect(f.request(n1+":80", http.MethodPost, "/rulings/1", "prompt", promptHeaders(200)), http.StatusOK, "data")
+	})
+}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -30,7 +30,7 @@
 	reasonUnknownKey  reason = "Key"         // the API key is unknown
 	reasonMalformed   reason = "Malformed"   // the request can't be parsed or read
 	reasonTooLarge    reason = "TooLarge"    // the body exceeds the limit
-	reasonMemory      reason = "Memory"      // the node holds too many bodies
+	reasonMemory      reason = "Memory"      // the node holds too many bodies and answers
 	reasonStalled     reason = "Stalled"     // the body made no progress while the node had no memory left
 	reasonNoUpstream  reason = "NoUpstream"  // no upstream is available
 	reasonOverload    reason = "Overload"    // the request would wait for too long
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -239,8 +239,11 @@
 	first := true
 	for {
 		line, err := reader.ReadSlice('\n')
+		if len(event.data)+len(line) > maxEventBytes {
+			return errors.Errorf("event after %q exceeds %d bytes", s.lastEventID, maxEventBytes)
+		}
 		if !event.append(line, maxEventBytes) {
-			return errors.Errorf("event after %q exceeds %d bytes or the node's memory", s.lastEventID, maxEventBytes)
+			return errors.Annotatef(errMemoryExhausted, "event after %q", s.lastEventID)
 		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
