http1: count only header lines that were sent for pipelined heads

The part of a head that the server had read together with earlier requests counted as if each 3 bytes were a line, up to 558 KB for a client that pipelines ordinary requests. The line ends that were read bound the number of lines now.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -95,6 +95,9 @@
 		bodyBytes   int  // of the body that were read since the member's last progress
 		leaving     bool // to make room
 		answered    bool // at least one request
+
+		// bufferedLines are the line ends that were read since the server's buffer was empty.
+		bufferedLines int
 	}
 )
 
@@ -236,10 +239,13 @@
 	if c.bufferBytes == 0 {
 		c.bufferBytes = size
 	}
+	if size >= c.bufferBytes { // the server's buffer is empty
+		c.bufferedLines = 0
+	}
 	if buffered := c.bufferBytes - size; c.phase == idle && !c.onlyLineEnds(buffered) {
 		c.beginHead()
 		c.head = head{
-			bytes: buffered, firstLine: buffered, lines: buffered / minLineBytes, begun: true,
+			bytes: buffered, firstLine: buffered, lines: min(buffered/minLineBytes, c.bufferedLines), begun: true,
 			inLine: !bytes.HasSuffix(c.tail[:], []byte("\n")) && !bytes.HasSuffix(c.tail[:], []byte("\n\r")),
 		}
 	}
@@ -261,6 +267,7 @@
 		copy(c.tail[:], c.tail[kept:])
 		copy(c.tail[len(c.tail)-kept:], read[len(read)-kept:])
 		c.emptyBytes += len(read)
+		c.bufferedLines += bytes.Count(read, []byte("\n"))
 		if c.phase == idle && (c.emptyBytes > maxEmptyBytes || len(bytes.Trim(read, lineEnds)) > 0) {
 			c.beginHead()
 		}
--- a/http1/limits_test.go
+++ b/http1/limits_test.go
@@ -33,8 +33,9 @@
 // reads the body, and answers /long with as many bytes as its header Bytes says.
 type limitedFixture struct {
 	*fixture
-	limits atomic.Pointer[http1.Limits]
-	block  chan struct{} // the handler of /wait ends when it is closed
+	limits  atomic.Pointer[http1.Limits]
+	account *resources.Account
+	block   chan struct{} // the handler of /wait ends when it is closed
 }
 
 func runLimited(t *testing.T, test func(f *limitedFixture)) {
@@ -51,13 +52,14 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		f.account = resources.New(resources.Options{
+			MemoryBytes: 64 << 20, Descriptors: 294, Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
+		})
 		f.server = http1.New(ctx, listener, http1.Options{
 			Handler: http.HandlerFunc(f.serve), MaxHeaderBytes: 1 << 20, Logger: slog.New(slog.DiscardHandler),
 			Limits: func() http1.Limits { return *f.limits.Load() }, WriteStall: 6 * time.Second,
-			Account: resources.New(resources.Options{
-				MemoryBytes: 64 << 20, Descriptors: 294, Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
-			}),
-			Count: func(event string) { f.events[event].Add(1) },
+			Account: f.account,
+			Count:   func(event string) { f.events[event].Add(1) },
 		})
 		test(f)
 	})
@@ -266,6 +268,23 @@
 	})
 }
 
+// Guards against counting memory for header lines that were never sent: of requests that
+// are pipelined, the last one may be in the server's buffer in part.
+func TestPipelinedRequestsHoldNoMemoryForHeads(t *testing.T) {
+	runLimited(t, func(f *limitedFixture) {
+		f.limits.Store(&http1.Limits{HeaderBytes: 16 << 10})
+		get := "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 1000) + "\r\n\r\n"
+		conn := f.send(get + get[:900]) // read at once
+		defer conn.Close()
+		<-time.After(time.Millisecond)
+		io.WriteString(conn, get[900:len(get)-2])
+		<-time.After(time.Millisecond)
+		if held := f.account.Held(resources.Heads); held > 0 {
+			t.Errorf("%d bytes are held for a head of 3 lines", held)
+		}
+	})
+}
+
 // Guards against cutting off a client that takes nothing for less than the time for which
 // an answer is kept, after it has taken less than makes room for another write.
 func TestPauseInReadingAnswer(t *testing.T) {
