relay: close an idle connection when there is no descriptor for a new one

With keep-alive times of many seconds, idle connections to one upstream could hold all descriptors that callers leave, and requests to the others were refused. The idle connection that expires first is now closed, and the new one opened.

--- a/relay/count_test.go
+++ b/relay/count_test.go
@@ -1,6 +1,10 @@
 package relay_test
 
 import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -50,3 +54,41 @@
 		})
 	}
 }
+
+// Guards against refusing a request, since no descriptor is left, while connections to
+// other upstreams are idle, and against closing one that is in use.
+func TestIdleConnectionMakesRoomForAnotherUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, open := nettest.New(), 0
+		serveScript(t, network, okResponse("q1", "a"), okResponse("q2", "b"))
+		pool := relay.New(relay.Options{
+			Network: network.Host("10.0.0.9"), Closed: func() { open-- },
+			Opening: func() (ok bool) {
+				if ok = open == 0; ok {
+					open++
+				}
+				return ok
+			},
+		})
+		defer pool.Forget("u")
+		defer pool.Forget("other")
+		if _, err := send(pool, "q1", ""); err != nil {
+			t.Fatal(err)
+		}
+		sendToOther := func(id string) (response *relay.Response, err error) {
+			target := relay.Target{ID: "other", Address: netip.MustParseAddrPort(upstreamAddress)}
+			return pool.Send(context.Background(), target, &relay.Request{Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{"Request-Id": {id}}, ID: id})
+		}
+		response, err := sendToOther("q2")
+		if err != nil || open != 1 {
+			t.Fatalf("error %v, %d connections open, want one", err, open)
+		}
+		if _, err = sendToOther("q3"); !errors.Is(err, relay.ErrNoConnection) || open != 1 {
+			t.Errorf("error %v with %d connections, want ErrNoConnection", err, open)
+		}
+		if content, err := io.ReadAll(response); string(content) != "b" {
+			t.Errorf("body %q, error %v", content, err)
+		}
+		response.Close()
+	})
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -32,6 +32,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,11 +81,13 @@
 		Network transport.Network
 		// Count is called with the name of each event: "dial" for a new
 		// connection, "reuse" for a reused one, "stale" for an idle connection
-		// that can't be reused, and "stray" for a response to another request. It
-		// may be nil.
+		// that can't be reused, "evict" for one that is closed to make room for a
+		// connection to another upstream, and "stray" for a response to another
+		// request. It may be nil.
 		Count func(event string)
 		// Opening is called before a connection is opened. If it returns false there is no
-		// descriptor for it, and Send fails with ErrNoConnection. Closed is called once for
+		// descriptor for it. It is called again after an idle connection was closed, and
+		// if there is none, Send fails with ErrNoConnection. Closed is called once for
 		// each connection for which it returned true, at its end. Both may be nil.
 		Opening func() (ok bool)
 		Closed  func()
@@ -333,9 +336,11 @@
 		p.options.Count("stale")
 		p.discard(c)
 	}
-	if !p.options.Opening() {
-		p.release(upstream)
-		return nil, ErrNoConnection
+	for !p.options.Opening() {
+		if !p.closeOldestIdle() {
+			p.release(upstream)
+			return nil, ErrNoConnection
+		}
 	}
 	p.options.Count("dial")
 	raw, err := p.options.Network.Dial(ctx, target.Address)
@@ -376,6 +381,32 @@
 	return nil, upstream, outdated, nil
 }
 
+// closeOldestIdle closes the idle connection of any upstream that expires first, and
+// reports whether there was one.
+func (p *Pool) closeOldestIdle() (ok bool) {
+	var oldest *conn
+	p.mu.Lock()
+	for _, conns := range p.conns {
+		for _, c := range conns.idle {
+			if oldest == nil || c.expires.Before(oldest.expires) {
+				oldest = c
+			}
+		}
+	}
+	if oldest != nil {
+		conns := oldest.upstream
+		conns.idle = slices.DeleteFunc(conns.idle, func(c *conn) (found bool) { return c == oldest })
+		conns.open--
+	}
+	p.mu.Unlock()
+	if oldest == nil {
+		return false
+	}
+	p.options.Count("evict")
+	p.end(oldest)
+	return true
+}
+
 // release uncounts a connection that was closed or couldn't be opened.
 func (p *Pool) release(upstream *upstreamConns) {
 	p.mu.Lock()
