clienttest: don't accept cached results of a changed program

The tests build and run the program, on which the blank import of package command was to make the cached result depend. The linker left out all code that the test binary doesn't call, so its content, and with it the cached result, stayed the same: after a change in http1, go test ./clienttest printed (cached). The test binary now refers to command.Run; the same change runs the tests again.

--- a/clienttest/process_test.go
+++ b/clienttest/process_test.go
@@ -22,7 +22,7 @@
 
 	"github.com/juju/errors"
 
-	_ "github.com/guavagauge/guavagauge/command" // a change of the program makes cached test results invalid
+	"github.com/guavagauge/guavagauge/command"
 	"github.com/guavagauge/guavagauge/platform"
 	"github.com/guavagauge/guavagauge/platformtest"
 	"github.com/guavagauge/guavagauge/settings"
@@ -82,8 +82,16 @@
 	}
 )
 
+// runProgram is what the program calls. That buildProgram uses it keeps all code of the
+// program in the test binary, so that each change makes cached test results invalid.
+// With an import alone, the linker leaves out what the tests don't call.
+var runProgram = command.Run
+
 // buildProgram builds the program and returns its path.
 func buildProgram(t *testing.T) (path string) {
+	if runProgram == nil {
+		t.Fatal("the program isn't linked into the test binary")
+	}
 	path = filepath.Join(t.TempDir(), "guavagauge")
 	if out, err := exec.Command("go", "build", "-o", path, "../cmd/guavagauge").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
