entry: don't count an upstream as failed when its caller reads too slowly

When the timeout of the route passed while a long answer was copied, its upstream counted as failed even if the copy had waited for the caller. The time of writes tells the two apart.

--- a/entry/call.go
+++ b/entry/call.go
@@ -100,7 +100,7 @@
 
 // forwardResponse forwards a response to the caller. content is the part of the
 // body that has been read already. If the rest can't be copied, the upstream counts
-// as failed, unless the caller left or didn't read the response.
+// as failed, unless the caller left, or has read too slowly.
 func (e *exchange) forwardResponse(response *relay.Response, job *dispatch.Job, content []byte) {
 	length := response.Length
 	if response.Complete() {
@@ -118,10 +118,12 @@
 		e.w.Write(content)
 		return
 	}
-	e.w.Write(content)
-	if err := e.copyRest(response); err != nil {
+	w, begin := &timedWriter{Writer: e.w}, time.Now()
+	w.Write(content)
+	if err := e.copyRest(w, response); err != nil {
 		outcome := dispatch.Broken
-		if e.r.Context().Err() != nil { // a failed write ends it, too
+		slowCaller := e.ctx.Err() != nil && w.took > time.Since(begin)/2
+		if slowCaller || e.r.Context().Err() != nil { // a failed write ends that context, too
 			outcome = dispatch.Abandoned
 		}
 		job.End(time.Now(), outcome)
--- a/entry/memory.go
+++ b/entry/memory.go
@@ -40,6 +40,12 @@
 	wholeOnly bool
 }
 
+// timedWriter measures the time that writes take.
+type timedWriter struct {
+	io.Writer
+	took time.Duration
+}
+
 // callerLimits returns the limits of the configuration in force for callers'
 // connections, and before there is one those that no caller exceeds.
 func (n *Node) callerLimits() (limits http1.Limits) {
@@ -177,7 +183,7 @@
 
 // copyRest forwards the rest of a response whose beginning readAhead returned and the
 // caller has got. What the node holds of it is one buffer that counts.
-func (e *exchange) copyRest(response *relay.Response) (err error) {
+func (e *exchange) copyRest(w *timedWriter, response *relay.Response) (err error) {
 	buffer := e.buffers[len(e.buffers)-1]
 	if cap(buffer.data) > copyBufferBytes || cap(buffer.data) == 0 {
 		buffer.release()
@@ -187,10 +193,17 @@
 	if len(space) == 0 {
 		space = make([]byte, firstBufferBytes) // counts as a part of the request
 	}
-	_, err = io.CopyBuffer(struct{ io.Writer }{e.w}, struct{ io.Reader }{response}, space)
+	_, err = io.CopyBuffer(w, struct{ io.Reader }{response}, space)
 	return err
 }
 
+// Write implements io.Writer.
+func (w *timedWriter) Write(p []byte) (n int, err error) {
+	begin := time.Now()
+	defer func() { w.took += time.Since(begin) }()
+	return w.Writer.Write(p)
+}
+
 // beginUnderWay counts the request as under way to an upstream, in place of the last one.
 func (e *exchange) beginUnderWay(upstream discovery.Upstream) (ok bool) {
 	e.endUnderWay()
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"regexp"
 	"strconv"
@@ -154,9 +155,31 @@
 	return 1, nil
 }
 
-// Guards against a caller that leaves during a long answer, for which the node avoids the
-// upstream as if that had failed.
-func TestCallerThatLeavesIsNoFaultOfTheUpstream(t *testing.T) {
+// Guards against a caller that leaves during a long answer, or reads it too slowly, for
+// which the node avoids the upstream as if that had failed.
+func TestCallerIsNoFaultOfTheUpstream(t *testing.T) {
+	t.Run("leaves", func(t *testing.T) {
+		testCallerOfLongAnswer(t, func(f *testFleet, _ net.Conn) { f.advance(100 * time.Millisecond) })
+	})
+	t.Run("reads almost nothing", func(t *testing.T) {
+		testCallerOfLongAnswer(t, func(f *testFleet, conn net.Conn) {
+			f.advance(3 * time.Second) // the timeout of the route
+			io.ReadFull(conn, make([]byte, mebibyte))
+			f.advance(10 * time.Millisecond)
+		})
+	})
+	t.Run("reads slowly", func(t *testing.T) {
+		testCallerOfLongAnswer(t, func(f *testFleet, conn net.Conn) {
+			for begin := time.Now(); time.Since(begin) < 3100*time.Millisecond; f.advance(50 * time.Millisecond) { // the route has 3 s
+				io.ReadFull(conn, make([]byte, 64<<10))
+			}
+		})
+	})
+}
+
+// testCallerOfLongAnswer has a caller request a long answer, and checks that its upstream
+// is used after the caller has closed the connection.
+func testCallerOfLongAnswer(t *testing.T, beforeClose func(f *testFleet, conn net.Conn)) {
 	runWithFleet(t, func(f *testFleet) {
 		var mu sync.Mutex
 		long, short := "", map[string]int{} // the upstream of the long answer, and the short answers of each
@@ -185,7 +208,7 @@
 		f.advance(time.Second)
 		conn := f.dialNode(n1)
 		fmt.Fprintf(conn, "GET /draws/long HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token %s\r\nRequest-Id: long\r\n\r\n", key)
-		f.advance(100 * time.Millisecond)
+		beforeClose(f, conn)
 		conn.Close()
 		f.advance(10 * time.Millisecond)
 		for range 40 {
