quota: deduct no grants of a pause after reading older datagrams

A node that was paused for longer than reportTTL forgets the others and sets the base of their totals anew. The socket buffer still holds datagrams from the begin of the pause, so the base was that old, and the next reports deducted all grants of the pause: up to a window of the rate, for which the node refused requests within the quota.

--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -229,6 +229,10 @@
 		{"after silence", 6, 5000, 300, 3 * time.Second, 0},
 		{"absurd uptime", 6, 1 << 60, 900, 0, 0},
 		{"after that", 6, 5100, 310, 0, 10},
+		// The receiver was paused. It first gets a datagram that arrived at the pause's begin.
+		{"after a pause, before it", 6, 5200, 320, 10 * time.Second, 0},
+		{"after a pause", 6, 15_200, 900, 0, 0},
+		{"next after a pause", 6, 15_300, 905, 0, 5},
 	} {
 		balance := func() (units float64) {
 			a.Report(now)
--- a/quota/report.go
+++ b/quota/report.go
@@ -189,7 +189,9 @@
 	if node != nil && (r.Start < node.start || r.Start == node.start && r.UptimeMs <= node.uptimeMs) {
 		return 0 // not newer
 	}
-	if node == nil || r.Start > node.start {
+	// A gap in the uptimes is silence, too: after a pause, this node first reads datagrams
+	// that arrived when it began.
+	if node == nil || r.Start > node.start || r.UptimeMs-node.uptimeMs > reportTTL.Milliseconds() {
 		node = &nodeTotals{start: r.Start, totals: map[Key]*total{}, heardAt: now, began: math.MinInt64}
 		if uptime := time.Duration(r.UptimeMs) * time.Millisecond; r.UptimeMs <= reportTTL.Milliseconds() {
 			node.began = now - uptime
