quota: stop reporting silent nodes to other domains

A domain mentioned a dead node to others for reportTTL. Those had forgotten it by then, took the mention for a new report, and counted the node as heard from for another reportTTL.

--- a/quota/report.go
+++ b/quota/report.go
@@ -19,8 +19,9 @@
 	heartbeatInterval = 250 * time.Millisecond
 	// fullInterval is the time between two reports with all totals.
 	fullInterval = time.Second
-	// repeatPeriod is how long a total is reported after it has changed: in two or three
-	// aggregates, which may be lost.
+	// repeatPeriod is how long a total is reported after it has changed, and a silent node
+	// to other domains: in two or three aggregates, which may be lost. It is below
+	// reportTTL, or a node that has just been forgotten would count as heard from again.
 	repeatPeriod = 600 * time.Millisecond
 	// maxReportedTotals bounds the totals of a message to about 5 KB. A node relays those
 	// of up to five other domains in a datagram of 60 KB, beside loads and cache inserts.
@@ -153,7 +154,7 @@
 	w.write("", a.own, now, mention, all)
 	if domain {
 		for name, node := range a.nodes {
-			if node.local {
+			if node.local && now-node.heardAt <= repeatPeriod {
 				w.write(name, node, now, mention, all)
 			}
 		}
