quota: report all totals that have changed since the last report

In a domain of about 100 nodes, or after a short pause, the time between two reports exceeds the time for which changes are repeated. A grant was then reported with the next full report only, up to 1.2 s late.

--- a/quota/accounts.go
+++ b/quota/accounts.go
@@ -59,8 +59,8 @@
 
 	// schedule is when the parts of reports were last sent, as clock readings.
 	schedule struct {
-		begun                bool
-		mentionedAt, allSent time.Duration
+		begun                        bool
+		sentAt, mentionedAt, allSent time.Duration
 	}
 
 	// Heard is the part of the fleet that a node has heard from.
@@ -310,8 +310,10 @@
 	c.Units += units
 }
 
-// next reports whether all nodes are to be mentioned now, and all totals are to be sent.
-func (s *schedule) next(now time.Duration) (mention, all bool) {
+// next returns since when totals must have changed to be sent now, and whether all nodes
+// are to be mentioned and all totals are to be sent.
+func (s *schedule) next(now time.Duration) (since time.Duration, mention, all bool) {
+	since = min(now-repeatPeriod, s.sentAt) // a domain of 100 nodes sends every 600 ms
 	all = !s.begun || now-s.allSent >= fullInterval
 	mention = all || now-s.mentionedAt >= heartbeatInterval
 	if all {
@@ -320,6 +322,6 @@
 	if mention {
 		s.mentionedAt = now
 	}
-	s.begun = true
-	return mention, all
+	s.begun, s.sentAt = true, now
+	return since, mention, all
 }
--- a/quota/messages_test.go
+++ b/quota/messages_test.go
@@ -28,3 +28,20 @@
 		t.Errorf("heard from %d nodes, want this one and the reader", heard)
 	}
 }
+
+// Guards against grants that aren't reported within reportDelay because the node sends
+// datagrams less often than it repeats changes, as in a domain of 100 nodes.
+func TestReportHasAllSinceTheLast(t *testing.T) {
+	a := quota.New(quota.Options{Node: "n0", Window: 8 * time.Second})
+	a.Configure(map[string]quota.Quota{"w": {Rate: 100, Burst: 10}}, 0)
+	a.SetListed(1, 0)
+	now := time.Second
+	a.Report(now)
+	now += time.Millisecond
+	a.Admit("w", quota.Usage{}, now)
+	now += 620 * time.Millisecond
+	r := a.Report(now)
+	if len(r.Nodes) != 1 || r.Nodes[0].Totals[0] != 1 {
+		t.Errorf("%+v, want a total of 1", r)
+	}
+}
--- a/quota/report.go
+++ b/quota/report.go
@@ -97,12 +97,12 @@
 	n.totals[key].changedAt = now
 }
 
-// write adds the report of a node with its recent totals, or with all of them. Unless
-// all is set, a node without recent totals is left out.
-func (w *reportWriter) write(name string, node *nodeTotals, now time.Duration, mention, all bool) {
+// write adds the report of a node with the totals that have changed since a time, or
+// with all of them. A node without such totals is left out unless mention is set.
+func (w *reportWriter) write(name string, node *nodeTotals, since time.Duration, mention, all bool) {
 	r := Report{Node: name, Start: node.start, UptimeMs: node.uptimeMs, Full: all && node.complete}
 	for key, t := range node.totals {
-		if !all && now-t.changedAt > repeatPeriod {
+		if !all && t.changedAt < since {
 			continue
 		}
 		if w.count >= maxReportedTotals { // the order of the map differs from message to message
@@ -148,14 +148,14 @@
 	if len(a.limited) == 0 {
 		return Reports{}
 	}
-	mention, all := due.next(now)
+	since, mention, all := due.next(now)
 	a.own.uptimeMs = (now - a.startedAt).Milliseconds()
 	w := reportWriter{indexes: map[Key]int{}}
-	w.write("", a.own, now, mention, all)
+	w.write("", a.own, since, mention, all)
 	if domain {
 		for name, node := range a.nodes {
 			if node.local && now-node.heardAt <= repeatPeriod {
-				w.write(name, node, now, mention, all)
+				w.write(name, node, since, mention, all)
 			}
 		}
 	}
