quota: accept a node that restarted with an earlier wall clock after 0.5 s

Reports of an incarnation with an earlier start were ignored until the node was forgotten, 1.5 s after the last report of the one before. Grants of the new one up to then could be missing in the base of its totals.

--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -233,6 +233,8 @@
 		{"after a pause, before it", 6, 5200, 320, 10 * time.Second, 0},
 		{"after a pause", 6, 15_200, 900, 0, 0},
 		{"next after a pause", 6, 15_300, 905, 0, 5},
+		{"restarted with an earlier clock, or late", 4, 100, 30, 100 * time.Millisecond, 0},
+		{"restarted with an earlier clock", 4, 600, 40, 500 * time.Millisecond, 40},
 	} {
 		balance := func() (units float64) {
 			a.Report(now)
--- a/quota/report.go
+++ b/quota/report.go
@@ -187,6 +187,9 @@
 // applyReport deducts what a node has granted since its last report.
 func (a *Accounts) applyReport(r Report, accounts []Key, local bool, now time.Duration) (absurd int) {
 	node := a.nodes[r.Node]
+	if node != nil && r.Start < node.start && now-node.heardAt >= reportDelay {
+		node = nil // has restarted, and its wall clock went back
+	}
 	if node != nil && (r.Start < node.start || r.Start == node.start && r.UptimeMs <= node.uptimeMs) {
 		return 0 // not newer
 	}
