--- a/quota/accounts.go
+++ b/quota/accounts.go
@@ -12,6 +12,8 @@
 const (
 	// refreshInterval is the time between two counts of the nodes heard from.
 	refreshInterval = 100 * time.Millisecond
+	// dropInterval is the time between two searches for totals to be dropped.
+	dropInterval = time.Minute
 	// rolloutPeriod is how long after the first quotas of a running fleet a node uses
 	// the whole quotas, whatever it hears: nodes report only once they have a quota,
 	// and a configuration takes up to three seconds to be in force on all of them.
@@ -44,6 +46,7 @@
 		listed        int                    // nodes in the store, with this one; 0: unknown
 		heard         Heard                  // when last counted
 		refreshedAt   time.Duration          // clock reading
+		droppedAt     time.Duration          // clock reading of the last search for old totals
 		rolloutEnd    time.Duration          // clock reading
 		localReports  schedule
 		remoteReports schedule
@@ -154,7 +157,8 @@
 	a.recount(now)
 }
 
-// refresh forgets nodes that are silent, and recounts the others.
+// refresh forgets nodes that are silent, and recounts the others. It drops totals that
+// aren't needed any more.
 func (a *Accounts) refresh(now time.Duration) {
 	if now-a.refreshedAt < refreshInterval {
 		return
@@ -164,6 +168,18 @@
 	}
 	a.recount(now)
 	a.refreshedAt = now
+	if now-a.droppedAt < dropInterval {
+		return
+	}
+	a.droppedAt = now
+	inUse := func(key Key) bool {
+		account := a.limited[key.Workspace]
+		return account != nil && account.key == key
+	}
+	a.own.dropOld(inUse, now)
+	for _, node := range a.nodes {
+		node.dropOld(inUse, now)
+	}
 }
 
 // recount counts the nodes heard from and sets the shares of all accounts.
--- a/quota/messages_test.go
+++ b/quota/messages_test.go
@@ -1,6 +1,8 @@
 package quota_test
 
 import (
+	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -45,3 +47,37 @@
 		t.Errorf("%+v, want a total of 1", r)
 	}
 }
+
+// Guards against memory and messages that grow with each workspace that ever had a quota.
+func TestTotalsOfRemovedQuotasAreDropped(t *testing.T) {
+	reader, other := quota.New(quota.Options{Node: "reader", Start: time.UnixMilli(1)}), quota.New(quota.Options{Node: "other", Start: time.UnixMilli(1)})
+	now := time.Duration(0)
+	total := func(reports quota.Reports) (n int) {
+		for _, r := range reports.Nodes {
+			n += len(r.Totals)
+		}
+		return n
+	}
+	for i := range 100 {
+		for _, a := range []*quota.Accounts{reader, other} {
+			a.Configure(map[string]quota.Quota{"kept": {Rate: 100, Burst: 10}, fmt.Sprint(i): {Rate: 100, Burst: 10}}, now)
+			a.SetListed(2, now)
+		}
+		now += time.Minute
+		for _, workspace := range []string{"kept", strconv.Itoa(i)} {
+			for range 2 { // the first is refused by the first configuration, or granted
+				other.Admit(workspace, quota.Usage{}, now)
+				reader.Admit(workspace, quota.Usage{}, now)
+			}
+		}
+		reader.Apply("other", other.Report(now), true, now)
+	}
+	if n := total(reader.Aggregate(now)); n < 4 || n > 50 {
+		t.Errorf("%d totals of two nodes, want those of the last minutes", n)
+	}
+	now += time.Hour
+	reader.Apply("other", other.Report(now), true, now)
+	if n := total(reader.Aggregate(now)); n != 4 {
+		t.Errorf("%d totals, want those in force", n)
+	}
+}
--- a/quota/report.go
+++ b/quota/report.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -23,6 +24,9 @@
 	// to other domains: in two or three aggregates, which may be lost. It is below
 	// reportTTL, or a node that has just been forgotten would count as heard from again.
 	repeatPeriod = 600 * time.Millisecond
+	// totalRetention is how long a total is kept after its last change if its workspace
+	// has no quota any more. The quota may come back, on some nodes before others.
+	totalRetention = 10 * time.Minute
 	// maxReportedTotals bounds the totals of a message to about 5 KB. A node relays those
 	// of up to five other domains in a datagram of 60 KB, beside loads and cache inserts.
 	maxReportedTotals = 600
@@ -97,6 +101,11 @@
 	n.totals[key].changedAt = now
 }
 
+// dropOld drops totals of accounts that aren't in use.
+func (n *nodeTotals) dropOld(inUse func(key Key) bool, now time.Duration) {
+	maps.DeleteFunc(n.totals, func(key Key, t *total) bool { return now-t.changedAt > totalRetention && !inUse(key) })
+}
+
 // write adds the report of a node with the totals that have changed since a time, or
 // with all of them. A node without such totals is left out unless mention is set.
 func (w *reportWriter) write(name string, node *nodeTotals, since time.Duration, mention, all bool) {
@@ -215,6 +224,9 @@
 			account = nil // of another unit, which this node has had or will have
 		}
 		known := node.totals[key]
+		if known != nil && units < known.units && now-known.changedAt > totalRetention {
+			known = nil // was dropped there, and begins anew
+		}
 		deducted := units
 		switch {
 		case known != nil:
