quota: report new totals before old ones

Every second, an aggregate has all totals of a domain, but at most 600, at random. With 28 nodes and 84 workspaces, 7 of 28 new totals were in it, and hardly a full report. Nodes now get a full report if there is room for it beside all new totals.

--- a/quota/accounts.go
+++ b/quota/accounts.go
@@ -329,7 +329,9 @@
 // next returns since when totals must have changed to be sent now, and whether all nodes
 // are to be mentioned and all totals are to be sent.
 func (s *schedule) next(now time.Duration) (since time.Duration, mention, all bool) {
-	since = min(now-repeatPeriod, s.sentAt) // a domain of 100 nodes sends every 600 ms
+	// A domain of 100 nodes sends every 600 ms. After reportTTL, the others set their base
+	// anew.
+	since = max(min(now-repeatPeriod, s.sentAt), now-reportTTL)
 	all = !s.begun || now-s.allSent >= fullInterval
 	mention = all || now-s.mentionedAt >= heartbeatInterval
 	if all {
--- a/quota/messages_test.go
+++ b/quota/messages_test.go
@@ -81,3 +81,54 @@
 		t.Errorf("%d totals, want those in force", n)
 	}
 }
+
+// Guards against an aggregate that has old totals in place of new ones, since there are
+// more totals than fit into a message.
+func TestNewTotalsComeFirst(t *testing.T) {
+	const nodes, workspaces = 28, 84
+	quotas := map[string]quota.Quota{}
+	for i := range workspaces {
+		quotas[strconv.Itoa(i)] = quota.Quota{Rate: 100, Burst: 100}
+	}
+	start := func(name string) (a *quota.Accounts) {
+		a = quota.New(quota.Options{Node: name, Start: time.UnixMilli(1), Window: 8 * time.Second})
+		a.Configure(quotas, 0)
+		a.SetListed(nodes+1, 0)
+		return a
+	}
+	reader, now := start("reader"), 10*time.Second
+	var others []*quota.Accounts
+	report := func() {
+		for i, a := range others {
+			reader.Apply(strconv.Itoa(i), a.Report(now), true, now)
+		}
+	}
+	for i := range nodes {
+		others = append(others, start(strconv.Itoa(i)))
+		for workspace := range quotas {
+			others[i].Admit(workspace, quota.Usage{}, now)
+		}
+	}
+	for range 10 { // then these totals aren't new any more
+		report()
+		now += 250 * time.Millisecond
+	}
+	for _, a := range others {
+		a.Admit("7", quota.Usage{}, now)
+	}
+	report()
+	aggregate, news, full := reader.Aggregate(now), 0, 0
+	for _, r := range aggregate.Nodes {
+		if r.Full {
+			full++
+		}
+		for index, units := range r.Totals {
+			if aggregate.Accounts[index].Workspace == "7" && units == 2 {
+				news++
+			}
+		}
+	}
+	if news != nodes || full < 2 {
+		t.Errorf("%d of %d new totals, and %d full reports", news, nodes, full)
+	}
+}
--- a/quota/report.go
+++ b/quota/report.go
@@ -106,6 +106,16 @@
 	maps.DeleteFunc(n.totals, func(key Key, t *total) bool { return now-t.changedAt > totalRetention && !inUse(key) })
 }
 
+// changed returns the number of totals that have changed since a time.
+func (n *nodeTotals) changed(since time.Duration) (count int) {
+	for _, t := range n.totals {
+		if t.changedAt >= since {
+			count++
+		}
+	}
+	return count
+}
+
 // write adds the report of a node with the totals that have changed since a time, or
 // with all of them. A node without such totals is left out unless mention is set.
 func (w *reportWriter) write(name string, node *nodeTotals, since time.Duration, mention, all bool) {
@@ -159,15 +169,27 @@
 	}
 	since, mention, all := due.next(now)
 	a.own.uptimeMs = (now - a.startedAt).Milliseconds()
-	w := reportWriter{indexes: map[Key]int{}}
-	w.write("", a.own, since, mention, all)
+	nodes := map[string]*nodeTotals{"": a.own}
 	if domain {
 		for name, node := range a.nodes {
 			if node.local && now-node.heardAt <= repeatPeriod {
-				w.write(name, node, since, mention, all)
+				nodes[name] = node
 			}
 		}
 	}
+	room := maxReportedTotals // for totals that haven't changed
+	for _, node := range nodes {
+		room -= node.changed(since)
+	}
+	w := reportWriter{indexes: map[Key]int{}}
+	for name, node := range nodes { // those with full reports differ from message to message
+		unchanged := len(node.totals) - node.changed(since)
+		full := all && unchanged <= room
+		if full {
+			room -= unchanged
+		}
+		w.write(name, node, since, mention, full)
+	}
 	return w.reports
 }
 
