entry: don't count a caller's reading as time at the upstream

The time of an answer without a prompt was taken when the caller had it. A caller that reads slowly made the upstream look slow, and all requests of the service long. Answers that aren't complete before they are passed on don't tell the time at the upstream, so they aren't learned from.

--- a/entry/call.go
+++ b/entry/call.go
@@ -106,9 +106,14 @@
 	if response.Complete() {
 		length = int64(len(content))
 	}
-	if response.Status/100 != 2 { // errors come sooner than other responses
+	if response.Status/100 != 2 || !response.Complete() {
+		// Errors come sooner than other responses. What isn't read yet comes as fast as
+		// the caller reads it.
 		job.IgnoreTime()
 	}
+	if response.Complete() {
+		job.PrefillDone(time.Now())
+	}
 	e.writeHead(response, length)
 	e.w.Write(content)
 	if !response.Complete() {
