--- a/speed/speed.go
+++ b/speed/speed.go
@@ -391,7 +391,7 @@
 	excess := took - basis.expected
 	switch {
 	case basis.Kind == Plain:
-		m.jobTime.add(milliseconds(took)/max(basis.Crowding, 1), MaxFactor*m.jobTime.mean)
+		m.jobTime.add(milliseconds(took)/max(basis.Crowding, 1), MaxFactor*milliseconds(m.JobTime()))
 	case basis.work < 2*engineStart && basis.Transfer < minTransfer && basis.RoundTrip < engineStart:
 		fixed, start := &m.fixed[basis.Kind], &m.start[basis.Kind]
 		sample := fixed.mean + milliseconds(excess)
--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -154,3 +154,22 @@
 		t.Error("what another node reported is reported as this node's own")
 	}
 }
+
+// Guards against a duration of requests without a prompt that stays 0 once it is.
+func TestJobTimeRecovers(t *testing.T) {
+	model := speed.New()
+	u := model.NewUpstream()
+	u.Observe(speed.Figure{Percent: 100}, start)
+	for i := range 100 {
+		took := 50 * time.Millisecond
+		if i == 0 {
+			took = 0
+		}
+		basis := speed.Basis{Kind: speed.Plain, Usual: model.JobTime(), Crowding: 1}
+		u.Pace(at(i)).Expect(&basis)
+		u.Observe(speed.Answer{Basis: basis, Took: took}, at(i))
+	}
+	if got := model.JobTime(); got < 40*time.Millisecond || got > 60*time.Millisecond {
+		t.Errorf("%s after 99 answers of 50 ms", got)
+	}
+}
