--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -184,7 +184,7 @@
 		pausedUntil         time.Time // no request is sent until then
 		saidLeaving         bool      // in one of its answers
 		speed               *speed.Upstream
-		aversion            float64 // of this node to the upstream, from 0 to 2; see spread
+		spreadWeight        float64 // of this node and the upstream, from 0 to 2; see spread
 	}
 )
 
@@ -389,7 +389,7 @@
 		var cost time.Duration
 		if pace := u.speed.Pace(now); pace.Active() {
 			candidate.Expected, candidate.basis = d.pacedJobTime(u, pace, now)
-			cost = candidate.Expected + u.networkSurcharge() + time.Duration(u.aversion*float64(candidate.Expected/plainSpreadDivisor))
+			cost = candidate.Expected + u.networkSurcharge() + time.Duration(u.spreadWeight*float64(candidate.Expected/plainSpreadDivisor))
 		} else {
 			candidate.Expected = u.expectedJobTime(now) + u.networkCost
 			cost = candidate.Expected
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -29,10 +29,10 @@
 	// simulated engines, 40 ms and 2 had the fewest late long prompts.
 	spreadTime    = 40 * time.Millisecond
 	spreadDivisor = 2
-	// remoteAversion keeps preferences from sending work to other failure domains, whose
+	// remoteSpreadWeight keeps preferences from sending work to other failure domains, whose
 	// loads arrive 250 ms late. In trials, a third of the prompts went there with 0, 7 %
 	// with 0.5 and 1 to 2 % with 1, which also had the fewest late long prompts.
-	remoteAversion = 1
+	remoteSpreadWeight = 1
 	// plainSpreadDivisor replaces spreadTime and spreadDivisor for requests without a
 	// prompt: half of a slot's share of the job time at an upstream with four slots.
 	plainSpreadDivisor = 8
@@ -56,13 +56,13 @@
 		}
 		d.speeds[registered.Service] = model
 	}
-	u.speed, u.aversion = model.NewUpstream(), 0
+	u.speed, u.spreadWeight = model.NewUpstream(), 0
 	if d.options.Node != "" {
 		weight := rendezvous.Weight(rendezvous.Hash(d.options.Node), rendezvous.Hash(registered.ID))
-		u.aversion = float64(weight>>11) / (1 << 53)
+		u.spreadWeight = float64(weight>>11) / (1 << 53)
 	}
 	if registered.FailureDomain != d.options.FailureDomain {
-		u.aversion += remoteAversion
+		u.spreadWeight += remoteSpreadWeight
 	}
 }
 
@@ -73,7 +73,7 @@
 	if u.Stage == discovery.Prefill {
 		limit = spreadTime
 	}
-	return time.Duration(u.aversion * float64(limit+expected/spreadDivisor))
+	return time.Duration(u.spreadWeight * float64(limit+expected/spreadDivisor))
 }
 
 // networkSurcharge returns the cost of reaching an upstream that expected times don't
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -24,7 +24,7 @@
 // its own counter.
 const (
 	reasonNoConfig    reason = "NoConfig"    // the node has no configuration yet
-	reasonStarting    reason = "Starting"    // the node doesn't know the quarantines from before its start yet
+	reasonStarting    reason = "Starting"    // the node doesn't know the quarantines from before its start or its part of the quota yet
 	reasonStaleConfig reason = "Stale"       // the configuration may be outdated, so keys can't be checked
 	reasonNoRoute     reason = "NoRoute"     // no route matches
 	reasonUnknownKey  reason = "Key"         // the API key is unknown
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -12,7 +12,7 @@
 
 const (
 	perSecond   = 245 // requests of the largest workspace, with 273,550 tokens on average
-	crowd       = 7.5 // factor by which a workspace may exceed its usual load
+	surge       = 7.5 // factor by which a workspace may exceed its usual load
 	reportDelay = 500 * time.Millisecond
 )
 
@@ -73,7 +73,7 @@
 		if f.advance(5*time.Second, f.load(1)); f.refused > 0 || len(f.grants) < 1000 {
 			t.Errorf("%d requests refused, %d granted at one node and at the usual load", f.refused, len(f.grants))
 		}
-		f.advance(6500*time.Millisecond, f.load(crowd))
+		f.advance(6500*time.Millisecond, f.load(surge))
 		f.advance(5*time.Second, f.load(1))
 		most, limit := f.most(options.Window), bound(large)
 		t.Logf("%d domains: %.0f of %.0f units in a window, %d granted, %d refused", domains, most, limit, len(f.grants), f.refused)
@@ -108,19 +108,19 @@
 			for _, lowered := range []bool{false, true} {
 				f := newFleet(1, options, 3, 4, large)
 				limit := bound(large)
-				f.advance(2*time.Second, f.load(crowd))
+				f.advance(2*time.Second, f.load(surge))
 				c.begin(f)
-				f.advance(time.Second, f.load(crowd))
+				f.advance(time.Second, f.load(surge))
 				if lowered {
 					f.configure(half)
 				}
-				f.advance(4*time.Second, f.load(crowd))
+				f.advance(4*time.Second, f.load(surge))
 				c.end(f)
-				f.advance(4*time.Second, f.load(crowd))
+				f.advance(4*time.Second, f.load(surge))
 				if lowered { // one window ago
 					limit, f.grants = bound(half), nil
 				}
-				f.advance(9*time.Second, f.load(crowd))
+				f.advance(9*time.Second, f.load(surge))
 				if most := f.most(options.Window); most > limit {
 					t.Errorf("lowered %t: %.0f units in a window, want at most %.0f", lowered, most, limit)
 				}
