--- a/entry/call.go
+++ b/entry/call.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"io"
 	"net/http"
 	"time"
 
@@ -86,6 +85,7 @@
 func (e *exchange) retryServerError(failed *relay.Response, content []byte) (done bool) {
 	choice, ok := e.node.dispatcher.PlacePlain(e.service, e.tried, time.Now())
 	if ok {
+		e.recall.off = true // the failed response is lost if this attempt is
 		e.tried = append(e.tried, choice.Upstream.ID)
 		response, job, err := e.send(choice, platform.UpstreamHeaders{Priority: platform.DefaultPriority})
 		e.calls++
@@ -115,13 +115,19 @@
 		job.PrefillDone(time.Now())
 	}
 	e.writeHead(response, length)
+	if response.Complete() { // a caller that reads slowly doesn't occupy the upstream
+		response.Close()
+		e.endUnderWay()
+		e.clearRequest()
+		job.End(time.Now(), dispatch.Served)
+		e.w.Write(content)
+		return
+	}
 	e.w.Write(content)
-	if !response.Complete() {
-		if _, err := io.Copy(e.w, response); err != nil {
-			job.End(time.Now(), dispatch.Broken)
-			e.log("response to caller cut off", "Error", err)
-			e.cutResponse()
-		}
+	if err := e.copyRest(response); err != nil {
+		job.End(time.Now(), dispatch.Broken)
+		e.log("response to caller cut off", "Error", err)
+		e.cutResponse()
 	}
 	e.clearRequest()
 	job.End(time.Now(), dispatch.Served)
@@ -134,7 +140,7 @@
 	var failure *relay.Failure
 	if errors.As(err, &failure) && !failure.MayHaveRun {
 		e.lastReason = reasonUnreachable
-		if e.ctx.Err() != nil || errors.Is(err, errWithdrawn) {
+		if e.ctx.Err() != nil || notSent(err) || e.recalled() {
 			job.End(time.Now(), dispatch.Abandoned)
 			return
 		}
@@ -158,6 +164,9 @@
 	switch {
 	case e.r.Context().Err() != nil:
 		job.End(time.Now(), dispatch.Abandoned)
+	case e.recalled():
+		e.lastReason = reasonRecalled
+		e.holdRecalled(job)
 	default:
 		job.End(time.Now(), dispatch.Broken)
 		e.log("upstream response broken", "Error", err)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -31,6 +31,7 @@
 	reasonMalformed   reason = "Malformed"   // the request can't be parsed or read
 	reasonTooLarge    reason = "TooLarge"    // the body exceeds the limit
 	reasonMemory      reason = "Memory"      // the node holds too many bodies
+	reasonStalled     reason = "Stalled"     // the body made no progress while the node had no memory left
 	reasonNoUpstream  reason = "NoUpstream"  // no upstream is available
 	reasonOverload    reason = "Overload"    // the request would wait for too long
 	reasonRejected    reason = "Rejected"    // an upstream rejected the request without running it
@@ -42,6 +43,7 @@
 	reasonStopping    reason = "Stopping"    // the node stops before it could finish the request
 	reasonInternal    reason = "Internal"    // this program panicked while it handled the request
 	reasonPaused      reason = "Paused"      // all upstreams that could serve the request asked for a pause
+	reasonRecalled    reason = "Recalled"    // the request was recalled from an upstream, and may have run there
 	reasonQuota       reason = "Quota"       // the workspace has used up its quota
 )
 
@@ -59,6 +61,9 @@
 	// errWithdrawn means that the chosen upstream left or asked for a pause while a
 	// connection to it was being opened. The request was not sent.
 	errWithdrawn = errors.ConstError("upstream was withdrawn before the request was sent")
+	// errUpstreamFull means that this node has as many bytes of requests under way to the
+	// upstream as it may have memory for. The request was not sent.
+	errUpstreamFull = errors.ConstError("too many bytes of requests are under way to the upstream")
 	// upstreamMargin is the time reserved for the response's way back from an
 	// upstream. The deadline that the upstream gets is earlier by it.
 	upstreamMargin = 5 * time.Millisecond
@@ -82,7 +87,8 @@
 		workspace  string
 		priority   int
 		body       []byte
-		buffers    []*heldBuffer // those that count against the node's memory budget
+		buffers    []*heldBuffer // those that count against the node's memory
+		underWayTo string        // upstream to which the request counts as under way
 		header     http.Header   // end-to-end headers of the request
 		arrivedAt  time.Time
 		deadline   time.Time
@@ -98,6 +104,7 @@
 		// responseBegun is set once an upstream has sent an event of its response, in
 		// any attempt.
 		responseBegun bool
+		recall        recallState
 	}
 )
 
@@ -119,6 +126,7 @@
 	ctx, cancel := context.WithDeadline(e.ctx, e.deadline)
 	defer cancel()
 	e.ctx = ctx
+	defer e.endRecall()
 	n.budget.countRequest(e.service, e.arrivedAt)
 	if e.route.RetryClass == routing.Stream {
 		e.serveStream()
@@ -202,7 +210,7 @@
 	}
 	limit := table.Limits.BodyBytes
 	if limit <= 0 {
-		limit = maxHeaderBytes
+		limit = defaultHeaderBytes
 	}
 	if err = e.readBody(limit); err != nil {
 		e.failBody(err)
@@ -232,6 +240,9 @@
 	switch {
 	case e.node.requestCtx.Err() != nil:
 		e.refuse(reasonStopping, defaultRetryAfter)
+	case http1.GivenUp(e.r.Context()):
+		e.w.Header().Set("Connection", "close")
+		e.fail(http.StatusRequestTimeout, reasonStalled, err)
 	case errors.Is(err, errMemoryExhausted):
 		e.w.Header().Set("Connection", "close")
 		e.refuse(reasonMemory, defaultRetryAfter)
@@ -252,8 +263,12 @@
 	platform.SetUpstreamHeaders(header, upstreamHeaders)
 	job = e.node.dispatcher.Begin(choice, now)
 	e.job = job
+	if !e.beginUnderWay(choice.Upstream) {
+		return nil, job, &relay.Failure{Err: errUpstreamFull}
+	}
 	target := relay.Target{ID: choice.Upstream.ID, Address: choice.Upstream.Address}
-	response, err = e.node.upstreamPool.Send(e.ctx, target, &relay.Request{
+	attemptCtx := e.watchAttempt(job, upstreamHeaders.PrefillOnly, now)
+	response, err = e.node.upstreamPool.Send(attemptCtx, target, &relay.Request{
 		Method: e.r.Method, URI: requestURI(e.r), Host: e.r.Host, Header: header, Body: e.body, ID: e.request.ID,
 		Check: func() (err error) {
 			condition, registered := e.node.dispatcher.Condition(choice.Upstream.ID, time.Now())
@@ -265,10 +280,17 @@
 	})
 	if err == nil {
 		e.observe(job, response.Reply)
+		err = e.settleAttempt(job, upstreamHeaders.PrefillOnly, response)
 	}
 	return response, job, err
 }
 
+// notSent reports whether an attempt failed for a reason that is no fault of the upstream,
+// before a byte was sent.
+func notSent(err error) (ok bool) {
+	return errors.Is(err, errWithdrawn) || errors.Is(err, errUpstreamFull) || errors.Is(err, relay.ErrNoConnection)
+}
+
 // observe passes on to the dispatcher what an upstream said of itself in an answer.
 func (e *exchange) observe(job *dispatch.Job, reply platform.ResponseHeaders) {
 	now := time.Now()
@@ -321,9 +343,9 @@
 	switch {
 	case e.ctx.Err() != nil:
 		return false
-	case mayHaveRun && (!e.route.Retryable() || e.runs >= e.route.MaxAttempts):
+	case mayHaveRun && (!e.route.Retryable() || e.runs+e.recall.prefills >= e.route.MaxAttempts):
 		return false
-	case e.calls > 0 && !e.node.budget.spend(e.service, time.Now()):
+	case e.calls > 0 && !e.spendRetry(time.Now()):
 		e.lastReason = reasonRetryBudget
 		return false
 	}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -15,6 +15,7 @@
 	"github.com/guavagauge/guavagauge/dispatch"
 	"github.com/guavagauge/guavagauge/platform"
 	"github.com/guavagauge/guavagauge/relay"
+	"github.com/guavagauge/guavagauge/resources"
 )
 
 const (
@@ -95,7 +96,7 @@
 			s.finishUnserved(defaultRetryAfter)
 			return
 		}
-		noSeparatePrefill = true // in a retry, one engine prefills and decodes
+		noSeparatePrefill = !e.recalled() // in a retry after a failure, one engine prefills and decodes
 	}
 }
 
@@ -121,14 +122,17 @@
 		// A prefill doesn't count as a run, so it may be repeated even if it
 		// happened.
 		e.lastReason = reasonRejected
-		if errors.Is(err, errWithdrawn) {
+		if notSent(err) {
 			job.End(time.Now(), dispatch.Abandoned)
 			return platform.KVSource{}, false
 		}
 		e.calls++
-		if e.ctx.Err() != nil {
+		switch {
+		case e.recalled():
+			e.holdRecalled(job)
+		case e.ctx.Err() != nil:
 			job.End(time.Now(), dispatch.Abandoned)
-		} else {
+		default:
 			job.End(time.Now(), dispatch.Broken)
 			e.log("prefill failed", "Error", err)
 		}
@@ -228,7 +232,7 @@
 func (s *stream) copyEvents(response *relay.Response, job *dispatch.Job) (err error) {
 	reader := bufio.NewReaderSize(response, eventBufferBytes)
 	controller := http.NewResponseController(s.w)
-	event := s.newBuffer()
+	event := s.newBuffer(resources.Answers)
 	defer event.release()
 	eventID := s.lastEventID // of the event that is being read
 	hasID := false           // the event that is being read has an ID
@@ -260,6 +264,9 @@
 		}
 		if first {
 			first = false
+			if !s.beginAttempt() {
+				return errRecalled
+			}
 			s.responseBegun = true
 			s.clearParts()
 			job.PrefillDone(time.Now())
