entry: count the deviation of complete answers without a prompt again

Since complete answers are ended before the caller gets them, none of them was counted, and only those that the caller read while they arrived.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -266,7 +266,7 @@
 func (j *Job) Upstream() (upstream discovery.Upstream) { return j.choice.Upstream }
 
 // PrefillDone records that the prompt is prefilled. It is called when the response
-// begins, or when one to a request without a prompt is complete. End with the outcome Served records it as well.
+// begins. End with the outcome Served records it as well.
 func (j *Job) PrefillDone(now time.Time) {
 	j.dispatcher.mu.Lock()
 	defer j.dispatcher.mu.Unlock()
--- a/entry/call.go
+++ b/entry/call.go
@@ -111,15 +111,13 @@
 		// the caller reads it.
 		job.IgnoreTime()
 	}
-	if response.Complete() {
-		job.PrefillDone(time.Now())
-	}
 	e.writeHead(response, length)
 	if response.Complete() { // a caller that reads slowly doesn't occupy the upstream
 		response.Close()
 		e.endUnderWay()
 		e.clearRequest()
 		job.End(time.Now(), dispatch.Served)
+		e.observeDeviation(job)
 		e.w.Write(content)
 		return
 	}
@@ -131,7 +129,6 @@
 	}
 	e.clearRequest()
 	job.End(time.Now(), dispatch.Served)
-	e.observeDeviation(job)
 }
 
 // handleSendError records that a request couldn't be sent, or that no response
