speed: forget what was learned for a service after 5 min without answers

The design falls back to the constants, but the model of a service never aged. Requests that are expected after their deadline are refused, so a service that looked slow could stay so without an answer that says otherwise.

--- a/speed/speed.go
+++ b/speed/speed.go
@@ -21,8 +21,8 @@
 //   - Before the first figure of a service or Activate, the model is inactive: Pace returns the
 //     usual times unchanged.
 //   - A figure loses its passing part within figureMemory, and an upstream without
-//     answers for answerTTL gets the factor of its service. Lost reports only make
-//     the model older.
+//     answers for answerTTL gets the factor of its service. After serviceTTL without
+//     answers, the service has the factor 1 again. Lost reports only make the model older.
 //   - A figure that answers don't follow loses its slope in the regression. A constant
 //     one, however false, is made up for by the intercept.
 //   - Absurd figures and reports are ignored or reduced to the bounds of a factor, and
@@ -85,6 +85,9 @@
 	// how long they are used.
 	answerMemory = 30 * time.Second
 	answerTTL    = time.Minute
+	// serviceTTL is how long what is learned for a service is used without an answer of it
+	// to this node. Requests that are expected to be late are refused and have none.
+	serviceTTL = 5 * time.Minute
 	// refreshInterval is the time between computations of an upstream's factor without
 	// observations.
 	refreshInterval = 250 * time.Millisecond
@@ -150,7 +153,8 @@
 
 	// Model is the model of one service.
 	Model struct {
-		active bool
+		active     bool
+		answeredAt time.Time // of the last answer that was learned from
 		// answers has those of all upstreams, and deviations by how much each deviated from
 		// the mean of its upstream: upstreams may send different figures though they are
 		// equally fast.
@@ -261,6 +265,16 @@
 	return m
 }
 
+// expire resets what has been learned if it is older than serviceTTL.
+func (m *Model) expire(now time.Time) {
+	if m.answeredAt.IsZero() || now.Sub(m.answeredAt) < serviceTTL {
+		return
+	}
+	active, counted := m.active, m.accuracy
+	*m = *New()
+	m.active, m.accuracy = active, counted
+}
+
 // Activate puts the model in force for a service whose upstreams send no figures.
 func (m *Model) Activate() { m.active = true }
 
@@ -345,6 +359,7 @@
 	if basis.Wait > basis.expected/2 || basis.Usual <= 0 {
 		return // says more of the queue than of the upstream
 	}
+	m.answeredAt = now
 	excess := a.Took - basis.expected
 	m.observeService(basis, a.Took)
 	// The share of the work in the time at an upstream as fast as the others, so that a
@@ -438,6 +453,7 @@
 // refresh computes the factor from the last observations.
 func (u *Upstream) refresh(now time.Time) {
 	u.refreshedAt = now
+	u.model.expire(now)
 	if u.model.rare() {
 		u.refreshRare(now)
 		return
--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -173,3 +173,24 @@
 		t.Errorf("%s after 99 answers of 50 ms", got)
 	}
 }
+
+// Guards against a service that looks slow for good: work that is expected to end after
+// its deadline is refused, so there may be no answers that say otherwise.
+func TestModelOfServiceAges(t *testing.T) {
+	model := speed.New()
+	u := model.NewUpstream()
+	for i := range 40 {
+		answer(u, 6, 100, at(i))
+	}
+	basis := speed.Basis{Kind: speed.Plain, Usual: model.JobTime(), Crowding: 1}
+	u.Pace(at(40)).Expect(&basis)
+	u.Observe(speed.Answer{Basis: basis, Took: time.Second}, at(40))
+	now := at(40).Add(3 * time.Minute)
+	expect(t, "service without answers for minutes", factor(u, now), 6)
+	now = at(40).Add(time.Hour)
+	expect(t, "service without answers for an hour", factor(u, now), 1)
+	fresh := speed.New()
+	if !model.Active() || model.JobTime() != fresh.JobTime() || model.Fixed(speed.Prefill) != fresh.Fixed(speed.Prefill) {
+		t.Errorf("active: %t, job time %s, fixed time %s", model.Active(), model.JobTime(), model.Fixed(speed.Prefill))
+	}
+}
