quota: report for 4 s after the last quota was removed

Nodes that have the new configuration stopped reporting at once. Those that still had the old one counted them as unreachable, and refused requests within the quota.

--- a/quota/accounts.go
+++ b/quota/accounts.go
@@ -17,6 +17,7 @@
 	// rolloutPeriod is how long after the first quotas of a running fleet a node uses
 	// the whole quotas, whatever it hears: nodes report only once they have a quota,
 	// and a configuration takes up to three seconds to be in force on all of them.
+	// For as long, a node reports after the last quota was removed.
 	rolloutPeriod = 4 * time.Second
 )
 
@@ -48,6 +49,7 @@
 		refreshedAt   time.Duration          // clock reading
 		droppedAt     time.Duration          // clock reading of the last search for old totals
 		rolloutEnd    time.Duration          // clock reading
+		reportsEnd    time.Duration          // clock reading; without quotas
 		localReports  schedule
 		remoteReports schedule
 	}
@@ -113,7 +115,7 @@
 	return &Accounts{
 		options: options, startedAt: options.Now, limited: map[string]*account{}, nodes: map[string]*nodeTotals{},
 		own:        &nodeTotals{start: options.Start.UnixMilli(), complete: true, totals: map[Key]*total{}},
-		rolloutEnd: math.MinInt64,
+		rolloutEnd: math.MinInt64, reportsEnd: math.MinInt64,
 	}
 }
 
@@ -127,6 +129,9 @@
 	if !first && len(a.limited) == 0 {
 		a.rolloutEnd = now + rolloutPeriod
 	}
+	if len(a.limited) > 0 {
+		a.reportsEnd = now + rolloutPeriod
+	}
 	for workspace, before := range a.limited {
 		if q := quotas[workspace]; !q.Limited() || keyOf(workspace, q) != before.key {
 			delete(a.limited, workspace)
--- a/quota/messages_test.go
+++ b/quota/messages_test.go
@@ -132,3 +132,24 @@
 		t.Errorf("%d of %d new totals, and %d full reports", news, nodes, full)
 	}
 }
+
+// Guards against refusals within a quota at nodes that don't have the configuration yet
+// which removes it: the others stopped reporting, and counted as unreachable.
+func TestReportsGoOnAfterLastQuota(t *testing.T) {
+	a, b := quota.New(quota.Options{Node: "a", Start: time.UnixMilli(1)}), quota.New(quota.Options{Node: "b", Start: time.UnixMilli(1)})
+	for _, accounts := range []*quota.Accounts{a, b} {
+		accounts.Configure(map[string]quota.Quota{"w": {Rate: 100, Burst: 10}}, 0)
+		accounts.SetListed(2, 0)
+	}
+	b.Configure(nil, 0)
+	for now := time.Duration(0); now < 10*time.Second; now += 100 * time.Millisecond {
+		reports := b.Report(now)
+		a.Apply("b", reports, true, now)
+		if heard := a.Heard().Nodes; now <= 3*time.Second && heard != 2 {
+			t.Fatalf("%d nodes heard from after %s", heard, now)
+		}
+		if now > 5*time.Second && len(reports.Nodes) > 0 {
+			t.Fatalf("still reporting after %s", now)
+		}
+	}
+}
--- a/quota/report.go
+++ b/quota/report.go
@@ -164,7 +164,7 @@
 
 // write returns the reports that are due.
 func (a *Accounts) write(due *schedule, domain bool, now time.Duration) (reports Reports) {
-	if len(a.limited) == 0 {
+	if len(a.limited) == 0 && now >= a.reportsEnd {
 		return Reports{}
 	}
 	since, mention, all := due.next(now)
