resources: keep room for connections and small bodies; http1: no state for heads read at once

Each request changed the state of its connection once more than needed.

Change: long heads and bodies above 16 KiB are refused from 94 percent of the sum on. A head that is read at once enters no state of its own.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -235,6 +235,7 @@
 			bytes: buffered, firstLine: buffered, lines: buffered / minLineBytes, begun: true,
 			inLine: !bytes.HasSuffix(c.tail[:], []byte("\n")) && !bytes.HasSuffix(c.tail[:], []byte("\n\r")),
 		}
+		c.enterHead()
 	}
 	c.waiting = c.phase == idle
 	if c.readingBody && c.member != nil && (!c.bodyState || c.bodyBytes >= progressBytes) {
@@ -254,7 +255,8 @@
 		copy(c.tail[:], c.tail[kept:])
 		copy(c.tail[len(c.tail)-kept:], read[len(read)-kept:])
 		c.emptyBytes += len(read)
-		if c.phase == idle && (c.emptyBytes > maxEmptyBytes || len(bytes.Trim(read, lineEnds)) > 0) {
+		begins := c.phase == idle && (c.emptyBytes > maxEmptyBytes || len(bytes.Trim(read, lineEnds)) > 0)
+		if begins {
 			c.beginHead()
 		}
 		switch {
@@ -263,6 +265,9 @@
 		case c.readingBody:
 			c.bodyBytes += len(read)
 		}
+		if begins {
+			c.enterHead()
+		}
 	}
 	if len(read) > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.waiting, c.lastRead = false, false
@@ -320,7 +325,12 @@
 func (c *conn) beginHead() {
 	c.phase, c.headSince, c.head = readingHead, time.Now(), head{}
 	c.limits = c.server.limits()
-	if c.member != nil {
+}
+
+// enterHead notes that a head is incomplete. One that was read at once is never in this
+// state, which saves its request some time. The caller holds mu.
+func (c *conn) enterHead() {
+	if c.member != nil && !c.head.done {
 		c.member.Enter(resources.Head, c.headSince)
 	}
 }
@@ -483,7 +493,7 @@
 		c.readingBody, c.bodyState = false, false
 		c.member.Enter(resources.Idle, c.idleSince)
 	case handling:
-		c.member.Enter(resources.Busy, time.Now())
+		c.member.Enter(resources.Busy, c.headSince)
 		if c.leaving {
 			c.leaving = false
 			c.applyDeadline()
--- a/resources/resources.go
+++ b/resources/resources.go
@@ -84,7 +84,8 @@
 	// bodyPercent is the part of the VM's memory that Bodies and Answers may occupy, in
 	// percent. While a buffer grows, its old copy is still there.
 	bodyPercent = 25
-	// softPercent is the part of a limit from which on members are asked to leave.
+	// softPercent is the part of a limit from which on members are asked to leave, and
+	// long heads and bodies above smallBufferBytes are refused.
 	softPercent = 94
 
 	// Of the memory for bodies, buffers above smallBufferBytes may occupy only
@@ -346,7 +347,7 @@
 		return false
 	}
 	more := max(int64(n)*headByteFactor+int64(lines)*headLineBytes-m.head, 0)
-	if ok = a.total()+more <= a.memoryLimit; ok {
+	if ok = a.total()+more <= soft(a.memoryLimit); ok { // the rest is for connections and small bodies
 		m.hold(more)
 	}
 	departures := a.makeRoom(now, more, 0, 0)
@@ -363,19 +364,19 @@
 // of several that need more at the same time, not all fail. m is the member whose body
 // it is, or nil.
 func (a *Account) Hold(kind Kind, m *Member, n, size, forfeited int, now time.Time) (ok bool) {
-	limit := a.bodyLimit
+	limit, memoryLimit := a.bodyLimit, a.memoryLimit
 	switch {
 	case size > LargeBufferBytes:
-		limit = limit * largePercent / 100
+		limit, memoryLimit = limit*largePercent/100, soft(memoryLimit)
 	case size > smallBufferBytes:
-		limit = limit * mediumPercent / 100
+		limit, memoryLimit = limit*mediumPercent/100, soft(memoryLimit)
 	}
 	a.mu.Lock()
 	bodies := a.held[Bodies] + a.held[Answers]
 	cause := BodyMemory
 	switch {
 	case bodies+int64(n) > limit || kind == Answers && size > smallBufferBytes && a.held[Answers]+int64(n) > a.bodyLimit*answerPercent/100:
-	case a.total()+int64(n) > a.memoryLimit:
+	case a.total()+int64(n) > memoryLimit:
 		cause = Memory
 	default:
 		ok = true
