--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -185,7 +185,7 @@
 		pausedUntil         time.Time // no request is sent until then
 		saidLeaving         bool      // in one of its answers
 		speed               *speed.Upstream
-		aversion            float64 // of this node to the upstream, from 0 to 2; see spread
+		spreadWeight        float64 // of this node and the upstream, from 0 to 2; see spread
 	}
 )
 
@@ -391,7 +391,7 @@
 		var cost time.Duration
 		if pace := u.speed.Pace(now); pace.Active() {
 			candidate.Expected, candidate.basis = d.pacedJobTime(u, pace, now)
-			cost = candidate.Expected + u.networkSurcharge() + time.Duration(u.aversion*float64(candidate.Expected/plainSpreadDivisor))
+			cost = candidate.Expected + u.networkSurcharge() + time.Duration(u.spreadWeight*float64(candidate.Expected/plainSpreadDivisor))
 		} else {
 			candidate.Expected = u.expectedJobTime(now) + u.networkCost
 			cost = candidate.Expected
--- a/entry/call.go
+++ b/entry/call.go
@@ -106,7 +106,9 @@
 	if response.Complete() {
 		length = int64(len(content))
 	}
-	if response.Status/100 != 2 { // errors come sooner than other responses
+	if response.Status/100 != 2 || !response.Complete() {
+		// Errors come sooner than other responses. What isn't read yet comes as fast as
+		// the caller reads it.
 		job.IgnoreTime()
 	}
 	e.writeHead(response, length)
@@ -115,6 +117,7 @@
 		e.endUnderWay()
 		e.clearRequest()
 		job.End(time.Now(), dispatch.Served)
+		e.observeDeviation(job)
 		e.w.Write(content)
 		return
 	}
@@ -132,7 +135,6 @@
 	}
 	e.clearRequest()
 	job.End(time.Now(), dispatch.Served)
-	e.observeDeviation(job)
 }
 
 // handleSendError records that a request couldn't be sent, or that no response
--- a/quota/accounts.go
+++ b/quota/accounts.go
@@ -12,9 +12,12 @@
 const (
 	// refreshInterval is the time between two counts of the nodes heard from.
 	refreshInterval = 100 * time.Millisecond
+	// dropInterval is the time between two searches for totals to be dropped.
+	dropInterval = time.Minute
 	// rolloutPeriod is how long after the first quotas of a running fleet a node uses
 	// the whole quotas, whatever it hears: nodes report only once they have a quota,
 	// and a configuration takes up to three seconds to be in force on all of them.
+	// For as long, a node reports after the last quota was removed.
 	rolloutPeriod = 4 * time.Second
 )
 
@@ -44,7 +47,9 @@
 		listed        int                    // nodes in the store, with this one; 0: unknown
 		heard         Heard                  // when last counted
 		refreshedAt   time.Duration          // clock reading
+		droppedAt     time.Duration          // clock reading of the last search for old totals
 		rolloutEnd    time.Duration          // clock reading
+		reportsEnd    time.Duration          // clock reading; without quotas
 		localReports  schedule
 		remoteReports schedule
 	}
@@ -59,8 +64,8 @@
 
 	// schedule is when the parts of reports were last sent, as clock readings.
 	schedule struct {
-		begun                bool
-		mentionedAt, allSent time.Duration
+		begun                        bool
+		sentAt, mentionedAt, allSent time.Duration
 	}
 
 	// Heard is the part of the fleet that a node has heard from.
@@ -110,7 +115,7 @@
 	return &Accounts{
 		options: options, startedAt: options.Now, limited: map[string]*account{}, nodes: map[string]*nodeTotals{},
 		own:        &nodeTotals{start: options.Start.UnixMilli(), complete: true, totals: map[Key]*total{}},
-		rolloutEnd: math.MinInt64,
+		rolloutEnd: math.MinInt64, reportsEnd: math.MinInt64,
 	}
 }
 
@@ -124,6 +129,9 @@
 	if !first && len(a.limited) == 0 {
 		a.rolloutEnd = now + rolloutPeriod
 	}
+	if len(a.limited) > 0 {
+		a.reportsEnd = now + rolloutPeriod
+	}
 	for workspace, before := range a.limited {
 		if q := quotas[workspace]; !q.Limited() || keyOf(workspace, q) != before.key {
 			delete(a.limited, workspace)
@@ -154,7 +162,8 @@
 	a.recount(now)
 }
 
-// refresh forgets nodes that are silent, and recounts the others.
+// refresh forgets nodes that are silent, and recounts the others. It drops totals that
+// aren't needed any more.
 func (a *Accounts) refresh(now time.Duration) {
 	if now-a.refreshedAt < refreshInterval {
 		return
@@ -164,6 +173,18 @@
 	}
 	a.recount(now)
 	a.refreshedAt = now
+	if now-a.droppedAt < dropInterval {
+		return
+	}
+	a.droppedAt = now
+	inUse := func(key Key) bool {
+		account := a.limited[key.Workspace]
+		return account != nil && account.key == key
+	}
+	a.own.dropOld(inUse, now)
+	for _, node := range a.nodes {
+		node.dropOld(inUse, now)
+	}
 }
 
 // recount counts the nodes heard from and sets the shares of all accounts.
@@ -310,8 +331,12 @@
 	c.Units += units
 }
 
-// next reports whether all nodes are to be mentioned now, and all totals are to be sent.
-func (s *schedule) next(now time.Duration) (mention, all bool) {
+// next returns since when totals must have changed to be sent now, and whether all nodes
+// are to be mentioned and all totals are to be sent.
+func (s *schedule) next(now time.Duration) (since time.Duration, mention, all bool) {
+	// A domain of 100 nodes sends every 600 ms. After reportTTL, the others set their base
+	// anew.
+	since = max(min(now-repeatPeriod, s.sentAt), now-reportTTL)
 	all = !s.begun || now-s.allSent >= fullInterval
 	mention = all || now-s.mentionedAt >= heartbeatInterval
 	if all {
@@ -320,6 +345,6 @@
 	if mention {
 		s.mentionedAt = now
 	}
-	s.begun = true
-	return mention, all
+	s.begun, s.sentAt = true, now
+	return since, mention, all
 }
--- a/quota/report.go
+++ b/quota/report.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -19,9 +20,13 @@
 	heartbeatInterval = 250 * time.Millisecond
 	// fullInterval is the time between two reports with all totals.
 	fullInterval = time.Second
-	// repeatPeriod is how long a total is reported after it has changed: in two or three
-	// aggregates, which may be lost.
+	// repeatPeriod is how long a total is reported after it has changed, and a silent node
+	// to other domains: in two or three aggregates, which may be lost. It is below
+	// reportTTL, or a node that has just been forgotten would count as heard from again.
 	repeatPeriod = 600 * time.Millisecond
+	// totalRetention is how long a total is kept after its last change if its workspace
+	// has no quota any more. The quota may come back, on some nodes before others.
+	totalRetention = 10 * time.Minute
 	// maxReportedTotals bounds the totals of a message to about 5 KB. A node relays those
 	// of up to five other domains in a datagram of 60 KB, beside loads and cache inserts.
 	maxReportedTotals = 600
@@ -96,12 +101,27 @@
 	n.totals[key].changedAt = now
 }
 
-// write adds the report of a node with its recent totals, or with all of them. Unless
-// all is set, a node without recent totals is left out.
-func (w *reportWriter) write(name string, node *nodeTotals, now time.Duration, mention, all bool) {
+// dropOld drops totals of accounts that aren't in use.
+func (n *nodeTotals) dropOld(inUse func(key Key) bool, now time.Duration) {
+	maps.DeleteFunc(n.totals, func(key Key, t *total) bool { return now-t.changedAt > totalRetention && !inUse(key) })
+}
+
+// changed returns the number of totals that have changed since a time.
+func (n *nodeTotals) changed(since time.Duration) (count int) {
+	for _, t := range n.totals {
+		if t.changedAt >= since {
+			count++
+		}
+	}
+	return count
+}
+
+// write adds the report of a node with the totals that have changed since a time, or
+// with all of them. A node without such totals is left out unless mention is set.
+func (w *reportWriter) write(name string, node *nodeTotals, since time.Duration, mention, all bool) {
 	r := Report{Node: name, Start: node.start, UptimeMs: node.uptimeMs, Full: all && node.complete}
 	for key, t := range node.totals {
-		if !all && now-t.changedAt > repeatPeriod {
+		if !all && t.changedAt < since {
 			continue
 		}
 		if w.count >= maxReportedTotals { // the order of the map differs from message to message
@@ -144,20 +164,32 @@
 
 // write returns the reports that are due.
 func (a *Accounts) write(due *schedule, domain bool, now time.Duration) (reports Reports) {
-	if len(a.limited) == 0 {
+	if len(a.limited) == 0 && now >= a.reportsEnd {
 		return Reports{}
 	}
-	mention, all := due.next(now)
+	since, mention, all := due.next(now)
 	a.own.uptimeMs = (now - a.startedAt).Milliseconds()
-	w := reportWriter{indexes: map[Key]int{}}
-	w.write("", a.own, now, mention, all)
+	nodes := map[string]*nodeTotals{"": a.own}
 	if domain {
 		for name, node := range a.nodes {
-			if node.local {
-				w.write(name, node, now, mention, all)
+			if node.local && now-node.heardAt <= repeatPeriod {
+				nodes[name] = node
 			}
 		}
 	}
+	room := maxReportedTotals // for totals that haven't changed
+	for _, node := range nodes {
+		room -= node.changed(since)
+	}
+	w := reportWriter{indexes: map[Key]int{}}
+	for name, node := range nodes { // those with full reports differ from message to message
+		unchanged := len(node.totals) - node.changed(since)
+		full := all && unchanged <= room
+		if full {
+			room -= unchanged
+		}
+		w.write(name, node, since, mention, full)
+	}
 	return w.reports
 }
 
@@ -186,10 +218,15 @@
 // applyReport deducts what a node has granted since its last report.
 func (a *Accounts) applyReport(r Report, accounts []Key, local bool, now time.Duration) (absurd int) {
 	node := a.nodes[r.Node]
+	if node != nil && r.Start < node.start && now-node.heardAt >= reportDelay {
+		node = nil // has restarted, and its wall clock went back
+	}
 	if node != nil && (r.Start < node.start || r.Start == node.start && r.UptimeMs <= node.uptimeMs) {
 		return 0 // not newer
 	}
-	if node == nil || r.Start > node.start {
+	// A gap in the uptimes is silence, too: after a pause, this node first reads datagrams
+	// that arrived when it began.
+	if node == nil || r.Start > node.start || r.UptimeMs-node.uptimeMs > reportTTL.Milliseconds() {
 		node = &nodeTotals{start: r.Start, totals: map[Key]*total{}, heardAt: now, began: math.MinInt64}
 		if uptime := time.Duration(r.UptimeMs) * time.Millisecond; r.UptimeMs <= reportTTL.Milliseconds() {
 			node.began = now - uptime
@@ -209,6 +246,9 @@
 			account = nil // of another unit, which this node has had or will have
 		}
 		known := node.totals[key]
+		if known != nil && units < known.units && now-known.changedAt > totalRetention {
+			known = nil // was dropped there, and begins anew
+		}
 		deducted := units
 		switch {
 		case known != nil:
--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -154,3 +154,43 @@
 		t.Error("what another node reported is reported as this node's own")
 	}
 }
+
+// Guards against a duration of requests without a prompt that stays 0 once it is.
+func TestJobTimeRecovers(t *testing.T) {
+	model := speed.New()
+	u := model.NewUpstream()
+	u.Observe(speed.Figure{Percent: 100}, start)
+	for i := range 100 {
+		took := 50 * time.Millisecond
+		if i == 0 {
+			took = 0
+		}
+		basis := speed.Basis{Kind: speed.Plain, Usual: model.JobTime(), Crowding: 1}
+		u.Pace(at(i)).Expect(&basis)
+		u.Observe(speed.Answer{Basis: basis, Took: took}, at(i))
+	}
+	if got := model.JobTime(); got < 40*time.Millisecond || got > 60*time.Millisecond {
+		t.Errorf("%s after 99 answers of 50 ms", got)
+	}
+}
+
+// Guards against a service that looks slow for good: work that is expected to end after
+// its deadline is refused, so there may be no answers that say otherwise.
+func TestModelOfServiceAges(t *testing.T) {
+	model := speed.New()
+	u := model.NewUpstream()
+	for i := range 40 {
+		answer(u, 6, 100, at(i))
+	}
+	basis := speed.Basis{Kind: speed.Plain, Usual: model.JobTime(), Crowding: 1}
+	u.Pace(at(40)).Expect(&basis)
+	u.Observe(speed.Answer{Basis: basis, Took: time.Second}, at(40))
+	now := at(40).Add(3 * time.Minute)
+	expect(t, "service without answers for minutes", factor(u, now), 6)
+	now = at(40).Add(time.Hour)
+	expect(t, "service without answers for an hour", factor(u, now), 1)
+	fresh := speed.New()
+	if !model.Active() || model.JobTime() != fresh.JobTime() || model.Fixed(speed.Prefill) != fresh.Fixed(speed.Prefill) {
+		t.Errorf("active: %t, job time %s, fixed time %s", model.Active(), model.JobTime(), model.Fixed(speed.Prefill))
+	}
+}
