--- a/entry/call.go
+++ b/entry/call.go
@@ -100,7 +100,7 @@
 
 // forwardResponse forwards a response to the caller. content is the part of the
 // body that has been read already. If the rest can't be copied, the upstream counts
-// as failed, even if it was the caller that disconnected.
+// as failed, unless the caller left, or has read too slowly.
 func (e *exchange) forwardResponse(response *relay.Response, job *dispatch.Job, content []byte) {
 	length := response.Length
 	if response.Complete() {
@@ -121,9 +121,15 @@
 		e.w.Write(content)
 		return
 	}
-	e.w.Write(content)
-	if err := e.copyRest(response); err != nil {
-		job.End(time.Now(), dispatch.Broken)
+	w, begin := &timedWriter{Writer: e.w}, time.Now()
+	w.Write(content)
+	if err := e.copyRest(w, response); err != nil {
+		outcome := dispatch.Broken
+		slowCaller := e.ctx.Err() != nil && w.took > time.Since(begin)/2
+		if slowCaller || e.r.Context().Err() != nil { // a failed write ends that context, too
+			outcome = dispatch.Abandoned
+		}
+		job.End(time.Now(), outcome)
 		e.log("response to caller cut off", "Error", err)
 		e.cutResponse()
 	}
@@ -154,8 +160,8 @@
 }
 
 // handleBrokenResponse records that a response is missing, incomplete or invalid.
-// Unless the caller left or the deadline passed, it probes the upstream, which
-// may have crashed.
+// Unless the caller left, the deadline passed or this node has no memory for the response,
+// it probes the upstream, which may have crashed.
 func (e *exchange) handleBrokenResponse(job *dispatch.Job, err error) {
 	e.lastReason = reasonBroken
 	switch {
@@ -164,6 +170,10 @@
 	case e.recalled():
 		e.lastReason = reasonRecalled
 		e.holdRecalled(job)
+	case errors.Is(err, errMemoryExhausted):
+		e.lastReason = reasonMemory
+		job.End(time.Now(), dispatch.Abandoned)
+		e.log("no memory for an upstream's response", "Error", err)
 	default:
 		job.End(time.Now(), dispatch.Broken)
 		e.log("upstream response broken", "Error", err)
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"regexp"
 	"strconv"
@@ -153,3 +154,97 @@
 	d.sent, b[0] = true, 'x'
 	return 1, nil
 }
+
+// Guards against a caller that leaves during a long answer, or reads it too slowly, for
+// which the node avoids the upstream as if that had failed.
+func TestCallerIsNoFaultOfTheUpstream(t *testing.T) {
+	t.Run("leaves", func(t *testing.T) {
+		testCallerOfLongAnswer(t, func(f *testFleet, _ net.Conn) { f.advance(100 * time.Millisecond) })
+	})
+	t.Run("reads almost nothing", func(t *testing.T) {
+		testCallerOfLongAnswer(t, func(f *testFleet, conn net.Conn) {
+			f.advance(3 * time.Second) // the timeout of the route
+			io.ReadFull(conn, make([]byte, mebibyte))
+			f.advance(10 * time.Millisecond)
+		})
+	})
+	t.Run("reads slowly", func(t *testing.T) {
+		testCallerOfLongAnswer(t, func(f *testFleet, conn net.Conn) {
+			for begin := time.Now(); time.Since(begin) < 3100*time.Millisecond; f.advance(50 * time.Millisecond) { // the route has 3 s
+				io.ReadFull(conn, make([]byte, 64<<10))
+			}
+		})
+	})
+}
+
+// testCallerOfLongAnswer has a caller request a long answer, and checks that its upstream
+// is used after the caller has closed the connection.
+func testCallerOfLongAnswer(t *testing.T, beforeClose func(f *testFleet, conn net.Conn)) {
+	runWithFleet(t, func(f *testFleet) {
+		var mu sync.Mutex
+		long, short := "", map[string]int{} // the upstream of the long answer, and the short answers of each
+		upstream := func(id string) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				platformtest.BeginResponse(w, r)
+				mu.Lock()
+				isLong := r.URL.Path == "/draws/long"
+				if isLong {
+					long = id
+				} else {
+					short[id]++
+				}
+				mu.Unlock()
+				for range 256 { // 64 MiB
+					if !isLong {
+						return
+					}
+					w.Write(make([]byte, 256<<10))
+				}
+			})
+		}
+		f.startSmallNode(upstream("d1"))
+		f.startServer("10.2.0.2:80", upstream("d2"))
+		f.registerUpstream("d2", "desk", "", "10.2.0.2:80", "ready")
+		f.advance(time.Second)
+		conn := f.dialNode(n1)
+		fmt.Fprintf(conn, "GET /draws/long HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token %s\r\nRequest-Id: long\r\n\r\n", key)
+		beforeClose(f, conn)
+		conn.Close()
+		f.advance(10 * time.Millisecond)
+		for range 40 {
+			f.request(n1+":80", http.MethodGet, "/draws/1", "", nil)
+		}
+		if long == "" || short[long] == 0 {
+			t.Errorf("upstream %q of the long answer isn't used any more: %v", long, short)
+		}
+	})
+}
+
+// Guards against an error that blames the upstream when this node has no memory for an
+// event of its stream.
+func TestEventWithoutMemory(t *testing.T) {
+	runWithFleet(t, func(f *testFleet) {
+		f.startSmallNode(&platformtest.Upstream{ID: "d1"})
+		f.startServer("10.3.0.1:80", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			platformtest.BeginResponse(w, r)
+			w.Header().Set("Content-Type", "text/event-stream")
+			fmt.Fprintf(w, "id: 1\ndata: %s\n\n", make([]byte, 600<<10))
+		}))
+		f.registerUpstream("g1", "models", "decode", "10.3.0.1:80", "ready")
+		f.advance(time.Second)
+		f.expect(f.request(n1+":80", http.MethodPost, "/rulings/1", "prompt", promptHeaders(200)), http.StatusOK, "data")
+		rest := make(chan struct{})
+		var wait sync.WaitGroup
+		for range 8 {
+			wait.Go(func() {
+				body := io.MultiReader(bytes.NewReader(make([]byte, 2*mebibyte-1)), channelReader(rest))
+				f.send(context.Background(), n1+":80", http.MethodPost, "/entries/1", body, nil)
+			})
+		}
+		f.advance(time.Second)
+		f.expect(f.request(n1+":80", http.MethodPost, "/rulings/1", "prompt", promptHeaders(200)), http.StatusBadGateway, "Memory")
+		close(rest)
+		wait.Wait()
+		f.expect(f.request(n1+":80", http.MethodPost, "/rulings/1", "prompt", promptHeaders(200)), http.StatusOK, "data")
+	})
+}
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -94,6 +94,10 @@
 		bodyState   bool // the member is in the state of a body that isn't complete
 		bodyBytes   int  // of the body that were read since the member's last progress
 		leaving     bool // to make room
+		answered    bool // at least one request
+
+		// bufferedLines are the line ends that were read since the server's buffer was empty.
+		bufferedLines int
 	}
 )
 
@@ -118,21 +122,27 @@
 	return c, nil
 }
 
-// newConn returns nil if there is no room for a connection.
+// newConn returns nil if there is no room for a connection. Only one connection in
+// acceptWait waits for room in vain: those behind it, which can't be accepted meanwhile,
+// would wait for the sum.
 func (s *Server) newConn(accepted net.Conn) (c *conn) {
-	now := time.Now()
-	c = &conn{Conn: accepted, server: s, idleSince: now, limits: s.limits()}
+	begin := time.Now()
+	c = &conn{Conn: accepted, server: s, idleSince: begin, limits: s.limits()}
 	if s.options.Account == nil {
 		return c
 	}
-	for deadline := now.Add(acceptWait); ; now = time.Now() {
+	mayWait := begin.Sub(s.waitedInVain) >= acceptWait
+	for now := begin; ; now = time.Now() {
 		var ok bool
 		if c.member, ok = s.options.Account.Open(now, c.leave); ok {
 			limitUnsent(accepted)
 			return c
 		}
-		if !now.Before(deadline) || s.currentStage() != serving {
+		if !mayWait || now.Sub(begin) >= acceptWait || s.currentStage() != serving {
 			s.options.Account.Refused(now)
+			if mayWait {
+				s.waitedInVain = now
+			}
 			return nil
 		}
 		<-time.After(pollInterval)
@@ -229,10 +239,13 @@
 	if c.bufferBytes == 0 {
 		c.bufferBytes = size
 	}
+	if size >= c.bufferBytes { // the server's buffer is empty
+		c.bufferedLines = 0
+	}
 	if buffered := c.bufferBytes - size; c.phase == idle && !c.onlyLineEnds(buffered) {
 		c.beginHead()
 		c.head = head{
-			bytes: buffered, firstLine: buffered, lines: buffered / minLineBytes, begun: true,
+			bytes: buffered, firstLine: buffered, lines: min(buffered/minLineBytes, c.bufferedLines), begun: true,
 			inLine: !bytes.HasSuffix(c.tail[:], []byte("\n")) && !bytes.HasSuffix(c.tail[:], []byte("\n\r")),
 		}
 		c.enterHead()
@@ -255,6 +268,7 @@
 		copy(c.tail[:], c.tail[kept:])
 		copy(c.tail[len(c.tail)-kept:], read[len(read)-kept:])
 		c.emptyBytes += len(read)
+		c.bufferedLines += bytes.Count(read, []byte("\n"))
 		begins := c.phase == idle && (c.emptyBytes > maxEmptyBytes || len(bytes.Trim(read, lineEnds)) > 0)
 		if begins {
 			c.beginHead()
@@ -324,6 +338,9 @@
 // beginHead notes that a byte of a request was read. The caller holds mu.
 func (c *conn) beginHead() {
 	c.phase, c.headSince, c.head = readingHead, time.Now(), head{}
+	if c.answered { // the request came before the end of a connection that was idle
+		c.leaving = false
+	}
 	c.limits = c.server.limits()
 }
 
@@ -490,7 +507,7 @@
 	}
 	switch p {
 	case idle:
-		c.readingBody, c.bodyState = false, false
+		c.readingBody, c.bodyState, c.answered = false, false, true
 		c.member.Enter(resources.Idle, c.idleSince)
 	case handling:
 		c.member.Enter(resources.Busy, c.headSince)
--- a/http1/limits_test.go
+++ b/http1/limits_test.go
@@ -33,8 +33,9 @@
 // reads the body, and answers /long with as many bytes as its header Bytes says.
 type limitedFixture struct {
 	*fixture
-	limits atomic.Pointer[http1.Limits]
-	block  chan struct{} // the handler of /wait ends when it is closed
+	limits  atomic.Pointer[http1.Limits]
+	account *resources.Account
+	block   chan struct{} // the handler of /wait ends when it is closed
 }
 
 func runLimited(t *testing.T, test func(f *limitedFixture)) {
@@ -51,13 +52,14 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		f.account = resources.New(resources.Options{
+			MemoryBytes: 64 << 20, Descriptors: 294, Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
+		})
 		f.server = http1.New(ctx, listener, http1.Options{
 			Handler: http.HandlerFunc(f.serve), MaxHeaderBytes: 1 << 20, Logger: slog.New(slog.DiscardHandler),
 			Limits: func() http1.Limits { return *f.limits.Load() }, WriteStall: 6 * time.Second,
-			Account: resources.New(resources.Options{
-				MemoryBytes: 64 << 20, Descriptors: 294, Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
-			}),
-			Count: func(event string) { f.events[event].Add(1) },
+			Account: f.account,
+			Count:   func(event string) { f.events[event].Add(1) },
 		})
 		test(f)
 	})
@@ -213,3 +215,123 @@
 		})
 	}
 }
+
+// Guards against connections without room that each wait in the accept loop, so that
+// those behind them learn only after the sum that there is no room here.
+func TestConnectionsWithoutRoomDontDelayOthers(t *testing.T) {
+	runLimited(t, func(f *limitedFixture) {
+		for range crowdLimit + 3 { // as many as there can be
+			defer f.send("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n").Close()
+		}
+		<-time.After(time.Millisecond)
+		for range 20 {
+			defer f.send("").Close()
+		}
+		begin := time.Now()
+		if got := f.answers(f.send(fmt.Sprintf(request, 1))); got != "" {
+			t.Errorf("answers %q, want none", got)
+		}
+		if took := time.Since(begin); took > 500*time.Millisecond {
+			t.Errorf("refused after %v, want 500ms at most", took)
+		}
+		<-time.After(time.Second)
+		time.AfterFunc(200*time.Millisecond, func() { close(f.block) })
+		response, err := http.ReadResponse(bufio.NewReader(f.send(fmt.Sprintf(request, 1))), nil)
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Errorf("answer %v, error %v to a connection for which there is room soon", response, err)
+		}
+	})
+}
+
+// Guards against a request with a long head that is refused because it arrived just when
+// its idle connection was closed for room.
+func TestLongHeadOnConnectionThatLeaves(t *testing.T) {
+	runLimited(t, func(f *limitedFixture) {
+		f.limits.Store(&http1.Limits{HeaderBytes: 16 << 10, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
+		conn := f.send(fmt.Sprintf(request, 1))
+		reader := bufio.NewReader(conn)
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, response.Body)
+		<-time.After(time.Millisecond) // the connection is idle by then
+		for range crowdLimit + 1 {
+			defer f.send("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n").Close()
+		}
+		defer close(f.block)
+		<-time.After(10 * time.Millisecond)
+		io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\nX: "+strings.Repeat("x", 8<<10)+"\r\n\r\n")
+		if response, err = http.ReadResponse(reader, nil); err != nil || response.StatusCode != http.StatusOK {
+			t.Errorf("answer %v, error %v", response, err)
+		}
+	})
+}
+
+// Guards against counting memory for header lines that were never sent: of requests that
+// are pipelined, the last one may be in the server's buffer in part.
+func TestPipelinedRequestsHoldNoMemoryForHeads(t *testing.T) {
+	runLimited(t, func(f *limitedFixture) {
+		f.limits.Store(&http1.Limits{HeaderBytes: 16 << 10})
+		get := "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 1000) + "\r\n\r\n"
+		conn := f.send(get + get[:900]) // read at once
+		defer conn.Close()
+		<-time.After(time.Millisecond)
+		io.WriteString(conn, get[900:len(get)-2])
+		<-time.After(time.Millisecond)
+		if held := f.account.Held(resources.Heads); held > 0 {
+			t.Errorf("%d bytes are held for a head of 3 lines", held)
+		}
+	})
+}
+
+// Guards against cutting off a client that takes nothing for less than the time for which
+// an answer is kept, after it has taken less than makes room for another write.
+func TestPauseInReadingAnswer(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		client, accepted := net.Pipe()
+		var unread atomic.Bool
+		http1.New(ctx, &pipeListener{accepted: accepted, ctx: ctx}, http1.Options{
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Write(make([]byte, 4<<10)) }),
+			Logger:  slog.New(slog.DiscardHandler), WriteStall: 6 * time.Second,
+			Count: func(event string) { unread.Store(unread.Load() || event == "unread") },
+		})
+		io.WriteString(client, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+		for range 20 {
+			<-time.After(5900 * time.Millisecond)
+			if n, err := io.ReadFull(client, make([]byte, 100)); err != nil {
+				t.Fatalf("%d bytes received, error %v", n, err)
+			}
+		}
+		if <-time.After(5900 * time.Millisecond); unread.Load() {
+			t.Error("cut off within the time")
+		}
+		if <-time.After(2200 * time.Millisecond); !unread.Load() {
+			t.Error("not cut off after a third more than the time")
+		}
+	})
+}
+
+// pipeListener accepts one connection, in which each part of a write can be read apart.
+type pipeListener struct {
+	accepted net.Conn
+	ctx      context.Context
+}
+
+// Accept implements net.Listener.
+func (l *pipeListener) Accept() (accepted net.Conn, err error) {
+	if accepted, l.accepted = l.accepted, nil; accepted == nil {
+		<-l.ctx.Done()
+		return nil, net.ErrClosed
+	}
+	return accepted, nil
+}
+
+// Close implements net.Listener.
+func (l *pipeListener) Close() (err error) { return nil }
+
+// Addr implements net.Listener.
+func (l *pipeListener) Addr() (address net.Addr) { return &net.TCPAddr{} }
