entry: don't blame an engine for a caller that reads its stream too slowly

When the deadline of a stream passed while events waited for the caller, the engine counted as failed and was avoided for a time. As with plain answers, the time of writes now tells whether the caller was the cause.

--- a/entry/call.go
+++ b/entry/call.go
@@ -125,8 +125,7 @@
 	w.Write(content)
 	if err := e.copyRest(w, response); err != nil {
 		outcome := dispatch.Broken
-		slowCaller := e.ctx.Err() != nil && w.took > time.Since(begin)/2
-		if slowCaller || e.r.Context().Err() != nil { // a failed write ends that context, too
+		if w.slow(e.ctx, begin) || e.r.Context().Err() != nil { // a failed write ends that context, too
 			outcome = dispatch.Abandoned
 		}
 		job.End(time.Now(), outcome)
@@ -170,6 +169,9 @@
 	case e.recalled():
 		e.lastReason = reasonRecalled
 		e.holdRecalled(job)
+	case errors.Is(err, errSlowCaller):
+		e.lastReason = reasonTimeout
+		job.End(time.Now(), dispatch.Abandoned)
 	case errors.Is(err, errMemoryExhausted):
 		e.lastReason = reasonMemory
 		job.End(time.Now(), dispatch.Abandoned)
--- a/entry/memory.go
+++ b/entry/memory.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -25,6 +26,7 @@
 	writeStall = 6 * time.Second
 
 	errMemoryExhausted = errors.ConstError("the memory for bodies is exhausted")
+	errSlowCaller      = errors.ConstError("the caller read too slowly for the deadline")
 )
 
 // heldBuffer is a buffer whose capacity counts against the node's memory until it is
@@ -199,9 +201,24 @@
 
 // Write implements io.Writer.
 func (w *timedWriter) Write(p []byte) (n int, err error) {
+	err = w.measure(func() (err error) {
+		n, err = w.Writer.Write(p)
+		return err
+	})
+	return n, err
+}
+
+// measure calls a function that writes.
+func (w *timedWriter) measure(write func() error) (err error) {
 	begin := time.Now()
 	defer func() { w.took += time.Since(begin) }()
-	return w.Writer.Write(p)
+	return write()
+}
+
+// slow reports whether the deadline of ctx has passed because of the caller: most of the
+// time since begin was spent in writes.
+func (w *timedWriter) slow(ctx context.Context, begin time.Time) (ok bool) {
+	return ctx.Err() != nil && w.took > time.Since(begin)/2
 }
 
 // beginUnderWay counts the request as under way to an upstream, in place of the last one.
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -248,3 +248,54 @@
 		f.expect(f.request(n1+":80", http.MethodPost, "/rulings/1", "prompt", promptHeaders(200)), http.StatusOK, "data")
 	})
 }
+
+// Guards against a caller that reads a stream too slowly, and for which the node avoids the
+// upstream as if that had failed.
+func TestSlowReaderOfStreamIsNoFaultOfTheUpstream(t *testing.T) {
+	runWithFleet(t, func(f *testFleet) {
+		var mu sync.Mutex
+		long, short := "", map[string]int{} // the upstream of the long stream, and the short streams of each
+		engine := func(id string) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				platformtest.BeginResponse(w, r)
+				w.Header().Set("Content-Type", "text/event-stream")
+				mu.Lock()
+				isLong := r.URL.Path == "/rulings/long"
+				if isLong {
+					long = id
+				} else {
+					short[id]++
+				}
+				mu.Unlock()
+				for i := 0; i == 0 || isLong && i < 1000; i++ {
+					fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, strings.Repeat("x", 8<<10))
+					http.NewResponseController(w).Flush()
+				}
+			})
+		}
+		f.startSmallNode(&platformtest.Upstream{ID: "d1"})
+		for i, id := range []string{"g1", "g2"} {
+			address := fmt.Sprintf("10.3.0.%d:80", i+1)
+			f.startServer(address, engine(id))
+			f.registerUpstream(id, "models", "decode", address, "ready")
+		}
+		f.advance(time.Second)
+		conn := f.dialNode(n1)
+		fmt.Fprintf(conn, "POST /rulings/long HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n")
+		header := promptHeaders(200)
+		header.Set("Authorization", "Token "+key)
+		header.Set("Request-Id", "long")
+		header.Write(conn)
+		io.WriteString(conn, "\r\n")
+		f.advance(3 * time.Second) // the timeout of the route
+		io.ReadFull(conn, make([]byte, mebibyte))
+		f.advance(10 * time.Millisecond)
+		conn.Close()
+		for i := range 40 {
+			f.request(n1+":80", http.MethodPost, fmt.Sprintf("/rulings/%d", i), "prompt", promptHeaders(200))
+		}
+		if long == "" || short[long] == 0 {
+			t.Errorf("upstream %q of the long stream isn't used any more: %v", long, short)
+		}
+	})
+}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -232,6 +232,7 @@
 func (s *stream) copyEvents(response *relay.Response, job *dispatch.Job) (err error) {
 	reader := bufio.NewReaderSize(response, eventBufferBytes)
 	controller := http.NewResponseController(s.w)
+	w, firstAt := &timedWriter{Writer: s.w}, time.Time{}
 	event := s.newBuffer(resources.Answers)
 	defer event.release()
 	eventID := s.lastEventID // of the event that is being read
@@ -253,6 +254,8 @@
 				s.sendHead(response)
 			}
 			return nil
+		case err != nil && w.slow(s.ctx, firstAt):
+			return errors.Annotatef(errSlowCaller, "after event %q", s.lastEventID)
 		case err != nil:
 			return errors.Annotatef(err, "read after event %q", s.lastEventID)
 		}
@@ -266,7 +269,7 @@
 			return errors.Errorf("event %q came after event %q", eventID, s.lastEventID)
 		}
 		if first {
-			first = false
+			first, firstAt = false, time.Now()
 			if !s.beginAttempt() {
 				return errRecalled
 			}
@@ -280,10 +283,10 @@
 		if !s.headSent {
 			s.sendHead(response)
 		}
-		if _, err = s.w.Write(event.data); err != nil {
+		if _, err = w.Write(event.data); err != nil {
 			return err
 		}
-		if err = controller.Flush(); err != nil {
+		if err = w.measure(controller.Flush); err != nil {
 			return err
 		}
 		event.data, hasID = event.data[:0], false
