http1, resources, recall: usual names for evictions and checks

Change: evict, eviction, check, BodyAborted, lastRefusedAt, Keep, FasterElsewhere; the events "room" and "no room" of callers' connections are "evicted" and "rejected", with their tests and pages.

--- a/entry/recall.go
+++ b/entry/recall.go
@@ -71,7 +71,7 @@
 		mu         sync.Mutex
 		phase      attemptPhase
 		timer      *time.Timer // until the next decision; nil if the attempt may not be recalled
-		looks      int
+		checks     int
 		verdict    recall.Recall // if recalled
 		recalledAt time.Time
 	}
@@ -107,12 +107,12 @@
 	ctx, a.cancel = context.WithCancel(e.ctx)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.timer = time.AfterFunc(recall.FirstLook, func() { e.node.guard.Run("recall", a.look) })
+	a.timer = time.AfterFunc(recall.FirstCheck, func() { e.node.guard.Run("recall", a.check) })
 	return ctx
 }
 
-// look decides whether the attempt is recalled.
-func (a *attempt) look() {
+// check decides whether the attempt is recalled.
+func (a *attempt) check() {
 	e, now := a.exchange, time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -121,13 +121,13 @@
 	}
 	situation := a.situation(now)
 	situation.There = e.expectedElsewhere(a, now)
-	a.looks++
+	a.checks++
 	switch v := e.node.recalls.Decide(e.service, situation, now).(type) {
-	case recall.Stay:
+	case recall.Keep:
 		if v.Cause == recall.ShareUsed || v.Cause == recall.BudgetUsed {
 			e.node.count("recalls_declined", string(v.Cause))
 		}
-		if v.Again > 0 && a.looks < recall.MaxLooks {
+		if v.Again > 0 && a.checks < recall.MaxChecks {
 			a.timer.Reset(v.Again)
 		}
 	case recall.Recall:
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -240,7 +240,7 @@
 	switch {
 	case e.node.requestCtx.Err() != nil:
 		e.refuse(reasonStopping, defaultRetryAfter)
-	case http1.GivenUp(e.r.Context()):
+	case http1.BodyAborted(e.r.Context()):
 		e.w.Header().Set("Connection", "close")
 		e.fail(http.StatusRequestTimeout, reasonStalled, err)
 	case errors.Is(err, errMemoryExhausted):
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -68,11 +68,11 @@
 	// conn is a connection that is read by one goroutine at a time.
 	conn struct {
 		net.Conn
-		server  *Server
-		closed  atomic.Bool       // Close was called
-		refused atomic.Bool       // a head was answered without the handler
-		givenUp atomic.Bool       // a body was ended to make room
-		member  *resources.Member // nil without an account
+		server      *Server
+		closed      atomic.Bool       // Close was called
+		refused     atomic.Bool       // a head was answered without the handler
+		bodyAborted atomic.Bool       // a body was ended to make room
+		member      *resources.Member // nil without an account
 		// writeDeadline is that of Conn. Only the goroutine that writes uses it.
 		writeDeadline time.Time
 
@@ -93,7 +93,7 @@
 		readingBody bool // the handler hasn't read to the end of the body yet
 		bodyState   bool // the member is in the state of a body that isn't complete
 		bodyBytes   int  // of the body that were read since the member's last progress
-		leaving     bool // to make room
+		evicting    bool // to make room
 		answered    bool // at least one request
 
 		// bufferedLines are the line ends that were read since the server's buffer was empty.
@@ -110,7 +110,7 @@
 			return nil, err
 		}
 		if c = s.newConn(accepted); c == nil {
-			s.options.Count("no room")
+			s.options.Count("rejected")
 			accepted.Close()
 		}
 	}
@@ -131,17 +131,17 @@
 	if s.options.Account == nil {
 		return c
 	}
-	mayWait := begin.Sub(s.waitedInVain) >= acceptWait
+	mayWait := begin.Sub(s.lastRefusedAt) >= acceptWait
 	for now := begin; ; now = time.Now() {
 		var ok bool
-		if c.member, ok = s.options.Account.Open(now, c.leave); ok {
+		if c.member, ok = s.options.Account.Open(now, c.evict); ok {
 			limitUnsent(accepted)
 			return c
 		}
 		if !mayWait || now.Sub(begin) >= acceptWait || s.currentStage() != serving {
 			s.options.Account.Refused(now)
 			if mayWait {
-				s.waitedInVain = now
+				s.lastRefusedAt = now
 			}
 			return nil
 		}
@@ -198,7 +198,7 @@
 	case c.member == nil || c.member.HoldHead(c.head.bytes, c.head.lines, time.Now()):
 		return true
 	default:
-		c.server.options.Count("no room")
+		c.server.options.Count("rejected")
 	}
 	c.refuse(response)
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
@@ -293,22 +293,22 @@
 		c.limits.IdleTimeout = max(c.limits.IdleTimeout, c.server.limits().IdleTimeout)
 	}
 	switch {
-	case c.waiting && (c.leaving || c.stage == ending || c.stage == draining && passed(c.drainedAt()) || passed(c.idleEnd())):
+	case c.waiting && (c.evicting || c.stage == ending || c.stage == draining && passed(c.drainedAt()) || passed(c.idleEnd())):
 		if !c.lastRead {
 			c.lastRead = true
 			c.applyDeadline()
 			return false
 		}
 		c.server.options.Count(c.idleEvent())
-	case c.phase == readingHead && (c.leaving || c.stage == ending || passed(c.deadline) || passed(c.headLimit()) || c.stage != serving && passed(c.headEnd())):
-		if c.leaving {
-			c.server.options.Count("room")
+	case c.phase == readingHead && (c.evicting || c.stage == ending || passed(c.deadline) || passed(c.headLimit()) || c.stage != serving && passed(c.headEnd())):
+		if c.evicting {
+			c.server.options.Count("evicted")
 		}
 		c.server.options.Count("incomplete")
 		c.refuse(incompleteResponse)
-	case c.leaving && c.readingBody:
-		if !c.givenUp.Swap(true) {
-			c.server.options.Count("room")
+	case c.evicting && c.readingBody:
+		if !c.bodyAborted.Swap(true) {
+			c.server.options.Count("evicted")
 		}
 	case c.stage != ending && !passed(c.deadline):
 		before := c.applied
@@ -329,8 +329,8 @@
 	switch {
 	case c.stage != serving:
 		return "idle"
-	case c.leaving:
-		return "room"
+	case c.evicting:
+		return "evicted"
 	}
 	return "expired"
 }
@@ -339,7 +339,7 @@
 func (c *conn) beginHead() {
 	c.phase, c.headSince, c.head = readingHead, time.Now(), head{}
 	if c.answered { // the request came before the end of a connection that was idle
-		c.leaving = false
+		c.evicting = false
 	}
 	c.limits = c.server.limits()
 }
@@ -364,13 +364,13 @@
 	}
 }
 
-// leave ends the connection as soon as the goroutine that reads it sees this, unless its
+// evict ends the connection as soon as the goroutine that reads it sees this, unless its
 // request is handled by then.
-func (c *conn) leave() {
+func (c *conn) evict() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == idle || c.phase == readingHead && !c.head.done || c.phase == handling && c.readingBody {
-		c.leaving = true
+		c.evicting = true
 		c.applyDeadline()
 	}
 }
@@ -384,7 +384,7 @@
 
 // endBody notes that a body was read to its end. The caller holds mu.
 func (c *conn) endBody() {
-	c.readingBody, c.leaving = false, false
+	c.readingBody, c.evicting = false, false
 	if c.bodyState {
 		c.bodyState = false
 		c.member.Enter(resources.Busy, time.Now())
@@ -412,7 +412,7 @@
 		c.server.options.Count("too large")
 		return http.StatusRequestHeaderFieldsTooLarge
 	case !c.member.HoldHead(size+len(r.RequestURI), lines, time.Now()):
-		c.server.options.Count("no room")
+		c.server.options.Count("rejected")
 		return http.StatusServiceUnavailable
 	}
 	return 0
@@ -449,7 +449,7 @@
 	switch {
 	case c.lastRead:
 		earlier(time.Now().Add(lastReadTime))
-	case c.stage == ending || c.leaving:
+	case c.stage == ending || c.evicting:
 		deadline = longAgo
 	case c.stage == draining && c.waiting:
 		earlier(c.drainedAt())
@@ -511,8 +511,8 @@
 		c.member.Enter(resources.Idle, c.idleSince)
 	case handling:
 		c.member.Enter(resources.Busy, c.headSince)
-		if c.leaving {
-			c.leaving = false
+		if c.evicting {
+			c.evicting = false
 			c.applyDeadline()
 		}
 	case readingHead, lingering:
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -19,7 +19,7 @@
 //
 // With Options.Account, a connection is also ended to make room for others, by the same
 // goroutine: between requests, in a head, or in a body that the handler is still reading.
-// GivenUp tells the handler of the latter. With Options.Limits, the limits may change
+// BodyAborted tells the handler of the latter. With Options.Limits, the limits may change
 // while the server runs.
 //
 // A handler can tell whether this process closed its connection or the client did:
@@ -84,8 +84,8 @@
 		// that ended by a timeout or by Close in the head of a request, and "cut" for
 		// one that Close ended during a request. With Limits and Account, "expired" is
 		// for one that ended by Limits.IdleTimeout, "too large" for a head above
-		// Limits.HeaderBytes, "room" for a connection that was ended to make room,
-		// "no room" for one that was refused, and "unread" for one whose answer the client
+		// Limits.HeaderBytes, "evicted" for a connection that was ended to make room,
+		// "rejected" for one that was refused, and "unread" for one whose answer the client
 		// didn't read. It may be nil.
 		Count func(event string)
 	}
@@ -104,9 +104,9 @@
 		listener net.Listener
 		http     *http.Server
 		served   chan struct{} // closed when no more connections are accepted
-		// waitedInVain is when a new connection was last refused after it had waited for
+		// lastRefusedAt is when a new connection was last refused after it had waited for
 		// room. Only the goroutine that accepts connections uses it.
-		waitedInVain time.Time
+		lastRefusedAt time.Time
 
 		mu    sync.Mutex
 		conns map[*conn]struct{}
@@ -156,11 +156,11 @@
 	return ok && c.closed.Load()
 }
 
-// GivenUp reports whether the server ended the body of a request, whose context is given,
+// BodyAborted reports whether the server ended the body of a request, whose context is given,
 // to make room for others. The handler should then answer with status 408.
-func GivenUp(ctx context.Context) (givenUp bool) {
+func BodyAborted(ctx context.Context) (bodyAborted bool) {
 	c, ok := ctx.Value(connKey{}).(*conn)
-	return ok && c.givenUp.Load()
+	return ok && c.bodyAborted.Load()
 }
 
 // Member returns the member of the server's account that has the connection of a request,
--- a/http1/limits_test.go
+++ b/http1/limits_test.go
@@ -44,7 +44,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		f := &limitedFixture{fixture: &fixture{t: t, network: nettest.New(), events: map[string]*atomic.Int64{}}, block: make(chan struct{})}
-		for _, event := range []string{"accepted", "idle", "incomplete", "cut", "expired", "too large", "room", "no room", "unread"} {
+		for _, event := range []string{"accepted", "idle", "incomplete", "cut", "expired", "too large", "evicted", "rejected", "unread"} {
 			f.events[event] = &atomic.Int64{}
 		}
 		f.limits.Store(&http1.Limits{HeaderBytes: limitedHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
@@ -68,7 +68,7 @@
 func (f *limitedFixture) serve(w http.ResponseWriter, r *http.Request) {
 	_, err := io.Copy(io.Discard, r.Body)
 	switch {
-	case http1.GivenUp(r.Context()):
+	case http1.BodyAborted(r.Context()):
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusRequestTimeout)
 	case err != nil:
@@ -173,7 +173,7 @@
 				<-time.After(2500 * time.Millisecond)
 				late := f.send(fmt.Sprintf(request, 2))
 				<-time.After(400 * time.Millisecond)
-				if n := f.events["room"].Load(); n != 1 {
+				if n := f.events["evicted"].Load(); n != 1 {
 					t.Errorf("%d connections were closed for room, want one", n)
 				}
 				if got := f.answers(first); got != c.answers {
--- a/recall/recall.go
+++ b/recall/recall.go
@@ -26,11 +26,11 @@
 //
 //	d := recall.New()
 //	d.CountRequest("models")
-//	// recall.FirstLook after the request was sent, if it hasn't begun:
+//	// recall.FirstCheck after the request was sent, if it hasn't begun:
 //	switch verdict := d.Decide("models", situation, now).(type) {
 //	case recall.Recall:
 //		// close the connection, and send the request to another upstream
-//	case recall.Stay:
+//	case recall.Keep:
 //		// ask again after verdict.Again, if it isn't 0
 //	}
 //	d.Observe("models", work, expected, took, now) // when work has begun
@@ -42,15 +42,15 @@
 )
 
 const (
-	// FirstLook is the time after which the first decision on a request is due. In the
+	// FirstCheck is the time after which the first decision on a request is due. In the
 	// logs of two fleets, 83 % and 93 % of the prefills had ended by then.
-	FirstLook = 150 * time.Millisecond
-	// MaxLooks bounds the decisions on one attempt, and thus their processor time.
-	MaxLooks = 8
-	// minLookInterval and maxLookInterval bound the time until the next decision. A load
+	FirstCheck = 150 * time.Millisecond
+	// MaxChecks bounds the decisions on one attempt, and thus their processor time.
+	MaxChecks = 8
+	// minCheckInterval and maxCheckInterval bound the time until the next decision. A load
 	// elsewhere can fall at any time, so that a request isn't left alone for longer.
-	minLookInterval = 25 * time.Millisecond
-	maxLookInterval = 500 * time.Millisecond
+	minCheckInterval = 25 * time.Millisecond
+	maxCheckInterval = 500 * time.Millisecond
 
 	// minGain is the least gain of a recall. It covers the round trip to another region
 	// (60 ms), the new connection, and the age of the loads.
@@ -70,8 +70,8 @@
 	Late Reason = "Late"
 	// Deadline means that the request is expected to miss its deadline here.
 	Deadline Reason = "Deadline"
-	// Room means that the request isn't late, but another upstream has become faster.
-	Room Reason = "Room"
+	// FasterElsewhere means that the request isn't late, but another upstream has become faster.
+	FasterElsewhere Reason = "FasterElsewhere"
 )
 
 // Causes for which a request stays.
@@ -145,7 +145,7 @@
 		Network  time.Duration // cost of reaching it
 	}
 
-	// Verdict is a decision: Recall or Stay.
+	// Verdict is a decision: Recall or Keep.
 	Verdict interface{ isVerdict() }
 
 	// Recall means that the request is called back. Here and There are the corrected
@@ -159,9 +159,9 @@
 		Hold        time.Duration
 	}
 
-	// Stay means that the request stays where it is. The next decision is due after
+	// Keep means that the request stays where it is. The next decision is due after
 	// Again; 0 means that there is none.
-	Stay struct {
+	Keep struct {
 		Cause Cause
 		Again time.Duration
 	}
@@ -182,7 +182,7 @@
 func (Prefill) isWork()   {}
 func (Run) isWork()       {}
 func (Recall) isVerdict() {}
-func (Stay) isVerdict()   {}
+func (Keep) isVerdict()   {}
 
 // New returns a Decider that has observed nothing.
 func New() (d *Decider) { return &Decider{services: map[string]*service{}} }
@@ -206,31 +206,31 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !s.Permitted() {
-		return Stay{Cause: Forbidden}
+		return Keep{Cause: Forbidden}
 	}
 	known := d.service(name)
 	calibration := known.calibration(s.Work)
 	factor, ok := calibration.factor(now)
 	if !ok {
-		return Stay{Cause: Unobserved, Again: maxLookInterval}
+		return Keep{Cause: Unobserved, Again: maxCheckInterval}
 	}
 	if !s.There.Found {
-		return Stay{Cause: NoGain, Again: maxLookInterval}
+		return Keep{Cause: NoGain, Again: maxCheckInterval}
 	}
 	here, there := s.Here.remaining(factor), s.There.remaining(factor)
 	if s.Left < there+minGain {
-		return Stay{Cause: NoTime, Again: s.nextLook(maxLookInterval)}
+		return Keep{Cause: NoTime, Again: s.nextCheck(maxCheckInterval)}
 	}
 	reason := s.reason(factor, here)
 	if required := there + s.requiredGain(reason, factor, there); here < required {
 		// It is gained once the request is late by that much; see Here.remaining.
-		return Stay{Cause: NoGain, Again: s.nextLook(required - (s.Here.Waited - scale(s.Here.Expected, factor)))}
+		return Keep{Cause: NoGain, Again: s.nextCheck(required - (s.Here.Waited - scale(s.Here.Expected, factor)))}
 	}
 	switch {
 	case !known.share.available():
-		return Stay{Cause: ShareUsed, Again: s.nextLook(maxLookInterval)}
+		return Keep{Cause: ShareUsed, Again: s.nextCheck(maxCheckInterval)}
 	case !s.Spend(now):
-		return Stay{Cause: BudgetUsed}
+		return Keep{Cause: BudgetUsed}
 	}
 	known.share.take()
 	// The work would have taken at least this long here.
@@ -263,7 +263,7 @@
 	case s.Here.Waited > scale(s.Here.Expected, factor):
 		return Late
 	default:
-		return Room
+		return FasterElsewhere
 	}
 }
 
@@ -277,10 +277,10 @@
 	return minGain + max(there*uncertaintyPercent/100, s.Here.lost(factor))
 }
 
-// nextLook returns the time until the next decision, or 0 if it would come too late to
+// nextCheck returns the time until the next decision, or 0 if it would come too late to
 // gain anything.
-func (s *Situation) nextLook(wait time.Duration) (again time.Duration) {
-	again = min(max(wait, minLookInterval), maxLookInterval)
+func (s *Situation) nextCheck(wait time.Duration) (again time.Duration) {
+	again = min(max(wait, minCheckInterval), maxCheckInterval)
 	if again+minGain >= s.Left {
 		return 0
 	}
--- a/recall/recall_test.go
+++ b/recall/recall_test.go
@@ -42,7 +42,7 @@
 	if v, ok := verdict.(recall.Recall); ok {
 		return string(v.Reason)
 	}
-	return string(verdict.(recall.Stay).Cause)
+	return string(verdict.(recall.Keep).Cause)
 }
 
 // Guards against a recall that gains nothing or breaks a promise, one by a model whose
@@ -65,9 +65,9 @@
 		"far away":                    {observed(1), func(s *recall.Situation) { s.There.Network = 120 * ms }, "NoGain"},
 		"much work lost":              {observed(1), func(s *recall.Situation) { s.Here.Expected, s.Here.Own = 0, 350*ms }, "NoGain"},
 		"nothing lost, as it queues":  {observed(1), func(s *recall.Situation) { s.Here.Queued, s.Here.Own = true, 350*ms }, "Late"},
-		"others have room":            {observed(1), func(s *recall.Situation) { s.Here.Expected = time.Second }, "Room"},
+		"others have room":            {observed(1), func(s *recall.Situation) { s.Here.Expected = time.Second }, "FasterElsewhere"},
 		"on time":                     {observed(1), func(s *recall.Situation) { s.Here.Expected = 700 * ms }, "NoGain"},
-		"on time, upstream is slower": {observed(1), func(s *recall.Situation) { s.Here.Expected, s.Here.Slowdown = 700*ms, 2.5 }, "Room"},
+		"on time, upstream is slower": {observed(1), func(s *recall.Situation) { s.Here.Expected, s.Here.Slowdown = 700*ms, 2.5 }, "FasterElsewhere"},
 		"misses its deadline here":    {observed(1), func(s *recall.Situation) { s.Left, s.Here.Own = 390*ms, 500*ms }, "Deadline"},
 		"misses it elsewhere too":     {observed(1), func(s *recall.Situation) { s.Left = 190 * ms }, "NoTime"},
 		"no budget":                   {observed(1), func(s *recall.Situation) { s.Spend = func(time.Time) bool { return false } }, "Budget"},
@@ -110,7 +110,7 @@
 func TestNextLook(t *testing.T) {
 	s := late()
 	s.Here.Waited = 250 * ms // 150 ms late; 350 ms are required
-	again := observed(1).Decide("models", s, start).(recall.Stay).Again
+	again := observed(1).Decide("models", s, start).(recall.Keep).Again
 	if s.Here.Waited += again; again != 200*ms || outcome(observed(1).Decide("models", s, start)) != "Late" {
 		t.Errorf("again after %s, want 200ms, and a recall then", again)
 	}
@@ -134,8 +134,8 @@
 	}
 
 	job struct {
-		own, left, arrived, sent, expected, nextLook, heldUntil time.Duration
-		recalled                                                bool
+		own, left, arrived, sent, expected, nextCheck, heldUntil time.Duration
+		recalled                                                 bool
 	}
 )
 
@@ -156,7 +156,7 @@
 }
 
 func (f *fleet) send(j *job, e *engine) {
-	j.left, j.sent, j.expected, j.nextLook = j.own, f.now, e.known+j.own, f.now+recall.FirstLook
+	j.left, j.sent, j.expected, j.nextCheck = j.own, f.now, e.known+j.own, f.now+recall.FirstCheck
 	e.queue = append(e.queue, j)
 }
 
@@ -177,8 +177,8 @@
 	}
 }
 
-// look decides on a waiting job.
-func (f *fleet) look(j *job, e *engine, recalls bool) {
+// check decides on a waiting job.
+func (f *fleet) check(j *job, e *engine, recalls bool) {
 	other := f.best(e)
 	verdict := f.decider.Decide("models", recall.Situation{
 		Work: recall.Run{Repeatable: true}, Attempts: 1, MaxAttempts: 2, Recalled: j.recalled || !recalls, Left: j.arrived + deadline - f.now,
@@ -193,9 +193,9 @@
 		e.queue = slices.DeleteFunc(e.queue, func(q *job) bool { return q == j })
 		j.recalled = true
 		f.send(j, other)
-	case recall.Stay:
-		if j.nextLook = f.now + v.Again; v.Again == 0 {
-			j.nextLook = time.Hour
+	case recall.Keep:
+		if j.nextCheck = f.now + v.Again; v.Again == 0 {
+			j.nextCheck = time.Hour
 		}
 	}
 }
@@ -226,8 +226,8 @@
 			}
 			f.work(e)
 			for _, j := range slices.Clone(e.queue) {
-				if f.now >= j.nextLook {
-					f.look(j, e, recalls)
+				if f.now >= j.nextCheck {
+					f.check(j, e, recalls)
 				}
 			}
 			busy = busy || len(e.queue) > 0
--- a/resources/report.go
+++ b/resources/report.go
@@ -34,7 +34,7 @@
 	})
 }
 
-// asked counts and logs that a member was asked to leave.
+// asked counts and logs that a member is evicted.
 func (a *Account) asked(cause Cause, state State, now time.Time) {
 	a.options.Metrics.GetOrCreateCounter(fmt.Sprintf("%sresources_closed_total{cause=%q,state=%q}", a.options.MetricPrefix, cause, state)).Inc()
 	a.log("connections closed to make room", cause, state, now)
--- a/resources/resources.go
+++ b/resources/resources.go
@@ -7,15 +7,15 @@
 // socket buffers, so that the process stays within the memory of its VM.
 //
 // Each connection of a caller is a Member with a State. From softPercent of a limit on,
-// members are asked to leave, so that there is usually room before something new has to
-// wait for it. They leave in this order:
+// members are chosen for eviction, so that there is usually room before something new has to
+// wait for it. They are evicted in this order:
 //
 //   - the oldest that has sent nothing or holds an incomplete head, unless it is younger
 //     than freshTime;
 //   - the body that has made no progress for the longest time, and for stallTime at least;
 //   - the one that has been idle for the longest time.
 //
-// A Busy member is never asked to leave: its request may have been passed on. What
+// A Busy member is never evicted: its request may have been passed on. What
 // doesn't fit is refused: a connection, the growth of a head, a body or an answer, and
 // a new connection to an upstream, before anything was sent on it.
 //
@@ -57,7 +57,7 @@
 	kinds
 )
 
-// States of a member. Silent and Head leave first, then Body, then Idle.
+// States of a member. Silent and Head are evicted first, then Body, then Idle.
 const (
 	Silent State = iota // has sent nothing
 	Head                // has sent a part of the head of a request
@@ -66,7 +66,7 @@
 	Busy                // its request may have been passed on
 )
 
-// Causes for which a member is asked to leave or something new is refused.
+// Causes for which a member is evicted or something new is refused.
 const (
 	Memory      Cause = "memory"
 	BodyMemory  Cause = "body memory"
@@ -84,7 +84,7 @@
 	// bodyPercent is the part of the VM's memory that Bodies and Answers may occupy, in
 	// percent. While a buffer grows, its old copy is still there.
 	bodyPercent = 25
-	// softPercent is the part of a limit from which on members are asked to leave, and
+	// softPercent is the part of a limit from which on members are evicted, and
 	// long heads and bodies above smallBufferBytes are refused.
 	softPercent = 94
 
@@ -152,9 +152,9 @@
 		mu                 sync.Mutex
 		held               [kinds]int64
 		members, upstreams int
-		leaving            int   // members that were asked to leave
-		leavingBytes       int64 // what they hold, without bodies
-		leavingBodies      int64 // bytes of their bodies
+		evicting           int   // members that are being evicted
+		evictingBytes      int64 // what they hold, without bodies
+		evictingBodies     int64 // bytes of their bodies
 		queues             [3]list.List
 		lastLogged         map[string]time.Time // by the event's message and cause
 		unlogged           map[string]int       // events since then
@@ -162,21 +162,21 @@
 
 	// Member is a connection of a caller. Its fields are guarded by the account's mu.
 	Member struct {
-		account *Account
-		leave   func()
-		state   State
-		since   time.Time // of the state, or of the last progress of a body
-		queue   *list.List
-		element *list.Element
-		head    int64 // bytes held for the head
-		body    int64 // bytes held for the body
-		leaving bool
-		closed  bool
-	}
-
-	// departure is a member that is asked to leave.
-	departure struct {
-		leave func()
+		account  *Account
+		evict    func()
+		state    State
+		since    time.Time // of the state, or of the last progress of a body
+		queue    *list.List
+		element  *list.Element
+		head     int64 // bytes held for the head
+		body     int64 // bytes held for the body
+		evicting bool
+		closed   bool
+	}
+
+	// eviction is a member that is to be evicted.
+	eviction struct {
+		evict func()
 		cause Cause
 		state State
 	}
@@ -197,20 +197,20 @@
 }
 
 // Open counts a new connection of a caller. If ok is false there is no room at present,
-// and members were asked to make some; Refused counts that it was closed. leave is called
+// and members were asked to make some; Refused counts that it was closed. evict is called
 // at most once for each time that the member stops being Busy or Idle; it doesn't end the
 // connection itself, but has its owner end it.
-func (a *Account) Open(now time.Time, leave func()) (m *Member, ok bool) {
+func (a *Account) Open(now time.Time, evict func()) (m *Member, ok bool) {
 	a.mu.Lock()
 	if a.lacking() == "" {
-		m, ok = &Member{account: a, leave: leave}, true
+		m, ok = &Member{account: a, evict: evict}, true
 		a.members++
 		a.held[Connections] += connectionBytes
 		m.enter(Silent, now)
 	}
-	departures := a.makeRoom(now, connectionBytes, 0, 1)
+	evictions := a.makeRoom(now, connectionBytes, 0, 1)
 	a.mu.Unlock()
-	a.notify(departures, now)
+	a.notify(evictions, now)
 	return m, ok
 }
 
@@ -254,7 +254,7 @@
 }
 
 // Enter changes the state of the member, or notes the progress of its body. A member
-// that was asked to leave stays if it becomes Busy, or goes from Idle to Head. Idle
+// that is being evicted stays if it becomes Busy, or goes from Idle to Head. Idle
 // releases the head.
 func (m *Member) Enter(state State, now time.Time) {
 	m.account.mu.Lock()
@@ -275,12 +275,12 @@
 		if m.state != Busy {
 			a.held[Requests] += requestBytes
 		}
-		m.setLeaving(false)
+		m.setEvicting(false)
 	case Idle:
 		m.hold(-m.head)
 	}
 	if m.state == Idle && state == Head {
-		m.setLeaving(false)
+		m.setEvicting(false)
 	}
 	firstByte := m.state == Silent && state == Head // the head keeps the place of its connection
 	m.state = state
@@ -289,7 +289,7 @@
 	}
 	m.since = now
 	m.dequeue()
-	if queue := a.queue(state); queue != nil && !m.leaving {
+	if queue := a.queue(state); queue != nil && !m.evicting {
 		m.queue, m.element = queue, queue.PushBack(m)
 	}
 }
@@ -301,7 +301,7 @@
 	}
 }
 
-// queue returns the members of a state in the order in which they leave.
+// queue returns the members of a state in the order of their eviction.
 func (a *Account) queue(state State) (queue *list.List) {
 	switch state {
 	case Silent, Head:
@@ -319,23 +319,23 @@
 func (m *Member) hold(n int64) {
 	m.head += n
 	m.account.held[Heads] += n
-	if m.leaving {
-		m.account.leavingBytes += n
+	if m.evicting {
+		m.account.evictingBytes += n
 	}
 }
 
-func (m *Member) setLeaving(leaving bool) {
-	if leaving == m.leaving {
+func (m *Member) setEvicting(evicting bool) {
+	if evicting == m.evicting {
 		return
 	}
-	m.leaving = leaving
+	m.evicting = evicting
 	sign := 1
-	if !leaving {
+	if !evicting {
 		sign = -1
 	}
-	m.account.leaving += sign
-	m.account.leavingBytes += int64(sign) * (connectionBytes + m.head)
-	m.account.leavingBodies += int64(sign) * m.body
+	m.account.evicting += sign
+	m.account.evictingBytes += int64(sign) * (connectionBytes + m.head)
+	m.account.evictingBodies += int64(sign) * m.body
 }
 
 // HoldHead counts the head of a request of which n bytes and a number of lines were
@@ -354,9 +354,9 @@
 	if ok = a.total()+more <= soft(a.memoryLimit); ok { // the rest is for connections and small bodies
 		m.hold(more)
 	}
-	departures := a.makeRoom(now, more, 0, 0)
+	evictions := a.makeRoom(now, more, 0, 0)
 	a.mu.Unlock()
-	a.notify(departures, now)
+	a.notify(evictions, now)
 	if !ok {
 		a.refused(Memory, Heads, now)
 	}
@@ -390,12 +390,12 @@
 	if !ok {
 		missing = int64(n)
 	}
-	departures := a.makeRoom(now, missing, max(bodies+missing-limit, 0), 0)
+	evictions := a.makeRoom(now, missing, max(bodies+missing-limit, 0), 0)
 	if !ok {
 		a.addBody(kind, m, -int64(forfeited))
 	}
 	a.mu.Unlock()
-	a.notify(departures, now)
+	a.notify(evictions, now)
 	if !ok {
 		a.refused(cause, kind, now)
 	}
@@ -415,8 +415,8 @@
 		return
 	}
 	m.body += n
-	if m.leaving {
-		a.leavingBodies += n
+	if m.evicting {
+		a.evictingBodies += n
 	}
 }
 
@@ -428,9 +428,9 @@
 		a.upstreams++
 		a.held[Upstreams] += upstreamBytes
 	}
-	departures := a.makeRoom(now, 0, 0, 1)
+	evictions := a.makeRoom(now, 0, 0, 1)
 	a.mu.Unlock()
-	a.notify(departures, now)
+	a.notify(evictions, now)
 	if !ok {
 		a.refused(Descriptors, Upstreams, now)
 	}
@@ -445,30 +445,30 @@
 	a.held[Upstreams] -= upstreamBytes
 }
 
-// makeRoom chooses the members that have to leave, so that the rest stays below
+// makeRoom chooses the members that have to be evicted, so that the rest stays below
 // softPercent of the limits with a number of bytes and descriptors more. bodyBytes are
 // wanted of the memory for bodies. The caller holds mu.
-func (a *Account) makeRoom(now time.Time, bytes, bodyBytes int64, descriptors int) (departures []departure) {
+func (a *Account) makeRoom(now time.Time, bytes, bodyBytes int64, descriptors int) (evictions []eviction) {
 	for {
 		var m *Member
 		var cause Cause
-		stayBytes := a.total() - a.leavingBytes - a.leavingBodies + bytes
-		stayMembers := a.members - a.leaving
-		bodies := a.held[Bodies] + a.held[Answers] - a.leavingBodies
+		stayBytes := a.total() - a.evictingBytes - a.evictingBodies + bytes
+		stayMembers := a.members - a.evicting
+		bodies := a.held[Bodies] + a.held[Answers] - a.evictingBodies
 		switch {
 		case stayMembers+descriptors > soft(a.memberLimit) || stayMembers+a.upstreams+descriptors > soft(a.descriptorLimit):
 			cause, m = Descriptors, a.next(now)
 		case stayBytes > soft(a.memoryLimit):
 			cause, m = Memory, a.next(now)
 		}
-		if m == nil && (bodies > soft(a.bodyLimit) || bodyBytes > a.leavingBodies) {
+		if m == nil && (bodies > soft(a.bodyLimit) || bodyBytes > a.evictingBodies) {
 			cause, m = BodyMemory, a.nextBody(now)
 		}
 		if m == nil {
-			return departures
+			return evictions
 		}
-		departures = append(departures, departure{m.leave, cause, m.state})
-		m.setLeaving(true)
+		evictions = append(evictions, eviction{m.evict, cause, m.state})
+		m.setEvicting(true)
 		m.dequeue()
 	}
 }
@@ -501,10 +501,10 @@
 	return nil
 }
 
-func (a *Account) notify(departures []departure, now time.Time) {
-	for _, d := range departures {
+func (a *Account) notify(evictions []eviction, now time.Time) {
+	for _, d := range evictions {
 		a.asked(d.cause, d.state, now)
-		d.leave()
+		d.evict()
 	}
 }
 
--- a/resources/resources_test.go
+++ b/resources/resources_test.go
@@ -34,7 +34,7 @@
 	t       *testing.T
 	account *resources.Account
 	members []*resources.Member
-	left    []int // indexes of the members that were asked to leave, in that order
+	left    []int // indexes of the members that were evicted, in that order
 }
 
 func (c *crowd) open(state resources.State, now time.Time) (ok bool) {
@@ -102,7 +102,7 @@
 	}
 }
 
-// Guards against a sum that exceeds its bound, members that leave twice, and bytes that
+// Guards against a sum that exceeds its bound, members that are evicted twice, and bytes that
 // stay counted, in random histories.
 func TestSumStaysWithinBound(t *testing.T) {
 	for seed := range uint64(30) {
@@ -140,7 +140,7 @@
 						open[m] = 0
 					default:
 						if asked > 1 {
-							t.Fatal("a member was asked to leave twice")
+							t.Fatal("a member was evicted twice")
 						}
 						a.Release(resources.Bodies, m, bodies[m])
 						m.Close()
