--- a/review/standin-2/case_poison.go
+++ b/review/standin-2/case_poison.go
@@ -18,7 +18,7 @@
 	poisonPath  = "/draw/poison"
 	contactTime = 4 * time.Second // contact_ms
 	// crashAfter is the time from the begin of the run of a poison request to the crash.
-	crashAfter = 180 * time.Millisecond
+	crashAfter = 220 * time.Millisecond
 	// workerBack is the time after which a worker that crashed is back, with another id.
 	workerBack = 2 * time.Second
 )
