--- a/review/standin-2/case_outage.go
+++ b/review/standin-2/case_outage.go
@@ -15,7 +15,7 @@
 		down   = 1300 * time.Millisecond
 		outage = 8 * time.Second
 	)
-	d := newPoisonDesk(f)
+	d := newPoisonDesk(f, false)
 	for range 4 {
 		d.poison(0)
 		time.Sleep(2 * time.Second)
--- a/review/standin-2/case_poison.go
+++ b/review/standin-2/case_poison.go
@@ -11,6 +11,7 @@
 
 func init() {
 	cases["poison"] = playPoison
+	cases["dark"] = playDark
 	cases["forgotten"] = playForgotten
 }
 
@@ -21,6 +22,8 @@
 	crashAfter = 220 * time.Millisecond
 	// workerBack is the time after which a worker that crashed is back, with another id.
 	workerBack = 2 * time.Second
+	// darkTime is the same for a worker that went dark.
+	darkTime = 4500 * time.Millisecond
 )
 
 // poisonDesk is a service with three workers, each of which crashes when it runs a certain
@@ -28,6 +31,7 @@
 type poisonDesk struct {
 	fleet *fleet
 	nodes []*node
+	dark  bool // workers that crash fall silent instead of ending their connections
 
 	mu       sync.Mutex
 	sent     int         // poison requests
@@ -37,8 +41,8 @@
 }
 
 // newPoisonDesk starts the workers and three nodes, and returns when all nodes are in touch.
-func newPoisonDesk(f *fleet) *poisonDesk {
-	d := &poisonDesk{fleet: f}
+func newPoisonDesk(f *fleet, dark bool) *poisonDesk {
+	d := &poisonDesk{fleet: f, dark: dark}
 	for _, zone := range []string{"mbeya-a", "iringa-a", "njombe-a"} {
 		d.addWorker(zone, 1)
 	}
@@ -66,8 +70,10 @@
 			if w.answerOwn(c, q) {
 				continue
 			}
+			w.awaitAwake()
 			if q.URL.Path != poisonPath {
 				time.Sleep(60 * time.Millisecond)
+				w.awaitAwake()
 				w.answer(c, q, 200, "", "row")
 				d.mu.Lock()
 				d.served++
@@ -79,15 +85,25 @@
 			d.mu.Unlock()
 			f.record.log("%s runs %s", w.id, q.id)
 			time.Sleep(crashAfter)
-			w.crash(true)
+			back := workerBack
+			if d.dark {
+				back = darkTime
+				w.fallSilent()
+			} else {
+				w.crash(true)
+			}
 			d.mu.Lock()
 			d.crashes = append(d.crashes, time.Now())
 			f.record.log("%s crashes, the crash %d", w.id, len(d.crashes))
 			d.mu.Unlock()
-			time.AfterFunc(workerBack, func() {
+			time.AfterFunc(back, func() {
 				f.store.delete("servers/" + w.id)
+				w.crash(true)
 				d.addWorker(zone, generation+1)
 			})
+			if d.dark {
+				<-w.ended
+			}
 			return
 		}
 	})
@@ -164,7 +180,7 @@
 		spell      = 5500 * time.Millisecond
 		pause      = time.Second // between two requests
 	)
-	d := newPoisonDesk(f)
+	d := newPoisonDesk(f, false)
 	stop := d.serveOthers()
 	for range 3 {
 		f.record.log("a spell begins")
@@ -182,11 +198,25 @@
 	return d.check()
 }
 
+// playDark sends a request that crashes each worker that runs it, from a client that waits for
+// the answer. With the disruption, the workers go dark when they crash.
+func playDark(f *fleet, trouble bool) (broken []string) {
+	d := newPoisonDesk(f, trouble)
+	stop := d.serveOthers()
+	for range 8 {
+		d.poison(0)
+		time.Sleep(time.Second)
+	}
+	stop()
+	time.Sleep(500 * time.Millisecond)
+	return d.check()
+}
+
 // playForgotten sends a request that crashes each worker that runs it four times. With the
 // disruption, all nodes are killed between two of them.
 func playForgotten(f *fleet, trouble bool) (broken []string) {
 	const down = 1300 * time.Millisecond
-	d := newPoisonDesk(f)
+	d := newPoisonDesk(f, false)
 	for i := range 4 {
 		d.poison(0)
 		time.Sleep(time.Second)
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -63,10 +63,14 @@
 	return l
 }
 
-func freePort(ip string) int {
-	l := listen(ip)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+// freePorts returns different ports that nothing listens on.
+func freePorts(ip string, n int) (ports []int) {
+	for range n {
+		l := listen(ip)
+		defer l.Close()
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+	}
+	return ports
 }
 
 func newFleet(program, dir string, r *record) *fleet {
@@ -96,11 +100,12 @@
 // gives for a small deployment.
 func (f *fleet) addNode(zone string) *node {
 	n := len(f.nodes) + 1
-	ip := fmt.Sprintf("127.0.0.%d", 10+n)
+	pid := os.Getpid() // scripts that run at the same time have nodes at other addresses
+	ip := fmt.Sprintf("127.%d.%d.%d", 10+pid%200, pid/200%250, 10+n)
 	name := fmt.Sprintf("edge-%s-%d", zone, n)
 	d := &node{name: name, zone: zone, ip: ip, first: true}
-	d.front, d.ready = fmt.Sprintf("%s:%d", ip, freePort(ip)), fmt.Sprintf("%s:%d", ip, freePort(ip))
-	d.own = fmt.Sprintf("%s:%d", ip, freePort(ip))
+	ports := freePorts(ip, 3)
+	d.front, d.ready, d.own = fmt.Sprintf("%s:%d", ip, ports[0]), fmt.Sprintf("%s:%d", ip, ports[1]), fmt.Sprintf("%s:%d", ip, ports[2])
 	d.settings = filepath.Join(f.dir, name+".toml")
 	f.nodes = append(f.nodes, d)
 	return d
@@ -218,7 +223,7 @@
 // addWorker serves a worker and registers it. handle is called for each connection.
 func (f *fleet) addWorker(id, service, zone, stage string, slots int, handle func(w *worker, c net.Conn)) *worker {
 	l := listen("127.0.0.1")
-	w := &worker{fleet: f, id: id, service: service, zone: zone, stage: stage, slots: slots, listener: l, address: l.Addr().String(), born: time.Now().UnixMilli(), conns: map[net.Conn]bool{}}
+	w := &worker{fleet: f, id: id, service: service, zone: zone, stage: stage, slots: slots, listener: l, address: l.Addr().String(), born: time.Now().UnixMilli(), conns: map[net.Conn]bool{}, ended: make(chan struct{})}
 	w.handle = handle
 	go w.serve(l)
 	w.register("ready")
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -23,6 +23,8 @@
 	listener net.Listener
 	conns    map[net.Conn]bool
 	sequence int
+	silent   bool
+	ended    chan struct{} // closed by crash
 }
 
 func (w *worker) serve(l net.Listener) {
@@ -35,6 +37,7 @@
 		w.conns[c] = true
 		w.mu.Unlock()
 		go func() {
+			w.awaitAwake()
 			defer func() {
 				c.Close()
 				w.mu.Lock()
@@ -66,6 +69,12 @@
 func (w *worker) crash(reset bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	select {
+	case <-w.ended:
+		return
+	default:
+		close(w.ended)
+	}
 	w.listener.Close()
 	for c := range w.conns {
 		if tcp, ok := c.(*net.TCPConn); ok && reset {
@@ -75,6 +84,24 @@
 	}
 }
 
+// fallSilent makes the worker go dark: it reads and writes nothing any more, and ends no
+// connection, until crash is called.
+func (w *worker) fallSilent() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silent = true
+}
+
+// awaitAwake returns once the worker isn't silent or has ended.
+func (w *worker) awaitAwake() {
+	w.mu.Lock()
+	silent := w.silent
+	w.mu.Unlock()
+	if silent {
+		<-w.ended
+	}
+}
+
 // request is a request as a worker got it.
 type request struct {
 	*http.Request
