--- a/review/standin-2/case_poison.go
+++ b/review/standin-2/case_poison.go
@@ -13,6 +13,7 @@
 	cases["poison"] = playPoison
 	cases["dark"] = playDark
 	cases["forgotten"] = playForgotten
+	cases["early"] = playEarly
 }
 
 const (
@@ -245,3 +246,44 @@
 	time.Sleep(500 * time.Millisecond)
 	return d.check()
 }
+
+// playEarly sends a request that crashes the workers that run it. With the disruption, all
+// nodes are killed 50 ms after the third crash. The request comes again when they are in touch.
+func playEarly(f *fleet, trouble bool) (broken []string) {
+	d := newPoisonDesk(f, false)
+	crashed := func() (n int) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return len(d.crashes)
+	}
+	go func() {
+		for range 2 {
+			d.poison(0)
+			time.Sleep(time.Second)
+		}
+	}()
+	for crashed() < 3 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+	if trouble {
+		f.record.log("all nodes are killed")
+		for _, n := range d.nodes {
+			n.signal(syscall.SIGKILL)
+		}
+		for _, n := range d.nodes {
+			<-n.ended
+		}
+		time.Sleep(1300 * time.Millisecond)
+		for _, n := range d.nodes {
+			f.start(n)
+		}
+	}
+	f.awaitReady(d.nodes...)
+	time.Sleep(contactTime + 2*time.Second)
+	for range 4 {
+		d.poison(0)
+		time.Sleep(2 * time.Second)
+	}
+	return d.check()
+}
