--- a/review/standin-2/case_tenant.go
+++ b/review/standin-2/case_tenant.go
@@ -18,7 +18,7 @@
 	)
 	var mu sync.Mutex
 	tenants := map[string]string{} // header Tenant, by request
-	handle := serveSound(func(w *worker, q *request) (status int, body string) {
+	handle := serveSound(func(_ *worker, q *request) (status int, body string) {
 		mu.Lock()
 		tenants[q.id] = q.Header.Get("Tenant")
 		mu.Unlock()
