entry: don't forward an upstream's refusal of a request that may have run

What callers saw: 503 (429, 408) with the upstream's seal for an entry that had run.

Cause: entry knew whether a request may have run, and used it for its own answers only. What a status promises wasn't known in the code, and forwardResponse wrote whatever status the upstream had chosen. The record of the case shows the seal and one upstream for each request ID, so neither the node made the 503 nor was it taken for one with Not-Executed.

Change: upstream.WorkStatus.Allows is the rule. The two places through which all statuses go ask it: writeFailure for the node's own, forwardResponse for those of upstreams, if the request may run once at most. In its place the caller gets 502 without the seal and Retry-After; its body names the upstream's status. All failures of the node's own say Work-Status.

Result: TestUnconfirmedRefusalIsNotForwarded fails in 27 of 27 cases before (nine shapes of a response, three statuses; the three of a short response that breaks off only for the missing Work-Status) and in none after.

--- a/entry/call.go
+++ b/entry/call.go
@@ -106,6 +106,10 @@
 	if response.Complete() {
 		length = int64(len(content))
 	}
+	if !e.mayForward(response.Status) {
+		e.replaceRefusal(response, job)
+		return
+	}
 	if response.Status/100 != 2 || !response.Complete() {
 		// Errors come sooner than other responses. What isn't read yet comes as fast as
 		// the caller reads it.
@@ -136,6 +140,21 @@
 	job.End(time.Now(), dispatch.Served)
 }
 
+// replaceRefusal answers a request that may have run in place of an upstream that
+// refused it without saying that it has not. The caller gets neither the seal, which
+// belongs to the upstream's status, nor its Retry-After. The rest of the body isn't read.
+func (e *exchange) replaceRefusal(refusal *relay.Response, job *dispatch.Job) {
+	refusal.Close()
+	e.endUnderWay()
+	if refusal.Complete() {
+		e.clearRequest()
+	}
+	job.IgnoreTime()
+	job.End(time.Now(), dispatch.Served)
+	e.writeFailure(http.StatusBadGateway, failureBody{Reason: reasonUnconfirmed, UpstreamStatus: refusal.Status},
+		errors.Errorf("upstream %s answered %d without saying that the request has not run", job.Upstream().ID, refusal.Status))
+}
+
 // handleSendError records that a request couldn't be sent, or that no response
 // arrived.
 func (e *exchange) handleSendError(job *dispatch.Job, err error) {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
+	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -18,6 +17,7 @@
 	"github.com/guavagauge/guavagauge/quota"
 	"github.com/guavagauge/guavagauge/relay"
 	"github.com/guavagauge/guavagauge/routing"
+	"github.com/guavagauge/guavagauge/upstream"
 )
 
 // Reasons for which a request ends without a response from an upstream. Each has
@@ -45,6 +45,7 @@
 	reasonPaused      reason = "Paused"      // all upstreams that could serve the request asked for a pause
 	reasonRecalled    reason = "Recalled"    // the request was recalled from an upstream, and may have run there
 	reasonQuota       reason = "Quota"       // the workspace has used up its quota
+	reasonUnconfirmed reason = "Unconfirmed" // an upstream refused the request without saying that it has not run
 )
 
 const (
@@ -73,6 +74,12 @@
 	// reason is why a request failed.
 	reason string
 
+	// failureBody is the body of a failure that this node answers, as JSON.
+	failureBody struct {
+		Reason         reason
+		UpstreamStatus int `json:",omitzero"` // with reasonUnconfirmed
+	}
+
 	// exchange is the state of one caller's request.
 	exchange struct {
 		node       *Node
@@ -357,17 +364,15 @@
 // the handler.
 func (e *exchange) finishUnserved(retryAfter time.Duration) {
 	switch {
-	case e.node.requestCtx.Err() != nil && e.runs > 0:
-		e.fail(http.StatusBadGateway, reasonStopping, nil)
 	case e.node.requestCtx.Err() != nil:
 		e.refuse(reasonStopping, retryAfter)
 	case e.r.Context().Err() != nil:
 		e.countUnanswered()
 		panic(http.ErrAbortHandler)
-	case e.runs > 0 && e.ctx.Err() != nil:
+	case e.workStatus() == upstream.MayHaveRun && e.ctx.Err() != nil:
 		e.fail(http.StatusGatewayTimeout, reasonTimeout, nil)
-	case e.runs > 0:
-		e.fail(http.StatusBadGateway, e.lastReason, nil)
+	case e.workStatus() == upstream.MayHaveRun:
+		e.refuse(e.lastReason, retryAfter)
 	default:
 		// Before the first pause ends, another attempt here would be refused too.
 		if wait, paused := e.node.dispatcher.ResumesIn(e.service, time.Now()); paused && wait > retryAfter {
@@ -388,8 +393,23 @@
 	e.node.count("left", string(e.lastReason))
 }
 
+// workStatus reports whether the request may have run. A prefill isn't a run.
+func (e *exchange) workStatus() (status upstream.WorkStatus) {
+	if e.runs > 0 {
+		return upstream.MayHaveRun
+	}
+	return upstream.NotRun
+}
+
+// mayForward reports whether the caller may get the status that an upstream answered.
+// One that promises that the request has not run isn't forwarded if it may have and
+// must not run again: the caller would repeat it.
+func (e *exchange) mayForward(status int) (ok bool) {
+	return e.route.Retryable() || e.workStatus().Allows(status)
+}
+
 // refuse responds with status 503, which promises that the request has not run
-// and won't.
+// and won't, or with 502 if it may have run.
 func (e *exchange) refuse(cause reason, retryAfter time.Duration) {
 	e.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	e.fail(http.StatusServiceUnavailable, cause, nil)
@@ -397,20 +417,33 @@
 
 // fail responds with an error of this node, and logs and counts its cause.
 func (e *exchange) fail(status int, cause reason, err error) {
-	e.node.count("failed", string(cause))
-	if cause != reasonQuota { // see refusalLogInterval
-		e.log("request failed", "Status", status, "Reason", cause, "Error", err)
-	}
-	text := fmt.Sprintf(`{"Reason":%q}`+"\n", cause)
-	e.w.Header().Set("Content-Type", "application/json")
-	e.w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	e.writeFailure(status, failureBody{Reason: cause}, err)
+}
+
+// writeFailure responds with an error of this node. In place of a status that promises
+// that the request has not run, one that may have run gets 502, which promises nothing.
+func (e *exchange) writeFailure(status int, body failureBody, err error) {
+	work, header := e.workStatus(), e.w.Header()
+	if !work.Allows(status) {
+		status = http.StatusBadGateway
+		header.Del("Retry-After")
+	}
+	e.node.count("failed", string(body.Reason))
+	if body.Reason != reasonQuota { // see refusalLogInterval
+		e.log("request failed", "Status", status, "Reason", body.Reason, "Error", err)
+	}
+	text, _ := json.Marshal(body) // a string and a number, so this can't fail
+	text = append(text, '\n')
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(text)))
+	header.Set(upstream.HeaderWorkStatus, string(work))
 	if e.request.ID != "" {
-		e.w.Header().Set("Request-Id", e.request.ID)
+		header.Set("Request-Id", e.request.ID)
 	}
 	e.closeIfStopping()
 	e.responded = true
 	e.w.WriteHeader(status)
-	io.WriteString(e.w, text)
+	e.w.Write(text)
 }
 
 // closeIfStopping tells the caller, before the head of the answer is written, that the
