caller: say that a call may have run beside a service's own 503

What callers saw: a service's 503 for an entry that had run, without Work-Status. By its status it can't be told from a refusal of the node, after which a caller may repeat the call under another key.

Change: on a route with Repeat = "Never", a service's own 408, 421, 429 or 503 gets Work-Status: MayHaveRun, also when it is replayed. Status and body stay.

Result: TestServiceRefusalAfterRunIsNoPromise fails before (Work-Status missing in both answers) and passes after.

--- a/caller/services.go
+++ b/caller/services.go
@@ -117,6 +117,11 @@
 			header[name] = values
 		}
 	}
+	if ex.retryClass() == fleet.NonIdempotent && !upstream.MayHaveRun.Allows(c.response.Status) {
+		// Without this header, a caller may take the service's status for a refusal of
+		// this node and repeat the call.
+		header.Set(upstream.HeaderWorkStatus, string(upstream.MayHaveRun))
+	}
 	header.Set("Content-Length", strconv.Itoa(len(c.response.Body))) // completes the response at the flush, before the outcome is stored
 	controller := http.NewResponseController(ex.writer)
 	controller.SetWriteDeadline(time.Now().Add(s.options.WriteTimeout)) // not supported by test writers
--- a/node/claims_test.go
+++ b/node/claims_test.go
@@ -215,3 +215,20 @@
 		}
 	})
 }
+
+// Guards against a service's own 503 for an entry that has run, which its caller takes
+// for a refusal of the node, and against a repeat that runs the entry again.
+func TestServiceRefusalAfterRunIsNoPromise(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		c.desk.FailAfterRun(1)
+		for i := range 2 {
+			if a := c.postEntry(i, "k", "entry"); a.status != http.StatusServiceUnavailable || a.header.Get("Work-Status") != "MayHaveRun" {
+				t.Errorf("call %d: got %d %s with Work-Status %q, want the service's 503 with MayHaveRun", i, a.status, a.body, a.header.Get("Work-Status"))
+			}
+			time.Sleep(time.Second) // until the outcome is recorded
+		}
+		if runs := c.desk.RunsOf("entry"); runs != 1 {
+			t.Errorf("the entry ran %d times, want once", runs)
+		}
+	})
+}
--- a/servicetest/servicetest.go
+++ b/servicetest/servicetest.go
@@ -49,6 +49,7 @@
 		delay            time.Duration
 		responsesToDrop  int
 		callsToRefuse    int
+		callsToFail      int
 		leakedKeys       int // calls with a header for API keys
 	}
 
@@ -108,6 +109,14 @@
 	d.callsToRefuse = n
 }
 
+// FailAfterRun makes the next n calls run and then answer with status 503, and no header
+// that says whether they ran.
+func (d *Service) FailAfterRun(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.callsToFail = n
+}
+
 // Runs returns how often POST /desk/entries ran.
 func (d *Service) Runs() (runs int) {
 	d.mu.Lock()
@@ -142,13 +151,16 @@
 func (d *Service) injectFaults(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.mu.Lock()
-		delay, refused, dropped := d.delay, d.callsToRefuse > 0, false
+		delay, refused, failed, dropped := d.delay, d.callsToRefuse > 0, false, false
 		switch {
 		case refused:
 			d.callsToRefuse--
 		case d.responsesToDrop > 0:
 			dropped = true
 			d.responsesToDrop--
+		case d.callsToFail > 0:
+			failed = true
+			d.callsToFail--
 		}
 		d.mu.Unlock()
 		if refused {
@@ -172,6 +184,11 @@
 			next.ServeHTTP(discardWriter{make(http.Header)}, r)
 			panic(http.ErrAbortHandler)
 		}
+		if failed {
+			next.ServeHTTP(discardWriter{make(http.Header)}, r)
+			http.Error(w, "not confirmed", http.StatusServiceUnavailable)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
