entry: notice crashes of upstreams whose callers have left

What callers saw: upstreams crash one after the other, without end.

No node logged a crash.

Change: the upstream is probed half a second later. A refused connection shows a crash. Silence shows one only if the upstream's entry is removed as well and no answer came since, since a cut link looks the same. An upstream that was known to leave shows none. Only the request is accused, not the parts of its prompt.

--- a/dispatch/condition.go
+++ b/dispatch/condition.go
@@ -46,6 +46,13 @@
 	// PauseRequest says that the upstream wants no request from this node for a time.
 	PauseRequest struct{ For time.Duration }
 
+	// UpstreamState is what is known of the upstream of a job.
+	UpstreamState struct {
+		Registered bool
+		Leaving    bool      // it was known to leave, if it isn't registered any more
+		AnsweredAt time.Time // of its last answer to this node
+	}
+
 	// instance is one start of an upstream. Another start under the same ID or at the
 	// same address is another instance, of which earlier evidence says nothing.
 	instance struct {
@@ -112,6 +119,17 @@
 	return u.condition(now), true
 }
 
+// UpstreamState returns what is known of the job's upstream. A restart is another one.
+func (j *Job) UpstreamState() (state UpstreamState) {
+	d, u := j.dispatcher, j.upstream
+	if u == nil { // already gone when the job began
+		return UpstreamState{Leaving: true}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return UpstreamState{Registered: d.upstreams[u.ID] == u, Leaving: u.Draining || u.saidLeaving, AnsweredAt: u.answeredAt}
+}
+
 // ResumesIn returns the time until the first upstream of a service that asked for a
 // pause can be used again. It returns false if another upstream can be used before
 // that, or none of them is paused.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -184,6 +184,7 @@
 		backoffUntil        time.Time // other upstreams are preferred until then
 		pausedUntil         time.Time // no request is sent until then
 		saidLeaving         bool      // in one of its answers
+		answeredAt          time.Time // of the last answer to this node
 		speed               *speed.Upstream
 		spreadWeight        float64 // of this node and the upstream, from 0 to 2; see spread
 	}
@@ -273,14 +274,16 @@
 	j.finishPrefill(now, true)
 }
 
-// ObserveLoad records the load that the upstream reported with its response.
+// ObserveLoad records a response of the upstream, and the load that it reported with it.
 func (j *Job) ObserveLoad(load platform.Load, now time.Time) {
-	if !load.Known {
-		return
-	}
 	j.dispatcher.mu.Lock()
 	defer j.dispatcher.mu.Unlock()
-	if u := j.upstream; u != nil {
+	u := j.upstream
+	if u == nil {
+		return
+	}
+	u.answeredAt = now
+	if load.Known {
 		u.reportedLoad, u.reportedAt, u.ownJobsAtReport = load, now, len(u.jobs)
 		u.speed.Observe(speed.Figure{Percent: load.SlowdownPercent}, now)
 	}
--- a/entry/call.go
+++ b/entry/call.go
@@ -178,13 +178,14 @@
 }
 
 // handleBrokenResponse records that a response is missing, incomplete or invalid.
-// Unless the caller left, the deadline passed or this node has no memory for the response,
-// it probes the upstream, which may have crashed.
+// It probes the upstream, which may have crashed or crash yet, unless the request was
+// recalled, or ended by the caller's or this node's own limits.
 func (e *exchange) handleBrokenResponse(job *dispatch.Job, err error) {
 	e.lastReason = reasonBroken
 	switch {
 	case e.r.Context().Err() != nil:
 		job.End(time.Now(), dispatch.Abandoned)
+		e.node.probeAbandoned(e, e.fingerprint(), job)
 	case e.recalled():
 		e.lastReason = reasonRecalled
 		e.holdRecalled(job)
@@ -200,6 +201,8 @@
 		e.log("upstream response broken", "Error", err)
 		if e.ctx.Err() == nil {
 			e.node.probeAfterFailure(e, e.fingerprint(), job.Upstream())
+		} else {
+			e.node.probeAbandoned(e, e.fingerprint(), job)
 		}
 	}
 }
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -6,11 +6,14 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
 
 	"github.com/guavagauge/guavagauge/discovery"
+	"github.com/guavagauge/guavagauge/dispatch"
 	"github.com/guavagauge/guavagauge/policy"
 )
 
@@ -28,9 +31,19 @@
 	// upstream.
 	requestQuarantineTTL = 10 * time.Minute
 	// crashProbeDelay is the time from a broken response to the probe of its
-	// upstream, and the timeout of the probe. An upstream that crashed takes
-	// seconds to restart.
-	crashProbeDelay = 100 * time.Millisecond
+	// upstream. An upstream that crashed takes seconds to restart.
+	crashProbeDelay   = 100 * time.Millisecond
+	crashProbeTimeout = 100 * time.Millisecond
+	// abandonedProbeDelay is the same from the departure of a caller or the end of a
+	// deadline. Upstreams that notice it have ended the request by then.
+	abandonedProbeDelay = 500 * time.Millisecond
+	// maxAbandonedProbes bounds such probes at the same time: many requests end at
+	// their deadlines while upstreams are overloaded.
+	maxAbandonedProbes = 64
+	// crashRemovalPeriod is how long a probe without an answer waits for the removal of
+	// the upstream's entry. Entries expire after three missed heartbeats.
+	crashRemovalPeriod   = 10 * time.Second
+	crashRemovalInterval = 250 * time.Millisecond
 	// quarantineRetryAfter is the Retry-After value for quarantined requests. It is
 	// shorter than the quarantine, so a retry is refused again.
 	quarantineRetryAfter = 10 * time.Second
@@ -165,33 +178,82 @@
 // probeAfterFailure checks whether an upstream whose response broke has crashed.
 // If it still accepts connections, the request didn't crash it.
 func (n *Node) probeAfterFailure(e *exchange, fingerprint string, upstream discovery.Upstream) {
-	begun := e.responseBegun
+	var parts []string
+	if !e.responseBegun {
+		parts = e.sharedParts()
+	}
 	n.guard.Go("probe upstream", func() {
 		n.sleep(crashProbeDelay)
-		ctx, cancel := context.WithTimeout(n.ctx, crashProbeDelay)
-		defer cancel()
-		conn, err := n.network.Dial(ctx, upstream.Address)
-		if err == nil {
-			conn.Close()
-			return
+		if err := n.probe(upstream); err != nil && n.ctx.Err() == nil {
+			n.reportCrash(e, fingerprint, upstream, parts, err)
 		}
-		if n.ctx.Err() != nil {
+	})
+}
+
+// probeAbandoned checks whether an upstream crashes although its request has ended here:
+// the caller left, or the deadline passed. The upstream may still run it, so each caller
+// that leaves early would hide a request that crashes upstreams. A refused connection
+// shows a crash. Silence can also be that of the network, or of a slow upstream: it shows
+// one only if the upstream's entry is removed and no answer came since. Neither does if the
+// upstream was known to leave. Parts of the prompt aren't accused, since less is known
+// of what the upstream was running.
+func (n *Node) probeAbandoned(e *exchange, fingerprint string, job *dispatch.Job) {
+	if n.abandonedProbes.Add(1) > maxAbandonedProbes {
+		n.abandonedProbes.Add(-1)
+		n.count("abandoned_probes", "Omitted")
+		return
+	}
+	abandonedAt, silent := time.Now(), e.r.Context().Err() == nil
+	n.guard.Go("probe upstream of abandoned request", func() {
+		defer n.abandonedProbes.Add(-1)
+		n.sleep(abandonedProbeDelay)
+		err := n.probe(job.Upstream())
+		if !errors.Is(err, syscall.ECONNREFUSED) && (err == nil && !silent || !n.awaitRemoval(job, abandonedAt)) {
 			return
 		}
-		// A crash counts once, however many nodes and requests observe it.
-		event := fmt.Sprintf("%s/%d", upstream.ID, upstream.StartedAt.UnixMilli())
-		n.logger.Info("upstream crashed while running a request", "Upstream", upstream.ID, "Request", e.request.ID,
-			"Fingerprint", fingerprint, "Crash", event, "Parts", e.request.Prompt.Parts, "ResponseBegun", begun, "Error", err)
-		observed := []crash{{Fingerprint: fingerprint, Event: event}}
-		if !begun {
-			for _, part := range e.sharedParts() {
-				observed = append(observed, crash{Fingerprint: accusedPartPrefix + part, Event: event})
-			}
+		if !job.UpstreamState().Leaving && n.ctx.Err() == nil {
+			n.reportCrash(e, fingerprint, job.Upstream(), nil, err)
 		}
-		n.recordCrashes(observed, true)
 	})
 }
 
+// probe opens and closes a connection to an upstream.
+func (n *Node) probe(upstream discovery.Upstream) (err error) {
+	ctx, cancel := context.WithTimeout(n.ctx, crashProbeTimeout)
+	defer cancel()
+	conn, err := n.network.Dial(ctx, upstream.Address)
+	if err == nil {
+		conn.Close()
+	}
+	return err
+}
+
+// awaitRemoval waits until the entry of a job's upstream is removed, and reports whether
+// it is, without an answer of the upstream since it fell silent.
+func (n *Node) awaitRemoval(job *dispatch.Job, silentSince time.Time) (removed bool) {
+	for deadline := n.clock() + crashRemovalPeriod; n.clock() < deadline && n.ctx.Err() == nil; n.sleep(crashRemovalInterval) {
+		state := job.UpstreamState()
+		if !state.Registered || state.AnsweredAt.After(silentSince) {
+			return !state.AnsweredAt.After(silentSince)
+		}
+	}
+	return false
+}
+
+// reportCrash records that an upstream crashed while it ran a request. parts are those
+// parts of its prompt that may be the cause.
+func (n *Node) reportCrash(e *exchange, fingerprint string, upstream discovery.Upstream, parts []string, cause error) {
+	// A crash counts once, however many nodes and requests observe it.
+	event := fmt.Sprintf("%s/%d", upstream.ID, upstream.StartedAt.UnixMilli())
+	n.logger.Info("upstream crashed while running a request", "Upstream", upstream.ID, "Request", e.request.ID,
+		"Fingerprint", fingerprint, "Crash", event, "Parts", parts, "Error", cause)
+	observed := []crash{{Fingerprint: fingerprint, Event: event}}
+	for _, part := range parts {
+		observed = append(observed, crash{Fingerprint: accusedPartPrefix + part, Event: event})
+	}
+	n.recordCrashes(observed, true)
+}
+
 // recordCrashes counts crashes. Those that this node observed itself are also
 // sent to other nodes.
 func (n *Node) recordCrashes(reported []crash, observedHere bool) {
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/guavagauge/guavagauge/platform"
 	"github.com/guavagauge/guavagauge/platformtest"
 )
 
@@ -317,3 +320,134 @@
 		f.expect(f.request(n1+":80", http.MethodPost, "/entries/1", "same", nil), http.StatusOK, "answer")
 	})
 }
+
+// goDark makes an upstream fall silent when it crashes. Its entry expires, and it starts
+// again later.
+func (f *testFleet) goDark(id, address string) {
+	host := netip.MustParseAddrPort(address).Addr().String()
+	upstream := f.upstreams[id]
+	upstream.Crash = func() {
+		for _, node := range f.nodeAddresses() {
+			f.network.Cut(node, host)
+			f.network.Cut(host, node)
+		}
+		<-time.After(3600 * time.Millisecond)
+		f.store.Delete(platform.UpstreamPrefix + id)
+		<-time.After(900 * time.Millisecond)
+		f.network.Crash(host)
+		for _, node := range f.nodeAddresses() {
+			f.network.Heal(node, host)
+			f.network.Heal(host, node)
+		}
+		f.startServer(address, upstream)
+		f.registerUpstream(id, "desk", "", address, "ready")
+	}
+}
+
+// Guards against a request that goes on crashing upstreams because nobody waits for its
+// answer when they crash: its callers leave before, or its deadline passes while the
+// upstream is silent.
+func TestAbandonedPoisonRequestIsQuarantined(t *testing.T) {
+	const lateRetries = 3 // allowed later than 4 s after the third crash
+	for name, c := range map[string]struct {
+		patience time.Duration // of the callers; 0: they wait for the answer
+		dark     bool
+	}{
+		"callers leave":                {150 * time.Millisecond, false},
+		"upstreams go dark":            {0, true},
+		"callers leave dark upstreams": {150 * time.Millisecond, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithFleet(t, func(f *testFleet) {
+				f.startNode("n2", n2)
+				f.startNode("n3", n3)
+				f.configure(1, key)
+				for i := range 4 {
+					id, address := fmt.Sprintf("d%d", i), fmt.Sprintf("10.2.0.%d:80", i+1)
+					f.startUpstream(id, "desk", "", address, &platformtest.Upstream{Poison: "poison", PoisonDelay: 220 * time.Millisecond})
+					if c.dark {
+						f.goDark(id, address)
+					}
+				}
+				f.startNodeAndWait("n1", n1)
+				var thirdCrash time.Time
+				late := 0
+				for i := range 30 {
+					before := f.poisonRuns()
+					ctx, cancel := context.WithCancel(context.Background())
+					if c.patience > 0 {
+						time.AfterFunc(c.patience, cancel)
+					}
+					f.requestContext(ctx, f.nodeAddresses()[i%3]+":80", http.MethodPost, "/entries/1", "poison", nil)
+					cancel()
+					f.advance(time.Second)
+					runs := f.poisonRuns()
+					if !thirdCrash.IsZero() && time.Since(thirdCrash) > 5*time.Second {
+						late += runs - before
+					}
+					if runs >= 3 && thirdCrash.IsZero() {
+						thirdCrash = time.Now()
+					}
+				}
+				if late > lateRetries {
+					t.Errorf("the request reached upstreams %d times later than 4 s after the third crash, want at most %d; %d runs in all", late, lateRetries, f.poisonRuns())
+				}
+				f.advance(10 * time.Second)
+				f.expectQuarantined(f.poisonRuns())
+			})
+		})
+	}
+}
+
+// Guards against accusing the requests that run at upstreams which this node doesn't
+// reach, or which end as they said: when their callers leave, or their deadlines pass, nobody
+// has crashed.
+func TestAbandonedRequestsAccuseNoSoundUpstream(t *testing.T) {
+	cut := func(f *testFleet, _, address string) {
+		host := netip.MustParseAddrPort(address).Addr().String()
+		f.network.Cut(n1, host)
+		f.network.Cut(host, n1)
+	}
+	leave := func(f *testFleet, id, address string) {
+		f.registerUpstreamStartedAt(id, "desk", "", address, "draining", f.start)
+		time.AfterFunc(time.Second, func() {
+			f.network.Crash(netip.MustParseAddrPort(address).Addr().String())
+			f.store.Delete(platform.UpstreamPrefix + id)
+		})
+	}
+	for name, c := range map[string]struct {
+		end      func(f *testFleet, id, address string)
+		patience time.Duration // of the callers
+	}{
+		"cut off, callers leave":  {cut, 500 * time.Millisecond},
+		"cut off, callers wait":   {cut, time.Minute},
+		"draining, callers leave": {leave, 900 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithFleet(t, func(f *testFleet) {
+				f.configure(1, key)
+				for i := range 4 {
+					f.startUpstream(fmt.Sprintf("d%d", i), "desk", "", fmt.Sprintf("10.2.0.%d:80", i+1), &platformtest.Upstream{Delay: time.Minute})
+				}
+				f.startNodeAndWait("n1", n1)
+				for i := range 4 {
+					ctx, cancel := context.WithTimeout(context.Background(), c.patience)
+					f.cleanups = append(f.cleanups, cancel)
+					go f.requestContext(ctx, n1+":80", http.MethodPost, "/entries/1", "common", nil)
+					f.advance(10 * time.Millisecond)
+					c.end(f, fmt.Sprintf("d%d", i), fmt.Sprintf("10.2.0.%d:80", i+1))
+				}
+				f.advance(12 * time.Second)
+				for i := range 4 {
+					f.network.Heal(n1, fmt.Sprintf("10.2.0.%d", i+1))
+					f.network.Heal(fmt.Sprintf("10.2.0.%d", i+1), n1)
+				}
+				f.startUpstream("d9", "desk", "", "10.2.0.9:80", &platformtest.Upstream{})
+				f.advance(2 * time.Second)
+				if r := f.request(n1+":80", http.MethodPost, "/entries/1", "common", nil); strings.Contains(r.body, "HeldOut") {
+					t.Errorf("got %v, want the request not to be quarantined", r)
+				}
+			})
+		})
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -206,8 +206,9 @@
 		network         transport.Network
 		peerPool        *peer.Pool
 		engineClient    *platform.EngineClient
-		cachesKnown     atomic.Bool // bootstrapCaches has ended, successfully or not
-		crashesKnown    atomic.Bool // learnQuarantines has ended, successfully or not
+		cachesKnown     atomic.Bool  // bootstrapCaches has ended, successfully or not
+		abandonedProbes atomic.Int64 // that run; see probeAbandoned
+		crashesKnown    atomic.Bool  // learnQuarantines has ended, successfully or not
 		configArchive   configArchive
 		// transferring is set while a configuration is fetched from another node. The
 		// goroutine that sets it owns transfer.
--- a/nettest/nettest.go
+++ b/nettest/nettest.go
@@ -20,6 +20,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -267,7 +268,7 @@
 	local := netip.AddrPortFrom(h.address, h.network.nextPort)
 	h.network.mu.Unlock()
 	if l == nil {
-		return nil, errors.Errorf("dial %s: connection refused", address)
+		return nil, errors.Annotatef(syscall.ECONNREFUSED, "dial %s", address)
 	}
 	dialed, accepted := newConnPair(h.network, local, address)
 	select {
@@ -278,7 +279,7 @@
 		return dialed, nil
 	case <-l.closed:
 		dialed.reset()
-		return nil, errors.Errorf("dial %s: connection refused", address)
+		return nil, errors.Annotatef(syscall.ECONNREFUSED, "dial %s", address)
 	case <-ctx.Done():
 		dialed.reset()
 		return nil, ctx.Err()
--- a/platformtest/upstream.go
+++ b/platformtest/upstream.go
@@ -25,6 +25,9 @@
 		// Poison, if not empty, is the body of poison requests. Running one calls
 		// Crash.
 		Poison string
+		// PoisonDelay is the time from the begin of such a run to the crash. A caller that
+		// leaves meanwhile doesn't end the run.
+		PoisonDelay time.Duration
 		// PoisonPart, if not empty, is the ID of a prompt part. Running a request that
 		// has it, other than as its last part, calls Crash.
 		PoisonPart string
@@ -203,6 +206,7 @@
 	}
 	index := u.recordRun(r, body.String())
 	if u.Poison != "" && body.String() == u.Poison || u.PoisonPart != "" && HasSharedPart(r.Header, u.PoisonPart) {
+		<-time.After(u.PoisonDelay)
 		u.Crash()
 		panic(http.ErrAbortHandler)
 	}
