entry: don't blame requests for an upstream that was known to leave

What callers saw: 503 HeldOut for ten minutes for a request that was running at three upstreams which drained and ended with requests in progress.

Cause: a broken response whose upstream refuses connections counted as a crash, also when the upstream had said that it leaves. Found by the test for callers that leave.

Change: reportCrash asks for both kinds of probe whether the upstream was known to leave.

Result: TestEndedRequestsAccuseNoSoundUpstream, 'draining, callers wait', fails before and passes after; go test ./entry passes.

--- a/entry/call.go
+++ b/entry/call.go
@@ -200,7 +200,7 @@
 		job.End(time.Now(), dispatch.Broken)
 		e.log("upstream response broken", "Error", err)
 		if e.ctx.Err() == nil {
-			e.node.probeAfterFailure(e, e.fingerprint(), job.Upstream())
+			e.node.probeAfterFailure(e, e.fingerprint(), job)
 		} else {
 			e.node.probeAbandoned(e, e.fingerprint(), job)
 		}
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -176,16 +176,16 @@
 }
 
 // probeAfterFailure checks whether an upstream whose response broke has crashed.
-// If it still accepts connections, the request didn't crash it.
-func (n *Node) probeAfterFailure(e *exchange, fingerprint string, upstream discovery.Upstream) {
+// If it still accepts connections, or was known to leave, the request didn't crash it.
+func (n *Node) probeAfterFailure(e *exchange, fingerprint string, job *dispatch.Job) {
 	var parts []string
 	if !e.responseBegun {
 		parts = e.sharedParts()
 	}
 	n.guard.Go("probe upstream", func() {
 		n.sleep(crashProbeDelay)
-		if err := n.probe(upstream); err != nil && n.ctx.Err() == nil {
-			n.reportCrash(e, fingerprint, upstream, parts, err)
+		if err := n.probe(job.Upstream()); err != nil {
+			n.reportCrash(e, fingerprint, job, parts, err)
 		}
 	})
 }
@@ -211,9 +211,7 @@
 		if !errors.Is(err, syscall.ECONNREFUSED) && (err == nil && !silent || !n.awaitRemoval(job, abandonedAt)) {
 			return
 		}
-		if !job.UpstreamState().Leaving && n.ctx.Err() == nil {
-			n.reportCrash(e, fingerprint, job.Upstream(), nil, err)
-		}
+		n.reportCrash(e, fingerprint, job, nil, err)
 	})
 }
 
@@ -240,9 +238,13 @@
 	return false
 }
 
-// reportCrash records that an upstream crashed while it ran a request. parts are those
-// parts of its prompt that may be the cause.
-func (n *Node) reportCrash(e *exchange, fingerprint string, upstream discovery.Upstream, parts []string, cause error) {
+// reportCrash records that the upstream of a job crashed while it ran a request, unless it
+// was known to leave. parts are those parts of the prompt that may be the cause.
+func (n *Node) reportCrash(e *exchange, fingerprint string, job *dispatch.Job, parts []string, cause error) {
+	if n.ctx.Err() != nil || job.UpstreamState().Leaving {
+		return
+	}
+	upstream := job.Upstream()
 	// A crash counts once, however many nodes and requests observe it.
 	event := fmt.Sprintf("%s/%d", upstream.ID, upstream.StartedAt.UnixMilli())
 	n.logger.Info("upstream crashed while running a request", "Upstream", upstream.ID, "Request", e.request.ID,
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -402,7 +402,7 @@
 // Guards against accusing the requests that run at upstreams which this node doesn't
 // reach, or which end as they said: when their callers leave, or their deadlines pass, nobody
 // has crashed.
-func TestAbandonedRequestsAccuseNoSoundUpstream(t *testing.T) {
+func TestEndedRequestsAccuseNoSoundUpstream(t *testing.T) {
 	cut := func(f *testFleet, _, address string) {
 		host := netip.MustParseAddrPort(address).Addr().String()
 		f.network.Cut(n1, host)
@@ -422,6 +422,7 @@
 		"cut off, callers leave":  {cut, 500 * time.Millisecond},
 		"cut off, callers wait":   {cut, time.Minute},
 		"draining, callers leave": {leave, 900 * time.Millisecond},
+		"draining, callers wait":  {leave, time.Minute},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runWithFleet(t, func(f *testFleet) {
