entry: take a long line of an event for one line

Cause: copyEvents reads lines with a buffer of 4,096 bytes and judged each part of a longer line as a line: one that is only the line's end as the end of the event, one that begins with 'id:' as its ID.

Change: a line is judged once it is whole. engine.eventReader joins the parts already, and heads are read by net/http.

--- a/entry/resume_test.go
+++ b/entry/resume_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -100,3 +101,58 @@
 		})
 	}
 }
+
+// Guards against a long line of an event that is read in parts and taken for several
+// lines: its last part for the empty line that ends the event, or one of them for an ID.
+// The stream then went on after an event that the caller didn't have whole.
+func TestLongLineOfEventIsOneLine(t *testing.T) {
+	const buffer = 4096 // of the reader of events
+	for name, line := range map[string]string{
+		"a byte less than the buffer":  "data: " + strings.Repeat("x", buffer-7),
+		"as long as the buffer":        "data: " + strings.Repeat("x", buffer-6),
+		"with its end, a byte more":    "data: " + strings.Repeat("x", buffer-5),
+		"twice the buffer":             "data: " + strings.Repeat("x", 2*buffer-6),
+		"carriage return in the next":  "data: " + strings.Repeat("x", buffer-6) + "\r",
+		"ID in the second part":        "data: " + strings.Repeat("x", buffer-6) + "id: 7",
+		"ID in the second part, alone": "data: " + strings.Repeat("x", buffer-6) + "id: 2",
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithFleet(t, func(f *testFleet) {
+				f.configure(1, key)
+				whole := ""
+				event := func(n int) string { return fmt.Sprintf("id: %d\n%s\ndata: %d\n\n", n, line, n) }
+				for n := range 4 {
+					whole += event(n + 1)
+				}
+				var requests atomic.Int64
+				handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if !strings.HasPrefix(r.URL.Path, "/models/") {
+						return
+					}
+					platformtest.BeginResponse(w, r)
+					w.Header().Set("Content-Type", "text/event-stream")
+					last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+					broken := requests.Add(1) == 1
+					for n := last + 1; n <= 4; n++ {
+						if broken && n == 2 {
+							fmt.Fprintf(w, "id: %d\n%s\n", n, line) // up to the end of the long line
+							http.NewResponseController(w).Flush()
+							panic(http.ErrAbortHandler)
+						}
+						fmt.Fprint(w, event(n))
+					}
+				})
+				for i := range 3 {
+					address := fmt.Sprintf("10.3.0.%d:80", i+1)
+					f.startServer(address, handler)
+					f.registerUpstream(fmt.Sprintf("g%d", i), "models", "decode", address, "ready")
+				}
+				f.startNodeAndWait("n1", n1)
+				r := f.request(n1+":80", http.MethodPost, "/models/1", "prompt", promptHeaders(200))
+				if r.err != nil || r.status != http.StatusOK || r.body != whole {
+					t.Errorf("got %d with %d bytes (%v), want the whole stream of %d bytes", r.status, len(r.body), r.err, len(whole))
+				}
+			})
+		})
+	}
+}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -238,12 +238,15 @@
 	eventID := s.lastEventID // of the event that is being read
 	hasID := false           // the event that is being read has an ID
 	first := true
+	lineStart := 0 // in event.data
 	for {
-		line, err := reader.ReadSlice('\n')
-		if len(event.data)+len(line) > maxEventBytes {
+		// A line longer than the buffer is read in parts. Only the whole line tells
+		// whether it has an ID or is empty.
+		part, err := reader.ReadSlice('\n')
+		if len(event.data)+len(part) > maxEventBytes {
 			return errors.Errorf("event after %q exceeds %d bytes", s.lastEventID, maxEventBytes)
 		}
-		if !event.append(line, maxEventBytes) {
+		if !event.append(part, maxEventBytes) {
 			return errors.Annotatef(errMemoryExhausted, "event after %q", s.lastEventID)
 		}
 		switch {
@@ -259,6 +262,8 @@
 		case err != nil:
 			return errors.Annotatef(err, "read after event %q", s.lastEventID)
 		}
+		line := event.data[lineStart:]
+		lineStart = len(event.data)
 		if value, ok := bytes.CutPrefix(line, eventIDPrefix); ok {
 			eventID, hasID = string(bytes.TrimSpace(value)), true
 		}
@@ -289,7 +294,7 @@
 		if err = w.measure(controller.Flush); err != nil {
 			return err
 		}
-		event.data, hasID = event.data[:0], false
+		event.data, lineStart, hasID = event.data[:0], 0, false
 		s.lastEventID = eventID
 	}
 }
