entry: refuse keys on open routes while the configuration may be outdated

Cause: admit asked for a fresh configuration on routes that need a key only, but looked the workspace up for all of them.

Change: a request that comes with a key is refused (503 Stale) while the configuration isn't fresh, whatever its route. Without a key, open routes are served as before.

Tests: TestWithdrawnKeyIsRejected took the 200 with the withdrawn key at the cut-off node for right. It now wants 503 there, 200 without a key at all nodes and no run under the workspace. TestUpstreamsOutliveStoreOutage sends no key on its open route and wants the same answers.

--- a/entry/config_test.go
+++ b/entry/config_test.go
@@ -50,8 +50,9 @@
 }
 
 // A withdrawn key is rejected in time by every node, including one that is cut off
-// from the store and from its peers. That node answers 503. Anonymous routes
-// continue to work.
+// from the store and from its peers. That node answers 503, also on an anonymous route,
+// where an upstream would be told the workspace that had the key. Without a key,
+// anonymous routes continue to work.
 func TestWithdrawnKeyIsRejected(t *testing.T) {
 	runWithFleet(t, func(f *testFleet) {
 		f.startThreeNodes()
@@ -60,24 +61,47 @@
 		f.network.Cut(n3, n1)
 		f.network.Cut(n3, n2)
 		f.configure(2, "another")
+		before := 0
 		for elapsed := time.Duration(0); elapsed < 8*time.Second; elapsed += 500 * time.Millisecond {
 			for _, address := range f.nodeAddresses() {
 				r := f.request(address+":80", http.MethodGet, "/draws/1", "", nil)
+				open := f.request(address+":80", http.MethodGet, "/open/2", "", nil)
 				if elapsed >= 5*time.Second && r.status == http.StatusOK {
 					t.Errorf("node %s accepts a withdrawn key after %s", address, elapsed)
 				}
-				if elapsed >= 5*time.Second && address == n3 && r.status != http.StatusServiceUnavailable {
-					t.Errorf("the isolated node responds with %v, want 503", r)
+				if elapsed >= 5*time.Second && address == n3 && (r.status != http.StatusServiceUnavailable || open.status != http.StatusServiceUnavailable) {
+					t.Errorf("the isolated node responds with %v, on an anonymous route with %v, want 503", r, open)
 				}
-				if r := f.request(address+":80", http.MethodGet, "/open/1", "", nil); r.status != http.StatusOK {
+				if elapsed >= 5*time.Second && address != n3 && open.status != http.StatusOK {
+					t.Errorf("node %s, anonymous route with a withdrawn key after %s: %v", address, elapsed, open)
+				}
+				if r := f.request(address+":80", http.MethodGet, "/open/1", "", noKey); r.status != http.StatusOK {
 					t.Errorf("node %s, anonymous route after %s: %v", address, elapsed, r)
 				}
 			}
+			if elapsed == 5*time.Second {
+				before = f.openRunsFor("alpha")
+			}
 			f.advance(500 * time.Millisecond)
 		}
+		if n := f.openRunsFor("alpha") - before; n > 0 {
+			t.Errorf("%d requests on an anonymous route ran for the workspace that had the key, later than 5 s after its withdrawal", n)
+		}
 	})
 }
 
+// openRunsFor returns the number of requests with the path /open/2 that ran for a workspace.
+func (f *testFleet) openRunsFor(workspace string) (n int) {
+	for id := range f.upstreams {
+		for _, run := range f.runs(id) {
+			if run.Path == "/open/2" && run.Tenant == workspace {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // A node whose store calls are refused continues to serve, because its peers
 // confirm that its configuration is the newest.
 func TestPeersConfirmConfiguration(t *testing.T) {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -48,6 +48,9 @@
 		"tenants":[{"name":"alpha","api_keys":[%s]}]}`
 )
 
+// noKey is the header of a request without a key.
+var noKey = http.Header{"Authorization": nil}
+
 type (
 	// testFleet is a set of entry nodes with stand-ins of the platform and the
 	// upstreams, in fake time.
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -208,7 +208,8 @@
 		e.fail(http.StatusUnauthorized, reasonUnknownKey, nil)
 		return false
 	}
-	if !e.route.Anonymous && !n.configFresh() {
+	// An open route needs no key, but an upstream is told the workspace of one that comes.
+	if (!e.route.Anonymous || e.request.Key != "") && !n.configFresh() {
 		e.refuse(reasonStaleConfig, defaultRetryAfter)
 		return false
 	}
--- a/entry/stale_test.go
+++ b/entry/stale_test.go
@@ -161,7 +161,7 @@
 		for range 6 {
 			f.advance(250 * time.Millisecond)
 			for _, address := range f.nodeAddresses() {
-				f.expect(f.request(address+":80", http.MethodGet, "/open/1", "", nil), http.StatusOK, "answer")
+				f.expect(f.request(address+":80", http.MethodGet, "/open/1", "", noKey), http.StatusOK, "answer")
 			}
 		}
 	})
