entry: learn quarantines from the store also after an outage at the start

Cause: crashesKnown stood for 'known' and for 'no longer waited for'. After 5 s without the store the node dropped the quarantines that came with its first configuration, and told others that it knows of none.

Change: crashesKnown means known, crashesWaived that the node serves without them. The wait begins with the first configuration, and a node that serves without them goes on asking.

--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -226,6 +226,26 @@
 			}
 		},
 		"all at once": restartAll,
+		"all at once, store refuses for longer than nodes wait": func(f *testFleet) {
+			for _, address := range nodes {
+				f.store.Refuse(address, true)
+			}
+			restartAll(f)
+			f.advance(6 * time.Second)
+			for _, address := range nodes {
+				f.store.Refuse(address, false)
+			}
+			f.advance(2 * time.Second)
+		},
+		"all at once, store refuses all but one of them": func(f *testFleet) {
+			f.store.Refuse(n1, true)
+			f.store.Refuse(n2, true)
+			f.store.Refuse(n3, true)
+			restartAll(f)
+			f.advance(6 * time.Second)
+			f.store.Refuse(n3, false)
+			f.advance(4 * time.Second)
+		},
 		"all at once, twice": func(f *testFleet) {
 			restartAll(f)
 			restartAll(f)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -208,7 +208,8 @@
 		engineClient    *platform.EngineClient
 		cachesKnown     atomic.Bool  // bootstrapCaches has ended, successfully or not
 		abandonedProbes atomic.Int64 // that run; see probeAbandoned
-		crashesKnown    atomic.Bool  // learnQuarantines has ended, successfully or not
+		crashesKnown    atomic.Bool  // the quarantines from before the start are known
+		crashesWaived   atomic.Bool  // the node serves although they may be unknown
 		configArchive   configArchive
 		// transferring is set while a configuration is fetched from another node. The
 		// goroutine that sets it owns transfer.
@@ -413,7 +414,7 @@
 
 // Ready reports whether the load balancer should send requests to this node.
 func (n *Node) Ready() bool {
-	return !n.stopping.Load() && n.table.Load() != nil && n.upstreamsListed.Load() && n.crashesKnown.Load() && n.configFresh()
+	return !n.stopping.Load() && n.table.Load() != nil && n.upstreamsListed.Load() && n.mayAdmit() && n.configFresh()
 }
 
 // Stop shuts the node down gracefully. The node reports that it isn't ready,
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -30,10 +30,12 @@
 	// quarantineWriteAttempts is the number of attempts to write the entry while other
 	// store readers write it.
 	quarantineWriteAttempts = 3
-	// quarantineLearnPeriod is how long after its start a node waits for the
-	// quarantines. It ends the wait if the store is down and the other nodes run a
-	// version that can't be asked.
-	quarantineLearnPeriod = 5 * time.Second
+	// quarantineLearnPeriod is how long a node that has a configuration refuses requests
+	// because it doesn't know the quarantines. It then serves without them if the store is
+	// down and the other nodes run a version that can't be asked, and goes on asking
+	// every quarantineRelearnInterval.
+	quarantineLearnPeriod     = 5 * time.Second
+	quarantineRelearnInterval = time.Second
 )
 
 type (
@@ -54,7 +56,7 @@
 	// CrashesReply holds the crashes, clearances and quarantines of requests and
 	// prompt parts as a node knows them.
 	CrashesReply struct {
-		Known   bool          `cbor:"1,keyasint,omitzero"` // the called node has learnt those from before its start
+		Known   bool          `cbor:"1,keyasint,omitzero"` // the called node has learnt those from before its start, and doesn't only serve without them
 		Crashes []CrashReport `cbor:"2,keyasint,omitzero"`
 	}
 
@@ -101,24 +103,37 @@
 
 // learnQuarantines learns the quarantines from before the start of this node, unless
 // readFirstConfig does. Until then the node refuses all requests, since any of them may
-// crash upstreams. Crashes below the limit aren't in the store, so they are fetched from
-// another node afterwards.
+// crash upstreams, but at most for quarantineLearnPeriod. Crashes below the limit aren't in
+// the store, so they are fetched from another node afterwards.
 func (n *Node) learnQuarantines() {
 	if n.settings.FirstStart {
 		n.crashesKnown.Store(true)
 		return
 	}
 	n.guard.Go("learn quarantines", func() {
-		defer n.crashesKnown.Store(true)
+		// A panic must not keep the node from serving.
+		defer n.crashesWaived.Store(true)
+		waitedFrom := n.clock()
 		for attempt := 0; n.ctx.Err() == nil && !n.crashesKnown.Load(); attempt++ {
-			if n.fetchCrashes() || attempt >= quarantineStoreAttempt && n.readQuarantines() {
-				break
+			now, interval := n.clock(), quarantineLearnInterval
+			if n.table.Load() == nil {
+				waitedFrom = now
 			}
-			if n.clock()-n.startedAt > quarantineLearnPeriod {
+			if now-waitedFrom > quarantineLearnPeriod && !n.crashesWaived.Swap(true) {
 				n.logger.Warn("quarantines from before the start are unknown")
-				return
 			}
-			n.sleep(quarantineLearnInterval)
+			fromStore := attempt >= quarantineStoreAttempt
+			if now-n.startedAt > quarantineLearnPeriod {
+				// The other nodes of the failure domain learn them from its store reader.
+				interval, fromStore = quarantineRelearnInterval, n.isStoreReader()
+			}
+			if n.fetchCrashes() || fromStore && n.readQuarantines() {
+				break
+			}
+			n.sleep(interval)
+		}
+		if n.ctx.Err() != nil {
+			return
 		}
 		n.crashesKnown.Store(true)
 		n.awaitJoined()
@@ -126,6 +141,10 @@
 	})
 }
 
+// mayAdmit reports whether requests are no longer refused because this node doesn't know
+// the quarantines from before its start.
+func (n *Node) mayAdmit() (ok bool) { return n.crashesKnown.Load() || n.crashesWaived.Load() }
+
 // readQuarantines applies the quarantines in the store. It returns false if the store
 // can't be read.
 func (n *Node) readQuarantines() (ok bool) {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -183,7 +183,7 @@
 		return false
 	}
 	e.version = table.Version
-	if !n.crashesKnown.Load() {
+	if !n.mayAdmit() {
 		e.refuse(reasonStarting, defaultRetryAfter)
 		return false
 	}
