store, platform: read the era of the store from its answers

Cause: no code read Store-Era, and revisions were taken to rise for ever. When the store comes back from an older copy, they are given out again.

An answer of an older era isn't used, and a write across eras has an unknown outcome. A store without the header is in era 0. The stand-ins storetest and platformtest can be copied and restored.

No call is added.

--- a/platformtest/store.go
+++ b/platformtest/store.go
@@ -53,6 +53,14 @@
 		responsesToDrop   int // of the next transactions that write
 		callsByAddress    map[string]int
 		callsByKind       map[string]int
+		era               uint64 // 0: answers have no header with it
+	}
+
+	// StoreCopy is a copy of a Store's state.
+	StoreCopy struct {
+		revision uint64
+		items    map[string]item
+		ttls     map[uint64]time.Duration // of leases
 	}
 
 	// bufferedResponse holds the status and the body of a response.
@@ -145,6 +153,41 @@
 	s.notify()
 }
 
+// Copy returns a copy of the state, for Restore.
+func (s *Store) Copy() (c *StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c = &StoreCopy{revision: s.revision, items: maps.Clone(s.items), ttls: map[uint64]time.Duration{}}
+	for id, lease := range s.leases {
+		c.ttls[id] = lease.ttl
+	}
+	return c
+}
+
+// Restore replaces the state by a copy and begins a new era. What was written since is
+// gone, and its revisions and the IDs of its leases are given out again. The leases of
+// the copy run anew. Watches that are waiting get status 410.
+func (s *Store) Restore(c *StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, lease := range s.leases {
+		lease.timer.Stop()
+	}
+	s.revision, s.items, s.leases, s.history = c.revision, maps.Clone(c.items), map[uint64]*storeLease{}, nil
+	for id, ttl := range c.ttls {
+		s.startLease(id, ttl)
+	}
+	s.compactedRevision = s.revision
+	s.era++
+	s.notify()
+}
+
+func (s *Store) currentEra() (era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Calls returns the number of calls from an IP address, including rejected ones.
 func (s *Store) Calls(address string) (calls int) {
 	s.mu.Lock()
@@ -185,7 +228,15 @@
 // been handled, so that a client that reads slowly doesn't block the others.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	response := &bufferedResponse{ResponseWriter: w, status: http.StatusOK}
+	begun := s.currentEra()
 	s.handle(response, r)
+	era := s.currentEra()
+	if era != begun && callKind(r) != "kv-watch" {
+		panic(http.ErrAbortHandler) // it isn't known in which era the call was applied
+	}
+	if era > 0 {
+		w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+	}
 	w.WriteHeader(response.status)
 	_, _ = w.Write(response.body.Bytes()) // fails only if the connection broke
 }
@@ -262,9 +313,10 @@
 		return
 	}
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	era := s.currentEra()
 	for waiting := true; ; {
 		s.mu.Lock()
-		if after < s.compactedRevision {
+		if after < s.compactedRevision || after > s.revision || s.era != era {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
@@ -344,10 +396,25 @@
 	s.revision++
 	id := s.revision
 	ttl := time.Duration(request.TTLMs) * time.Millisecond
-	s.leases[id] = &storeLease{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.removeLease(id) })}
+	s.startLease(id, ttl)
 	writeJSON(w, http.StatusOK, map[string]any{"lease": id, "ttl_ms": request.TTLMs})
 }
 
+// startLease starts a lease, unless it has another timer when that ends. The caller
+// holds mu.
+func (s *Store) startLease(id uint64, ttl time.Duration) {
+	lease := &storeLease{ttl: ttl}
+	lease.timer = time.AfterFunc(ttl, func() {
+		s.mu.Lock()
+		current := s.leases[id] == lease
+		s.mu.Unlock()
+		if current {
+			s.removeLease(id)
+		}
+	})
+	s.leases[id] = lease
+}
+
 func (s *Store) serveKeepAlive(w http.ResponseWriter, text string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/storetest/client.go
+++ b/storetest/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -15,10 +17,14 @@
 	Client struct {
 		server *Server
 		name   string
+		eras   store.Eras
 	}
 )
 
-var _ store.Client = (*Client)(nil)
+// answers are the errors with which the service answers a call.
+var answers = []error{store.ErrNotFound, store.ErrConflict, store.ErrLeaseExpired, store.ErrCompacted, store.ErrTooLarge}
+
+var _ store.EraClient = (*Client)(nil)
 
 // Client returns a client with the given name. Clients that share a name share
 // its faults and counters.
@@ -26,6 +32,9 @@
 	return &Client{server: s, name: name}
 }
 
+// Era implements store.EraClient.
+func (c *Client) Era() (view store.EraView) { return c.eras.Era() }
+
 // Get implements store.Client.
 func (c *Client) Get(ctx context.Context, key string) (entry store.Entry, err error) {
 	return call(ctx, c, Get, func() (store.Entry, error) { return c.server.get(key) })
@@ -116,19 +125,29 @@
 	if err := c.awaitConnection(ctx, Requests); err != nil {
 		return none, lostResponseError(kind, err)
 	}
+	begun, era := c.eras.Era(), ""
+	applyInEra := func() (T, error) {
+		era = strconv.FormatUint(c.server.era, 10)
+		return apply()
+	}
 	c.server.mu.Lock()
 	delay := c.server.faults.delay
 	c.server.mu.Unlock()
 	if delay > 0 {
-		if result, err = callDelayed(ctx, c, kind, delay, apply); err == errNoResponse {
+		if result, err = callDelayed(ctx, c, kind, delay, applyInEra); err == errNoResponse {
 			return none, lostResponseError(kind, ctx.Err())
 		}
 	} else {
-		result, err = applyCall(c, kind, true, apply)
+		result, err = applyCall(c, kind, true, applyInEra)
 	}
 	if partitionErr := c.awaitConnection(ctx, Responses); partitionErr != nil {
 		return none, lostResponseError(kind, partitionErr)
 	}
+	if err == nil || slices.ContainsFunc(answers, func(answer error) bool { return errors.Is(err, answer) }) {
+		if eraErr := c.eras.Observe(begun, era, !slices.Contains([]Kind{Get, List, Watch}, kind)); eraErr != nil {
+			return none, eraErr
+		}
+	}
 	return result, err
 }
 
--- a/storetest/faults.go
+++ b/storetest/faults.go
@@ -1,7 +1,11 @@
 package storetest
 
 import (
+	"maps"
+	"slices"
 	"time"
+
+	"github.com/guavagauge/guavagauge/store"
 )
 
 // The directions in which a partition can block a client.
@@ -26,6 +30,14 @@
 		responsesToDrop map[Kind]int
 		restarts        uint64 // number of restarts; each fails the watches in progress
 	}
+
+	// Copy is a copy of a Server's state.
+	Copy struct {
+		keys      map[string][]version
+		revision  uint64
+		nextLease store.LeaseID
+		ttls      map[store.LeaseID]time.Duration
+	}
 )
 
 // SetDown stops or starts the service. Either breaks the watches in progress.
@@ -44,6 +56,42 @@
 	s.setFault(func() { s.faults.restarts++ })
 }
 
+// Copy returns a copy of the state, for Restore.
+func (s *Server) Copy() (c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c = &Copy{keys: maps.Clone(s.keys), revision: s.revision, nextLease: s.nextLease, ttls: map[store.LeaseID]time.Duration{}}
+	for key, versions := range c.keys {
+		c.keys[key] = slices.Clone(versions)
+	}
+	for id, held := range s.leases {
+		c.ttls[id] = held.ttl
+	}
+	return c
+}
+
+// Restore replaces the state by a copy and begins a new era. What was written since is
+// gone, and its revisions and the IDs of its leases are given out again. The leases of
+// the copy run anew. It breaks the watches in progress.
+func (s *Server) Restore(c *Copy) {
+	s.setFault(func() {
+		for id, held := range s.leases {
+			held.timer.Stop()
+			delete(s.leases, id)
+		}
+		s.keys = maps.Clone(c.keys)
+		for key, versions := range s.keys {
+			s.keys[key] = slices.Clone(versions)
+		}
+		s.revision, s.nextLease, s.events, s.compacted = c.revision, c.nextLease, nil, c.revision
+		for id, ttl := range c.ttls {
+			s.startLease(id, ttl)
+		}
+		s.era++
+		s.faults.restarts++
+	})
+}
+
 // SetDelay adds a delay to each call, half of it before the call takes effect. A
 // call takes effect even if its context ends during the delay.
 func (s *Server) SetDelay(delay time.Duration) {
--- a/storetest/storetest.go
+++ b/storetest/storetest.go
@@ -70,6 +70,7 @@
 		leases    map[store.LeaseID]*lease
 		nextLease store.LeaseID
 		faults    faults
+		era       uint64
 		calls     map[string]map[Kind]int
 	}
 
@@ -253,13 +254,16 @@
 // the meantime, so it calls expire, which checks the expiry of each lease.
 func (s *Server) grant(ttl time.Duration) (id store.LeaseID) {
 	s.nextLease++
-	id = s.nextLease
+	s.startLease(s.nextLease, ttl)
+	return s.nextLease
+}
+
+func (s *Server) startLease(id store.LeaseID, ttl time.Duration) {
 	s.leases[id] = &lease{ttl: ttl, expiry: time.Now().Add(ttl), timer: time.AfterFunc(ttl, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.expire()
 	})}
-	return id
 }
 
 func (s *Server) keepAlive(id store.LeaseID) (ttl time.Duration, err error) {
@@ -305,7 +309,7 @@
 
 // eventsAfter returns the past changes that match a watch.
 func (s *Server) eventsAfter(request store.WatchRequest) (events []store.Event, err error) {
-	if request.After < s.compacted {
+	if request.After < s.compacted || request.After > s.revision {
 		return nil, store.ErrCompacted
 	}
 	for _, event := range s.events {
