lease: keep fencing tokens rising when the store comes back from an older copy

Cause: the token was the revision alone, and a lease in the store was taken to last for its term.

Change: the token begins with the era. A holder that learns of a new era loses its lease at once and doesn't revoke it, as its ID may be another's. A new holder waits in AwaitEarlierEra until terms of an earlier era have ended.

Result: without the era, TestEpochsRiseAcrossEras, four of six restores in TestLeaseIsExclusiveUnderFaults, TestLeaseIsExclusiveUnderRandomFaults and TestReleaseInLaterEraEndsNoOtherLease fail; with it they pass, and 4,000 random scripts. TestNextHolderAwaitsTermsOfEarlierEra fails without the wait.

--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -23,7 +23,8 @@
 		options        Options
 		value          []byte
 		nonce          uint64
-		highestVersion uint64 // highest version or revision seen in any response; the epoch must be above it
+		era            uint64 // of the store, to which the versions below belong
+		highestVersion uint64 // highest version or revision seen in any response; that of the key must be above it
 		deletedVersion uint64 // version of the last deletion of the key seen; a read of an older entry is stale
 		backoff        time.Duration
 	}
@@ -75,10 +76,12 @@
 			return nil
 		case err != nil:
 			return err
+		}
+		c.followEra()
+		switch {
 		case entry.Version < c.deletedVersion:
 			return nil
-		}
-		if c.options.NoWait {
+		case c.options.NoWait:
 			return ErrHeld
 		}
 		c.highestVersion = max(c.highestVersion, entry.Version)
@@ -87,6 +90,7 @@
 		if err != nil {
 			return err
 		}
+		c.followEra()
 		c.highestVersion = max(c.highestVersion, revision)
 		for _, event := range events {
 			if event.Deleted && event.Entry.Key == c.options.Key {
@@ -101,12 +105,20 @@
 	}
 }
 
+// followEra forgets the versions of an earlier era, which are given out again.
+func (c *candidate) followEra() {
+	if era := store.CurrentEra(c.client).Era; era != c.era {
+		c.era, c.highestVersion, c.deletedVersion = era, 0, 0
+	}
+}
+
 // tryAcquire tries to create the key under a new store lease. If it fails after
 // the key was created, the key is deleted when that lease is revoked or expires.
 // It rejects an epoch that isn't above all versions seen, which a store returns
-// only if its revision has gone back.
+// only if its revision has gone back, and one that was created across eras.
 func (c *candidate) tryAcquire(ctx context.Context) (held *Lease, err error) {
-	grantSentAt := c.options.Clock.Now()
+	c.followEra()
+	era, grantSentAt := store.CurrentEra(c.client), c.options.Clock.Now()
 	var id store.LeaseID
 	err = c.call(ctx, func(ctx context.Context) (err error) {
 		id, err = c.client.Grant(ctx, c.options.TTL)
@@ -115,16 +127,23 @@
 	if err != nil {
 		return nil, err
 	}
-	epoch, err := c.write(ctx, id)
-	switch {
-	case err == nil && epoch <= c.highestVersion:
-		err = errors.Annotatef(errNotAcquired, "key was created at version %d, but the store had reached version %d before", epoch, c.highestVersion)
+	version, err := c.write(ctx, id)
+	var epoch uint64
+	if err == nil {
+		epoch, err = store.Position{Era: era.Era, Revision: version}.Token()
+	}
+	switch current := store.CurrentEra(c.client).Era; {
+	case current != era.Era:
+		// The ID of the store lease may be that of another process now, so it isn't revoked.
+		return nil, errors.Annotatef(errNotAcquired, "the store came back from an older copy, in era %d", current)
+	case err == nil && version <= c.highestVersion:
+		err = errors.Annotatef(errNotAcquired, "key was created at version %d, but the store had reached version %d before", version, c.highestVersion)
 	case err == nil:
-		held = newLease(ctx, c.client, c.options, id, epoch, grantSentAt)
+		held = newLease(ctx, c.client, c.options, id, era, epoch, grantSentAt)
 		if err = held.Check(); err == nil {
 			return held, nil
 		}
-		c.highestVersion = max(c.highestVersion, epoch)
+		c.highestVersion = max(c.highestVersion, version)
 		held.Release(ctx)
 		return nil, err
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -20,7 +20,11 @@
 //
 // The epochs of a key increase strictly, even after expired leases, restarts of
 // the store, stale reads and lost responses: an epoch is the store-wide version
-// of the write that created the key. The holder counts the TTL of its lease from
+// of the write that created the key. If the client is a store.EraClient, that also
+// holds when the store comes back from an older copy, since an epoch then begins
+// with the store's era. A holder that learns of a new era loses its lease, and a new
+// one waits in AwaitEarlierEra until the terms that others may still have from an
+// earlier era have ended. The holder counts the TTL of its lease from
 // before the renewal was sent, by the faster of its monotonic and its wall
 // clock, and stops a safety margin before the store can free the key for another
 // process. When the holder notices that its process was paused or its clock
@@ -84,8 +88,10 @@
 		client     store.Client
 		options    Options
 		id         store.LeaseID
+		era        store.EraView // in which the key was created
 		epoch      uint64
-		acquiredAt Reading // when the key was known to be created
+		acquiredAt Reading       // when the key was known to be created
+		eraAge     time.Duration // at that time
 		ctx        context.Context
 		cancel     context.CancelCauseFunc
 		renewNow   chan struct{} // requests an immediate renewal
@@ -152,20 +158,21 @@
 }
 
 // newLease returns a lease and starts the goroutines that renew it and check the
-// clock. grantSentAt was read before the store lease was requested.
-func newLease(ctx context.Context, client store.Client, options Options, id store.LeaseID, epoch uint64, grantSentAt Reading) *Lease {
+// clock and the store's era. grantSentAt was read before the store lease was requested.
+func newLease(ctx context.Context, client store.Client, options Options, id store.LeaseID, era store.EraView, epoch uint64, grantSentAt Reading) *Lease {
 	l := &Lease{
-		client: client, options: options, id: id, epoch: epoch, acquiredAt: options.Clock.Now(),
+		client: client, options: options, id: id, era: era, epoch: epoch, acquiredAt: options.Clock.Now(),
 		renewNow: make(chan struct{}, 1), done: make(chan struct{}),
 		renewedAt: grantSentAt, ttl: options.TTL,
 	}
-	l.lastReading = l.acquiredAt
+	l.lastReading, l.eraAge = l.acquiredAt, time.Since(era.SeenAt)
 	l.ctx, l.cancel = context.WithCancelCause(ctx)
 	panics := guard.New(options.Logger, options.Metrics)
 	panics.Loop(l.ctx, "lease check", func() {
 		for l.ctx.Err() == nil {
 			select {
 			case <-time.After(l.nextCheck()):
+			case <-l.era.Ended:
 			case <-l.ctx.Done():
 			}
 			l.Check()
@@ -215,6 +222,10 @@
 	if l.endReason != nil {
 		return l.endReason
 	}
+	if era := store.CurrentEra(l.client).Era; era != l.era.Era {
+		l.end(errors.WithType(errors.Errorf("acquired in era %d of the store, which is in era %d", l.era.Era, era), ErrLost))
+		return l.endReason
+	}
 	if age := now.since(l.renewedAt); age >= l.ttl-l.options.safetyMargin() {
 		l.end(errors.WithType(errors.Errorf("not renewed for %s", age), ErrLost))
 		return l.endReason
@@ -250,13 +261,37 @@
 // AwaitPredecessor waits until operations that the previous holder sent under
 // its lease have ended. That takes the safety margin plus
 // Options.MaxOperationTime, counted from the acquisition of this lease by the
-// monotonic clock, so that a jump of the wall clock doesn't shorten it.
-// Afterwards the holder should read the state of what it controls.
+// monotonic clock, so that a jump of the wall clock doesn't shorten it, or from the
+// end of AwaitEarlierEra less the safety margin. Afterwards the holder should read the
+// state of what it controls.
 func (l *Lease) AwaitPredecessor(ctx context.Context) (err error) {
 	defer errors.DeferredAnnotatef(&err, "wait for operations of the previous holder of lease %q", l.options.Key)
+	margin := l.options.safetyMargin()
+	return l.await(ctx, max(l.acquiredAt.Monotonic, l.earlierEraEnd()-margin)+margin+l.options.MaxOperationTime)
+}
+
+// AwaitEarlierEra waits until the leases have ended that other processes may still hold
+// from an earlier era of the store: it may have lost their keys, and a process that
+// doesn't reach it hasn't noticed. That takes the TTL, counted from when this process
+// first saw the era.
+func (l *Lease) AwaitEarlierEra(ctx context.Context) (err error) {
+	defer errors.DeferredAnnotatef(&err, "wait for holders of lease %q in an earlier era of the store", l.options.Key)
+	return l.await(ctx, l.earlierEraEnd())
+}
+
+// earlierEraEnd returns the reading of the monotonic clock at which AwaitEarlierEra ends.
+func (l *Lease) earlierEraEnd() (at time.Duration) {
+	if l.era.Era == 0 {
+		return 0
+	}
+	return l.acquiredAt.Monotonic - l.eraAge + l.options.TTL
+}
+
+// await waits until the monotonic clock has reached a reading and the lease isn't
+// suspended.
+func (l *Lease) await(ctx context.Context, until time.Duration) (err error) {
 	for {
-		elapsed := l.options.Clock.Now().Monotonic - l.acquiredAt.Monotonic
-		wait := l.options.safetyMargin() + l.options.MaxOperationTime - elapsed
+		wait := until - l.options.Clock.Now().Monotonic
 		if wait <= 0 {
 			if err = l.Check(); !errors.Is(err, ErrSuspended) {
 				return err
@@ -323,8 +358,12 @@
 }
 
 // revoke revokes the store lease, which deletes the key. It runs whenever the
-// lease ends, so that a successor needn't wait until the store lease expires.
+// lease ends, so that a successor needn't wait until the store lease expires. In
+// another era the ID may be that of another process's lease.
 func (l *Lease) revoke() {
+	if store.CurrentEra(l.client).Era != l.era.Era {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(l.ctx), l.options.CallTimeout)
 	defer cancel()
 	if err := l.client.Revoke(ctx, l.id); err != nil && !errors.Is(err, store.ErrLeaseExpired) {
