entry: leaders wait out terms of an earlier era of the store

Cause: where the platform checks fencing tokens, a leader acted as soon as it had the lease. One that hasn't noticed a new era may still act then.

Change: awaitTurn waits for terms of an earlier era in both cases.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -300,6 +300,7 @@
 	n.followUpstreams()
 	n.learnQuarantines()
 	n.storeQuarantines()
+	n.followEras()
 	n.campaign()
 	n.bootstrapCaches()
 	n.guard.Loop(n.ctx, "sweep", func() {
--- a/entry/fencing_test.go
+++ b/entry/fencing_test.go
@@ -37,9 +37,7 @@
 					return time.Millisecond
 				})
 				f.startThreeNodes()
-				scaled := strings.Replace(fmt.Sprintf(configText, 2, `"`+key+`"`), `{"name":"desk",`,
-					`{"name":"desk","scaling":{"min":1,"max":2,"boot_s":0.1,"spot_price":0.2,"zone_prices":{"a":1,"b":1,"c":1}},`, 1)
-				f.store.Set(platform.ConfigKey, []byte(scaled))
+				f.scaleDesk(2)
 				f.advance(5 * time.Second)
 				for range 80 {
 					address := f.nodeAddresses()[random.IntN(3)]
@@ -64,3 +62,54 @@
 		})
 	}
 }
+
+// Guards against leaders that act at the same time, with tokens that were used before or
+// that fall, and against a long pause without a leader, when the store comes back from an
+// older copy: beside a leader that is cut off from it, and with leases and revisions that
+// are given out again.
+func TestLeadersAcrossErasOfTheStore(t *testing.T) {
+	const (
+		lease   = 3 * time.Second
+		longest = 2*lease + 3*time.Second // without an order: the old key's lease, then a term, and polls
+	)
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			runWithFleet(t, func(f *testFleet) {
+				random := rand.New(rand.NewPCG(seed, 3))
+				f.cloud.Unfenced, f.cloud.Lease = true, lease
+				var lastCall atomic.Int64
+				f.cloud.OnCall = func(string, string) { lastCall.Store(int64(time.Since(f.start))) }
+				f.startThreeNodes()
+				f.scaleDesk(2)
+				f.advance(10 * time.Second)
+				for drill := range 12 {
+					old := f.store.Copy()
+					cut := f.nodeAddresses()[random.IntN(3)]
+					f.store.Refuse(cut, drill%3 == 1) // others lead in the lost time
+					f.advance(time.Duration(500+random.IntN(9500)) * time.Millisecond)
+					f.store.Refuse(cut, drill%3 == 2) // a leader doesn't notice the new era
+					f.store.Restore(old)
+					f.scaleDesk(2)
+					begin := time.Since(f.start)
+					f.advance(longest)
+					f.store.Refuse(cut, false)
+					if last := time.Duration(lastCall.Load()); last < begin {
+						t.Errorf("drill %d: no call of a leader for %s after the store came back", drill, longest)
+					}
+					f.advance(time.Duration(random.IntN(3000)) * time.Millisecond)
+				}
+				for _, violation := range f.cloud.Violations() {
+					t.Error(violation)
+				}
+			})
+		})
+	}
+}
+
+// scaleDesk writes a configuration under which the leader orders capacity again and again,
+// since no upstream comes.
+func (f *testFleet) scaleDesk(version int) {
+	scaled := strings.Replace(fmt.Sprintf(configText, version, `"`+key+`"`), `{"name":"desk",`,
+		`{"name":"desk","scaling":{"min":1,"max":2,"boot_s":0.1,"spot_price":0.2,"zone_prices":{"a":1,"b":1,"c":1}},`, 1)
+	f.store.Set(platform.ConfigKey, []byte(scaled))
+}
--- a/entry/leader.go
+++ b/entry/leader.go
@@ -115,17 +115,23 @@
 }
 
 // awaitTurn waits, where the platform doesn't check fencing tokens, until the calls
-// of the previous leader have ended. It also waits until Bounds.Lease after this
+// of the previous leader have ended, and elsewhere only until no leader can be left from
+// before the store came back from an older copy. It also waits until Bounds.Lease after this
 // node's own last call of an earlier term: leaders that take turns within that time
 // break the platform's rules. See docs/decisions/fencing.md.
 func (n *Node) awaitTurn(held *lease.Lease) (err error) {
 	// In the first lease of the first start, there was no leader before whose calls
 	// could be under way.
 	firstLeader := n.settings.FirstStart && n.clock()-n.startedAt < n.settings.Bounds.Lease
-	if !n.settings.Bounds.Fenced && !firstLeader {
-		if err = held.AwaitPredecessor(n.ctx); err != nil {
-			return err
-		}
+	switch {
+	case firstLeader:
+	case n.settings.Bounds.Fenced:
+		err = held.AwaitEarlierEra(n.ctx)
+	default:
+		err = held.AwaitPredecessor(n.ctx)
+	}
+	if err != nil {
+		return err
 	}
 	if last := time.Duration(n.lastDutyCall.Load()); last > 0 {
 		select {
