entry: keep configuration and keys when the store comes back from an older copy

Cause: which configuration is newer was decided by the store's revision alone.

Change: routing.Edition is the operator's version and the position in the store. Across eras the version decides. A node confirms only what the store holds, and keeps a newer version meanwhile. Nodes announce their edition in later eras, fetch a newer one from each other, and one that starts hears another before it serves. Entry.Follow and Entry.Config carry a token of the position in place of the revision, which is the same number in era 0. The reader of a failure domain is elected by the age of the store's last answer.

--- a/entry/config.go
+++ b/entry/config.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -41,7 +43,7 @@
 		reachable := true
 		interval := min(compareInterval, n.settings.Bounds.Configuration*2/5)
 		for n.ctx.Err() == nil {
-			if !n.isStoreReader() && !n.configFailing.Load() && (n.configAge() < followStaleAge || n.transferAdvancing()) {
+			if !n.isStoreReader() && !n.configFailing.Load() && (n.storeAge() < followStaleAge || n.transferAdvancing()) {
 				n.sleep(compareRetryDelay)
 				continue
 			}
@@ -60,8 +62,12 @@
 				} else {
 					n.markStoreDown()
 				}
-			case !changed || n.applyConfig(entry, fromStore, n.clock()-askedAt):
+			case !changed && n.holdsStoredConfig(), changed && n.applyConfig(entry, fromStore, n.clock()-askedAt):
 				n.confirmConfig(askedAt)
+			default:
+				// The store came back from an older copy, and may hold an older configuration.
+				raise(&n.storeSeenAt, askedAt)
+				wait = min(wait, compareRetryDelay)
 			}
 			if err == nil && !reachable {
 				n.logger.Info("configuration check against store succeeded again")
@@ -89,23 +95,58 @@
 // store's. If the store has another one, it returns that entry and true.
 func (n *Node) compareConfig() (entry store.Entry, changed bool, err error) {
 	n.storeStateMu.Lock()
-	version := n.configEntry.Version
+	known, seen := n.configEntry.Version > 0, n.lastSeenConfig()
 	n.storeStateMu.Unlock()
 	ctx, cancel := context.WithTimeout(n.ctx, configReadTimeout)
 	defer cancel()
-	if version == 0 {
+	if !known {
 		return n.readFirstConfig(ctx)
 	}
-	entry, err = n.store.Compare(ctx, platform.ConfigKey, version)
-	if !errors.Is(err, store.ErrConflict) {
+	entry, err = n.store.Compare(ctx, platform.ConfigKey, seen)
+	switch {
+	case errors.Is(err, store.ErrConflict) && entry.Version > seen.Revision:
+		return entry, true, nil
+	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrEraChanged):
+		// The response of the comparison doesn't contain the new entry, or there was none.
+		entry, err = n.store.Get(ctx, platform.ConfigKey)
+		return entry, err == nil, err
+	default:
 		return store.Entry{}, false, err
 	}
-	if entry.Version > version {
-		return entry, true, nil
+}
+
+// holdsStoredConfig reports whether the configuration in force is the one that the store
+// held last, and may be confirmed.
+func (n *Node) holdsStoredConfig() (ok bool) {
+	n.storeStateMu.Lock()
+	defer n.storeStateMu.Unlock()
+	return n.configEntry.Position() == n.lastSeenConfig() && n.mayConfirm(n.edition())
+}
+
+// lastSeenConfig returns the position of the newest entry of the configuration that this
+// node has seen. The caller holds storeStateMu.
+func (n *Node) lastSeenConfig() (p store.Position) {
+	if p = n.configEntry.Position(); n.configSeen.Compare(p) > 0 {
+		return n.configSeen
 	}
-	// The response of the comparison doesn't contain the new entry.
-	entry, err = n.store.Get(ctx, platform.ConfigKey)
-	return entry, err == nil, err
+	return p
+}
+
+// mayConfirm reports whether an edition that the store holds is known to be the newest. A
+// store that came back from an older copy may lack one that other nodes have, so a node
+// that starts in a later era hears one of them first, unless there is none. The caller
+// holds storeStateMu.
+func (n *Node) mayConfirm(edition routing.Edition) (ok bool) {
+	if n.heardConfig.Replaces(edition) {
+		return false
+	}
+	return edition.Position.Era == 0 || n.settings.FirstStart || n.heardAnyConfig || n.clock()-n.startedAt >= joinPeriod
+}
+
+// edition returns the edition of the configuration in force. The caller holds
+// storeStateMu.
+func (n *Node) edition() (e routing.Edition) {
+	return routing.Edition{Version: n.configVersion, Position: n.configEntry.Position()}
 }
 
 // readFirstConfig reads the configuration, and in the same call the quarantines from
@@ -126,8 +167,9 @@
 }
 
 // applyConfig puts a configuration in force unless a newer one already is. It
-// reports whether the entry is in force afterwards. source says where the entry
-// came from, and took how long the call that brought it lasted.
+// reports whether the entry is in force afterwards, and no other node has said that it has
+// a newer one. source says where the entry came from, and took how long the call that
+// brought it lasted.
 func (n *Node) applyConfig(entry store.Entry, source string, took time.Duration) (ok bool) {
 	config, err := platform.DecodeConfig(entry.Value)
 	if err != nil {
@@ -136,32 +178,73 @@
 	}
 	now := n.clock()
 	n.storeStateMu.Lock()
-	if entry.Version <= n.configEntry.Version {
-		ok = entry.Version == n.configEntry.Version
+	if source == fromStore {
+		n.configSeen = entry.Position()
+	}
+	first := n.configEntry.Version == 0
+	held, offered := n.edition(), routing.Edition{Version: config.Version, Position: entry.Position()}
+	confirmed := n.mayConfirm(offered)
+	if !first && !offered.Replaces(held) {
+		n.storeStateMu.Unlock()
+		if ok = offered == held; !ok && source == fromStore {
+			n.logger.Warn("store holds an older configuration", "Version", config.Version, "Position", offered.Position, "Held", held.Version, "HeldPosition", held.Position)
+		}
+		return ok && confirmed
+	}
+	n.configEntry, n.configVersion = entry, config.Version
+	if !first && held.Version == offered.Version && held.Position.Era != offered.Position.Era {
 		n.storeStateMu.Unlock()
-		return ok
+		n.logger.Info("configuration is in the store again", "Version", config.Version, "Position", offered.Position, "Before", held.Position)
+		return confirmed
 	}
-	n.configEntry = entry
 	n.configureQuotas(config, now)
 	n.table.Store(routing.NewTable(config))
 	n.storeStateMu.Unlock()
 	n.syncDispatcher()
 	n.logger.Info("configuration applied", "Version", config.Version, "Revision", entry.Version, "Routes", len(config.Routes),
 		"Source", source, "Bytes", len(entry.Value), "Took", took, "ConfirmedAgo", n.configAge())
-	return true
+	return confirmed
+}
+
+// hearConfig records that another node has an edition of the configuration, and fetches it
+// if it is newer than the one in force, as a store that came back from an older copy may
+// not have it.
+func (n *Node) hearConfig(edition routing.Edition, from netip.AddrPort) {
+	n.storeStateMu.Lock()
+	n.heardAnyConfig = true
+	newer := edition.Version > n.configVersion && edition.Replaces(n.edition())
+	if newer && edition.Replaces(n.heardConfig) {
+		n.heardConfig = edition
+	}
+	n.storeStateMu.Unlock()
+	if token, err := edition.Position.Token(); newer && err == nil {
+		n.startConfigTransfer(from, token, 0)
+	}
 }
 
 // confirmConfig records that the configuration in force was the newest at the
 // clock reading at.
 func (n *Node) confirmConfig(at time.Duration) {
+	raise(&n.configConfirmedAt, at)
+	raise(&n.storeSeenAt, at)
+}
+
+// raise sets a clock reading unless it is later already.
+func raise(reading *atomic.Int64, at time.Duration) {
 	for {
-		last := n.configConfirmedAt.Load()
-		if int64(at) <= last || n.configConfirmedAt.CompareAndSwap(last, int64(at)) {
+		last := reading.Load()
+		if int64(at) <= last || reading.CompareAndSwap(last, int64(at)) {
 			return
 		}
 	}
 }
 
+// storeAge returns the time since the store last answered about the configuration. It is
+// less than configAge while the store holds an older configuration than this node.
+func (n *Node) storeAge() (age time.Duration) {
+	return n.clock() - time.Duration(n.storeSeenAt.Load())
+}
+
 // configAge returns the time since the configuration was last known to be the
 // newest.
 func (n *Node) configAge() time.Duration {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -137,9 +137,9 @@
 		Range(ctx context.Context, prefix string, stale bool) (entries []store.Entry, revision uint64, err error)
 		// GetAll returns those of the keys that exist, in one call.
 		GetAll(ctx context.Context, keys ...string) (entries map[string]store.Entry, err error)
-		// Compare returns nil if the key still has the version. Otherwise it returns
+		// Compare returns nil if the key is still at the position. Otherwise it returns
 		// store.ErrConflict, with the current entry if the store sent it.
-		Compare(ctx context.Context, key string, version uint64) (current store.Entry, err error)
+		Compare(ctx context.Context, key string, position store.Position) (current store.Entry, err error)
 	}
 
 	// Options configures a Node. Settings and Logger are required.
@@ -173,6 +173,7 @@
 		cancel            context.CancelFunc
 		table             atomic.Pointer[routing.Table]
 		configConfirmedAt atomic.Int64 // clock reading at which the configuration was last known to be the newest
+		storeSeenAt       atomic.Int64 // clock reading at which the store last answered about the configuration, to this node or the one that it follows
 		upstreamsListed   atomic.Bool  // upstreams was filled at least once, from the store or by another node
 		// configFailing is set while this node fails to compare its configuration with
 		// the store, and upstreamsFailing while it fails to read the upstreams there.
@@ -228,7 +229,11 @@
 		// storeStateMu guards the fields below. The other types of this package have
 		// their own locks.
 		storeStateMu         sync.Mutex
-		configEntry          store.Entry   // store entry of the configuration in force
+		configEntry          store.Entry     // store entry of the configuration in force
+		configVersion        uint64          // the operator's, of the configuration in force
+		configSeen           store.Position  // of the entry that the store held last, in force or not
+		heardConfig          routing.Edition // best one that another node said it has
+		heardAnyConfig       bool
 		upstreamsRevision    uint64        // store revision that upstreams reflects
 		upstreamsConfirmedAt time.Duration // clock reading at which upstreams were last known to be up to date
 	}
--- /dev/null
+++ b/entry/era_test.go
@@ -0,0 +1,95 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/guavagauge/guavagauge/platform"
+)
+
+// Guards against a configuration that goes back with a store that comes back from an older
+// copy: against a withdrawn key that works again, at nodes that have withdrawn it and at one
+// that starts then, and against a configuration that isn't taken because the operator
+// writes it at a lower revision than before.
+func TestConfigurationDoesntGoBackWithStore(t *testing.T) {
+	const bound = 3 * time.Second // the default of Bounds.Configuration
+	for name, rewrittenAfter := range map[string]time.Duration{"written again soon": time.Second, "written again late": 8 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			runWithFleet(t, func(f *testFleet) {
+				f.configure(1, "withdrawn", key)
+				f.startThreeNodes()
+				f.configure(3, "withdrawn", key)
+				f.advance(2 * time.Second)
+				old := f.store.Copy()
+				for i := range 400 {
+					f.store.Set("op/other", []byte(fmt.Sprint(i))) // revisions that are given out again
+				}
+				f.configure(5, key)
+				f.advance(4 * time.Second)
+				f.store.Restore(old)
+				restored := time.Now()
+				f.startNode("n4", "10.1.0.4")
+				addresses := append(f.nodeAddresses(), "10.1.0.4")
+				for step := 0; time.Since(restored) < rewrittenAfter+bound; step++ {
+					if step == int(rewrittenAfter/(100*time.Millisecond)) {
+						f.configure(5, key)
+					}
+					for _, address := range addresses {
+						if r := f.request(address+":80", http.MethodGet, "/draws/1", "", keyHeader("withdrawn")); r.status == http.StatusOK {
+							t.Errorf("node %s serves a withdrawn key %s after the store came back", address, time.Since(restored))
+						}
+					}
+					f.advance(100 * time.Millisecond)
+				}
+				for _, address := range addresses {
+					f.expect(f.request(address+":80", http.MethodGet, "/draws/1", "", nil), http.StatusOK, "answer")
+				}
+				f.configure(7, key, "added")
+				f.advance(bound)
+				for _, address := range addresses {
+					f.expect(f.request(address+":80", http.MethodGet, "/draws/1", "", keyHeader("added")), http.StatusOK, "answer")
+				}
+			})
+		})
+	}
+}
+
+// Guards against nodes that stop to serve, or take the configuration for outdated, because
+// the store came back from a copy that has the same one.
+func TestUnchangedConfigurationOutlivesEra(t *testing.T) {
+	runWithFleet(t, func(f *testFleet) {
+		f.startThreeNodes()
+		f.advance(3 * time.Second)
+		for range 3 {
+			f.store.Restore(f.store.Copy())
+			for range 60 {
+				for _, address := range f.nodeAddresses() {
+					f.expect(f.request(address+":80", http.MethodGet, "/draws/1", "", nil), http.StatusOK, "answer")
+				}
+				f.advance(200 * time.Millisecond)
+			}
+		}
+	})
+}
+
+// Guards against a node that believes an older copy of the store because it starts before it
+// has heard of the others, and against one that waits for others that there are not.
+func TestNodeStartsInLaterEra(t *testing.T) {
+	runWithFleet(t, func(f *testFleet) {
+		f.startThreeNodes()
+		f.store.Restore(f.store.Copy())
+		for _, name := range []string{"n1", "n2", "n3"} {
+			go f.nodes[name].Stop(context.Background())
+		}
+		f.advance(4 * time.Second)
+		f.startNode("n1", n1)
+		f.advance(3 * time.Second)
+		f.expect(f.request(n1+":80", http.MethodGet, "/draws/1", "", nil), http.StatusOK, "answer")
+		if entries := f.store.Keys(platform.ConfigKey); len(entries) != 1 {
+			t.Errorf("%d configurations in the store, want 1", len(entries))
+		}
+	})
+}
--- a/entry/extension.go
+++ b/entry/extension.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/netip"
 	"reflect"
 	"time"
 
@@ -8,7 +9,9 @@
 	"github.com/juju/errors"
 
 	"github.com/guavagauge/guavagauge/quota"
+	"github.com/guavagauge/guavagauge/routing"
 	"github.com/guavagauge/guavagauge/speed"
+	"github.com/guavagauge/guavagauge/store"
 )
 
 type (
@@ -26,6 +29,13 @@
 	extensionContent struct {
 		Quotas quota.Reports  `cbor:"1,keyasint,omitzero"`
 		Speeds []speed.Report `cbor:"3,keyasint,omitzero"` // of upstreams that say how fast they are
+		Config configEdition  `cbor:"4,keyasint,omitzero"` // in force; not in era 0 of the store
+	}
+
+	// configEdition is a routing.Edition.
+	configEdition struct {
+		Version uint64 `cbor:"1,keyasint,omitzero"`
+		Token   uint64 `cbor:"2,keyasint,omitzero"` // of the position
 	}
 
 	// relayedExtension is the extension of an aggregate message of another failure
@@ -57,6 +67,7 @@
 	x.Own.Quotas = p.node.quotas.Report(p.node.clock())
 	// Each report is sent twice, since datagrams can be lost.
 	x.Own.Speeds = p.node.dispatcher.SpeedReports(now, 2*p.gossipInterval())
+	x.Own.Config = p.node.announcedConfig()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	x.Relayed, p.pendingExtensions = p.pendingExtensions, nil
@@ -68,9 +79,25 @@
 func (p *peers) remoteExtension(now time.Time) (x extension) {
 	x.Own.Quotas = p.node.quotas.Aggregate(p.node.clock())
 	x.Own.Speeds = p.node.dispatcher.DomainSpeedReports(now)
+	x.Own.Config = p.node.announcedConfig()
 	return x
 }
 
+// announcedConfig returns the edition of the configuration in force. In the first era of
+// the store all nodes read the same from it, so that none needs to hear of it.
+func (n *Node) announcedConfig() (announced configEdition) {
+	if store.CurrentEra(n.store).Era == 0 {
+		return configEdition{}
+	}
+	n.storeStateMu.Lock()
+	defer n.storeStateMu.Unlock()
+	token, err := n.configEntry.Position().Token()
+	if err != nil {
+		return configEdition{}
+	}
+	return configEdition{Version: n.configVersion, Token: token}
+}
+
 // applyExtension applies the extension that followed a message of another node. That of
 // an aggregate message is also kept to be relayed.
 func (p *peers) applyExtension(m *message, encoded []byte, now time.Time) (err error) {
@@ -100,4 +127,16 @@
 		n.count("messages", "AbsurdQuota")
 	}
 	n.dispatcher.ApplySpeedReports(domain, node, content.Speeds, now)
+	if content.Config.Version == 0 {
+		return
+	}
+	p.mu.Lock()
+	address := netip.AddrPort{}
+	if peer := p.byName[node]; peer != nil {
+		address = peer.address
+	}
+	p.mu.Unlock()
+	if address.IsValid() {
+		n.hearConfig(routing.Edition{Version: content.Config.Version, Position: store.PositionOf(content.Config.Token)}, address)
+	}
 }
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -9,7 +9,7 @@
 
 	"github.com/guavagauge/guavagauge/discovery"
 	"github.com/guavagauge/guavagauge/peer"
-	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/routing"
 	"github.com/guavagauge/guavagauge/store"
 )
 
@@ -72,6 +72,8 @@
 		// InlineBytes is the size up to which the reply may hold a configuration. Nodes
 		// without Entry.Config send 0, which is no limit.
 		InlineBytes int `cbor:"3,keyasint,omitzero"`
+		// ConfigVersion is the operator's. ConfigRevision is a token of the position.
+		ConfigVersion uint64 `cbor:"4,keyasint,omitzero"`
 	}
 
 	// FollowReply holds what is newer than the request's revisions, and how long
@@ -84,6 +86,10 @@
 		UpstreamsRevision uint64                    `cbor:"5,keyasint,omitzero"`
 		Upstreams         []discovery.SnapshotEntry `cbor:"6,keyasint,omitzero"`
 		UpstreamsSent     bool                      `cbor:"7,keyasint,omitzero"` // Upstreams holds the set, which may be empty
+		ConfigVersion     uint64                    `cbor:"8,keyasint,omitzero"`
+		// StoreAge is how long ago the store last answered about the configuration. Nodes
+		// without it send 0; ConfigAge is the same then.
+		StoreAge time.Duration `cbor:"9,keyasint,omitzero"`
 	}
 
 	// AccountRequest passes a node's counts of a usage window to a node that
@@ -109,8 +115,12 @@
 	n := r.node
 	n.storeStateMu.Lock()
 	defer n.storeStateMu.Unlock()
-	reply.ConfigAge, reply.ConfigRevision = n.configAge(), n.configEntry.Version
-	if n.configEntry.Version > request.ConfigRevision && (request.InlineBytes == 0 || len(n.configEntry.Value) <= request.InlineBytes) {
+	reply.ConfigAge, reply.StoreAge, reply.ConfigVersion = n.configAge(), n.storeAge(), n.configVersion
+	if reply.ConfigRevision, err = n.configEntry.Position().Token(); err != nil {
+		return err
+	}
+	asked := routing.Edition{Version: request.ConfigVersion, Position: store.PositionOf(request.ConfigRevision)}
+	if offersContent(n.edition(), asked) && (request.InlineBytes == 0 || len(n.configEntry.Value) <= request.InlineBytes) {
 		reply.Config = n.configEntry.Value
 	}
 	reply.UpstreamsAge, reply.UpstreamsRevision = n.clock()-n.upstreamsConfirmedAt, n.upstreamsRevision
@@ -120,6 +130,12 @@
 	return nil
 }
 
+// offersContent reports whether an edition of the configuration replaces another one with
+// other content.
+func offersContent(offered, held routing.Edition) (ok bool) {
+	return offered.Replaces(held) && (offered.Position.Era == held.Position.Era || offered.Version != held.Version)
+}
+
 // Account merges the usage counts of another node.
 func (r *rpcHandler) Account(request AccountRequest, _ *struct{}) (err error) {
 	defer r.node.guard.Recover("Entry.Account", func() { err = errCallPanicked })
@@ -155,8 +171,10 @@
 // that it returns. It reports whether the node answered.
 func (n *Node) follow(address netip.AddrPort) (answered bool) {
 	n.storeStateMu.Lock()
-	request := FollowRequest{ConfigRevision: n.configEntry.Version, UpstreamsRevision: n.upstreamsRevision, InlineBytes: inlineConfigBytes}
+	held := n.edition()
+	request := FollowRequest{UpstreamsRevision: n.upstreamsRevision, InlineBytes: inlineConfigBytes, ConfigVersion: held.Version}
 	n.storeStateMu.Unlock()
+	request.ConfigRevision, _ = held.Position.Token() // an entry at a position without one isn't followed
 	ctx, cancel := context.WithTimeout(n.ctx, followTimeout)
 	defer cancel()
 	askedAt := n.clock()
@@ -168,13 +186,17 @@
 	}
 	n.lastFollowed.Store(int64(askedAt))
 	if len(reply.Config) > 0 {
-		n.applyConfig(store.Entry{Key: platform.ConfigKey, Value: reply.Config, Version: reply.ConfigRevision}, address.String(), n.clock()-askedAt)
+		n.applyConfig(configEntryAt(reply.ConfigRevision, reply.Config), address.String(), n.clock()-askedAt)
 	}
-	if reply.ConfigRevision > request.ConfigRevision && len(reply.Config) == 0 {
+	offered := routing.Edition{Version: reply.ConfigVersion, Position: store.PositionOf(reply.ConfigRevision)}
+	if offersContent(offered, held) && len(reply.Config) == 0 {
 		n.startConfigTransfer(address, reply.ConfigRevision, askedAt-reply.ConfigAge)
 	}
 	n.storeStateMu.Lock()
-	sameConfig := n.configEntry.Version == reply.ConfigRevision && reply.ConfigRevision > 0
+	if offered.Replaces(n.edition()) && !offersContent(offered, n.edition()) {
+		n.configEntry.Era, n.configEntry.Version = offered.Position.Era, offered.Position.Revision
+	}
+	sameConfig := n.configEntry.Position() == offered.Position && reply.ConfigRevision > 0 && !n.heardConfig.Replaces(n.edition())
 	if reply.UpstreamsSent && reply.UpstreamsRevision > n.upstreamsRevision {
 		n.upstreams.Restore(reply.Upstreams, time.Now())
 		n.upstreamsRevision = reply.UpstreamsRevision
@@ -189,6 +211,9 @@
 	if sameConfig {
 		n.confirmConfig(askedAt - reply.ConfigAge)
 	}
+	if reply.StoreAge > 0 {
+		raise(&n.storeSeenAt, askedAt-reply.StoreAge)
+	}
 	if reply.UpstreamsSent {
 		n.syncDispatcher()
 	}
@@ -210,7 +235,7 @@
 					// The connection may have gone silent. The next call opens another one.
 					continue
 				}
-			} else if n.configAge() > followStaleAge {
+			} else if n.storeAge() > followStaleAge {
 				// This node can't reach the store, but another one may.
 				if address, ok := n.peers.anyHealthy(now); ok {
 					n.follow(address)
@@ -230,7 +255,7 @@
 // aren't stopping.
 func (p *peers) storeReader(now time.Time) (address netip.AddrPort, other bool) {
 	own := p.node.settings.Name
-	if p.node.storeFailing() || p.node.configAge() > readerMaxConfigAge || p.node.stopping.Load() {
+	if p.node.storeFailing() || p.node.storeAge() > readerMaxConfigAge || p.node.stopping.Load() {
 		own = "" // this node is the reader only if no other qualifies
 	}
 	p.mu.Lock()
--- a/entry/message.go
+++ b/entry/message.go
@@ -36,7 +36,7 @@
 		Node            string
 		FailureDomain   string
 		WallNanos       int64 // the sender's wall clock, in nanoseconds since 1970
-		ConfigAgeMs     int64 // time since the store confirmed the sender's configuration
+		ConfigAgeMs     int64 // time since the store last answered about the sender's configuration
 		CannotReadStore bool  // the sender can't be the store reader: its store calls fail, or it is stopping
 		Loads           []dispatch.Load
 		CacheInserts    []dispatch.CacheInsert
@@ -143,7 +143,7 @@
 func (p *peers) newMessage(now time.Time) (m message) {
 	return message{
 		Node: p.node.settings.Name, FailureDomain: p.node.settings.FailureDomain, WallNanos: now.UnixNano(),
-		ConfigAgeMs: p.node.configAge().Milliseconds(), CannotReadStore: p.node.storeFailing() || p.node.stopping.Load(),
+		ConfigAgeMs: p.node.storeAge().Milliseconds(), CannotReadStore: p.node.storeFailing() || p.node.stopping.Load(),
 	}
 }
 
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -70,7 +70,7 @@
 		address         netip.AddrPort
 		domain          string
 		lastSeen        time.Time
-		configAge       time.Duration // of its configuration
+		configAge       time.Duration // since the store last answered about its configuration
 		cannotReadStore bool
 		offset          time.Duration // of its wall clock from this node's
 		lastAggregate   time.Time     // when it last sent an aggregate message
--- a/entry/transfer.go
+++ b/entry/transfer.go
@@ -35,7 +35,8 @@
 )
 
 type (
-	// ConfigRequest asks for a part of a node's compressed configuration.
+	// ConfigRequest asks for a part of a node's compressed configuration. Revision is a
+	// token of its position in the store.
 	ConfigRequest struct {
 		Revision uint64 `cbor:"1,keyasint,omitzero"`
 		Offset   int    `cbor:"2,keyasint,omitzero"` // in bytes
@@ -96,8 +97,8 @@
 	n.storeStateMu.Lock()
 	current := n.configEntry
 	n.storeStateMu.Unlock()
-	if current.Version != revision {
-		return nil, nil
+	if token, err := current.Position().Token(); err != nil || token != revision {
+		return nil, err
 	}
 	var buffer bytes.Buffer
 	w, err := flate.NewWriter(&buffer, flate.BestSpeed)
@@ -137,7 +138,7 @@
 			return
 		}
 		n.transfer = configTransfer{}
-		if n.applyConfig(store.Entry{Key: platform.ConfigKey, Value: value, Version: revision}, address.String(), n.clock()-startedAt) {
+		if n.applyConfig(configEntryAt(revision, value), address.String(), n.clock()-startedAt) {
 			n.confirmConfig(confirmedAt)
 		}
 	})
@@ -171,6 +172,13 @@
 	return value, err
 }
 
+// configEntryAt returns the store entry of a configuration that another node sent. revision
+// is a token of its position.
+func configEntryAt(revision uint64, value []byte) (entry store.Entry) {
+	position := store.PositionOf(revision)
+	return store.Entry{Key: platform.ConfigKey, Value: value, Version: position.Revision, Era: position.Era}
+}
+
 // transferAdvancing reports whether a configuration is arriving from another node.
 func (n *Node) transferAdvancing() (ok bool) {
 	return n.transferring.Load() && n.clock()-time.Duration(n.transferAdvancedAt.Load()) < configChunkTimeout
--- a/store/era.go
+++ b/store/era.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 	"sync"
@@ -75,6 +76,19 @@
 	return p.Era<<tokenRevisionBits | p.Revision, nil
 }
 
+// PositionOf returns the position of a token.
+func PositionOf(token uint64) (p Position) {
+	return Position{Era: token >> tokenRevisionBits, Revision: token & (1<<tokenRevisionBits - 1)}
+}
+
+// Position returns where the entry was last written, as of the era in which it was read.
+func (e Entry) Position() (p Position) { return Position{Era: e.Era, Revision: e.Version} }
+
+// Compare returns -1, 0 or 1 if the position is before, at or after another one.
+func (p Position) Compare(other Position) (order int) {
+	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Revision, other.Revision))
+}
+
 // String returns the position as era/revision.
 func (p Position) String() string { return fmt.Sprintf("%d/%d", p.Era, p.Revision) }
 
@@ -85,26 +99,27 @@
 	return EraView{Era: e.era, SeenAt: e.seenAt, Ended: e.endedChannel(), Invalid: e.invalid}
 }
 
-// Observe records the era in the header of an answer, which is empty without one. begun is
-// the era as it was known when the call was sent. After an error, the answer must not
+// Observe records and returns the era in the header of an answer, which is empty without one.
+// begun is the era as it was known when the call was sent. After an error, the answer must not
 // be used. A read that crosses into a new era is valid.
-func (e *Eras) Observe(begun EraView, header string, write bool) (err error) {
+func (e *Eras) Observe(begun EraView, header string, write bool) (era uint64, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	era, parseErr := strconv.ParseUint(header, 10, 64)
+	var parseErr error
+	era, parseErr = strconv.ParseUint(header, 10, 64)
 	if parseErr != nil {
 		if header != "" || e.era > 0 {
 			e.invalid++
 		}
 		if e.era > 0 {
-			return errors.WithType(errors.Errorf("era %q after era %d", header, e.era), ErrOutdatedAnswer)
+			return 0, errors.WithType(errors.Errorf("era %q after era %d", header, e.era), ErrOutdatedAnswer)
 		}
 		era = 0
 	}
 	switch {
 	case era < e.era:
 		e.invalid++
-		return errors.WithType(errors.Errorf("era %d after era %d", era, e.era), ErrOutdatedAnswer)
+		return 0, errors.WithType(errors.Errorf("era %d after era %d", era, e.era), ErrOutdatedAnswer)
 	case era > e.era && e.known:
 		close(e.endedChannel())
 		e.ended = nil
@@ -113,9 +128,9 @@
 		e.known, e.era, e.seenAt = true, era, time.Now()
 	}
 	if write && !begun.SeenAt.IsZero() && begun.Era != era {
-		return errors.WithType(errors.Errorf("begun in era %d and answered in era %d", begun.Era, era), ErrEraChanged)
+		return era, errors.WithType(errors.Errorf("begun in era %d and answered in era %d", begun.Era, era), ErrEraChanged)
 	}
-	return nil
+	return era, nil
 }
 
 // endedChannel returns the channel that is closed at the end of the era. The caller
--- a/store/era_test.go
+++ b/store/era_test.go
@@ -37,7 +37,7 @@
 			var eras store.Eras
 			for i, a := range test.answers {
 				before := eras.Era()
-				if err := eras.Observe(before, a.header, a.write); !errors.Is(err, a.err) || (err == nil) != (a.err == nil) {
+				if _, err := eras.Observe(before, a.header, a.write); !errors.Is(err, a.err) || (err == nil) != (a.err == nil) {
 					t.Errorf("answer %d: %v, want %v", i, err, a.err)
 				}
 				after := eras.Era()
--- a/store/store.go
+++ b/store/store.go
@@ -89,12 +89,14 @@
 	LeaseID uint64
 
 	// Entry is a key with its value and its Version, the store-wide revision of its
-	// last write. Versions increase strictly over all keys.
+	// last write. Versions increase strictly over all keys. Era is that of the store when
+	// the entry was read, if the client is an EraClient.
 	Entry struct {
 		Key     string
 		Value   []byte
 		Version uint64
 		Lease   LeaseID
+		Era     uint64
 	}
 
 	// PutRequest describes a write of one key, which is applied only if the key's
--- a/storetest/client.go
+++ b/storetest/client.go
@@ -144,7 +144,7 @@
 		return none, lostResponseError(kind, partitionErr)
 	}
 	if err == nil || slices.ContainsFunc(answers, func(answer error) bool { return errors.Is(err, answer) }) {
-		if eraErr := c.eras.Observe(begun, era, !slices.Contains([]Kind{Get, List, Watch}, kind)); eraErr != nil {
+		if _, eraErr := c.eras.Observe(begun, era, !slices.Contains([]Kind{Get, List, Watch}, kind)); eraErr != nil {
 			return none, eraErr
 		}
 	}
