entry, discovery: keep upstreams away that left before the store came back

What upstreams would see: requests at nodes that read an older copy of the store, in which an upstream that has drained and left is ready (DRAIN, ROUTE); nodes that see no change of the upstreams, since the revisions of the new era are lower.

Cause: a listing at a lower revision was dropped, and a watch from a revision that was given out again missed what came between. Nothing was remembered of upstreams that have left.

Change: the upstream set has a position with the era. It remembers for a minute which instances were draining or gone, and takes the first listing of a later era with that. Upstreams that the copy lacks get the grace period. A node that starts in a later era takes the upstreams from another node first.

In era 0 no call and no byte is added.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -9,6 +9,11 @@
 // store, which is reachable again then. With a longer period, requests can go for
 // longer to upstreams that failed during the outage.
 //
+// A store can come back from an older copy, in which an upstream that has left since
+// is still ready and one that came since is missing. The set remembers which instances
+// were draining or gone, and after BeginEra doesn't take them for ready again. Upstreams
+// that the copy lacks get the grace period, in which live ones register again.
+//
 // # Usage
 //
 //	set := discovery.New(grace)
@@ -17,6 +22,7 @@
 //	set.Remove(id, now)
 //	set.Restore(entries, now)   // the snapshot of another node
 //	set.MarkStoreDown(now)      // no node can reach the store
+//	set.BeginEra(now)           // the store came back from an older copy
 //	view := set.View(now)
 package discovery
 
@@ -28,6 +34,14 @@
 	"time"
 )
 
+const (
+	// departureTTL is how long an instance that was draining or removed is remembered. It
+	// exceeds the age of a copy from which the store may come back and its time away.
+	departureTTL = time.Minute
+	// maxDeparted bounds the memory for them.
+	maxDeparted = 10_000
+)
+
 // Stages of an upstream.
 const (
 	// Plain means that the upstream is registered without a stage. An engine
@@ -78,6 +92,28 @@
 		generation   uint64 // of view
 		viewOutdated bool
 		nextExpiry   time.Time // of an entry in its grace period; zero: none
+		departed     map[instance]departure
+		eraBeganAt   time.Time // when BeginEra was last called, or zero
+	}
+
+	// instance is one start of an upstream.
+	instance struct {
+		id        string
+		startedAt int64 // Unix milliseconds
+	}
+
+	// departure is what is remembered of an instance that was draining or removed.
+	departure struct {
+		gone bool // removed
+		at   time.Time
+	}
+
+	// Departed is an instance that was draining or removed, for another node.
+	Departed struct {
+		ID        string        `cbor:"1,keyasint,omitzero"`
+		StartedAt int64         `cbor:"2,keyasint,omitzero"` // Unix milliseconds
+		Gone      bool          `cbor:"3,keyasint,omitzero"` // removed
+		Age       time.Duration `cbor:"4,keyasint,omitzero"`
 	}
 
 	entry struct {
@@ -89,7 +125,36 @@
 // New returns an empty set. Upstreams whose entries are removed within grace after
 // the store was last marked as down stay usable for another grace.
 func New(grace time.Duration) *UpstreamSet {
-	return &UpstreamSet{grace: grace, entries: map[string]*entry{}}
+	return &UpstreamSet{grace: grace, entries: map[string]*entry{}, departed: map[instance]departure{}}
+}
+
+// BeginEra records that the store came back from an older copy. The next listing of it
+// may lack upstreams that came since, and have those that have left.
+func (s *UpstreamSet) BeginEra(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeDownAt, s.eraBeganAt = now, now
+}
+
+// Departed returns the instances that were draining or removed.
+func (s *UpstreamSet) Departed(now time.Time) (departed []Departed) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, d := range s.departed {
+		if age := now.Sub(d.at); age < departureTTL {
+			departed = append(departed, Departed{ID: i.id, StartedAt: i.startedAt, Gone: d.gone, Age: age})
+		}
+	}
+	return departed
+}
+
+// AddDeparted records the instances that another node remembers.
+func (s *UpstreamSet) AddDeparted(departed []Departed, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range departed {
+		s.depart(instance{d.ID, d.StartedAt}, d.Gone, now.Add(-d.Age))
+	}
 }
 
 // MarkStoreDown records that no node can reach the store now.
@@ -99,14 +164,57 @@
 	s.storeDownAt = now
 }
 
-// Put adds or replaces an upstream.
-func (s *UpstreamSet) Put(upstream Upstream) {
+// Put adds or replaces an upstream whose entry was written now.
+func (s *UpstreamSet) Put(upstream Upstream, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.entries[upstream.ID] = &entry{upstream: upstream}
+	if s.departed[instanceOf(upstream)].gone { // its entry had expired
+		delete(s.departed, instanceOf(upstream))
+	}
+	s.put(upstream, now)
 	s.viewOutdated = true
 }
 
+// put adds or replaces an upstream. One that was gone when an era began is left out, and
+// one that was draining is draining. What is learnt in the era itself is up to date.
+// It is called with mu held.
+func (s *UpstreamSet) put(upstream Upstream, now time.Time) {
+	i := instanceOf(upstream)
+	if d, known := s.departed[i]; known && d.at.Before(s.eraBeganAt) && now.Sub(d.at) < departureTTL {
+		if d.gone {
+			s.remove(upstream.ID, now)
+			return
+		}
+		upstream.Draining = true
+	}
+	if replaced := s.entries[upstream.ID]; replaced != nil && instanceOf(replaced.upstream) != i {
+		s.depart(instanceOf(replaced.upstream), true, now)
+	}
+	if upstream.Draining {
+		s.depart(i, false, now)
+	}
+	s.entries[upstream.ID] = &entry{upstream: upstream}
+}
+
+// depart remembers that an instance was draining or removed. It is called with mu held.
+func (s *UpstreamSet) depart(i instance, gone bool, at time.Time) {
+	if known, ok := s.departed[i]; ok && (known.gone || !gone) {
+		return
+	}
+	if len(s.departed) >= maxDeparted {
+		for old, d := range s.departed {
+			if at.Sub(d.at) >= departureTTL {
+				delete(s.departed, old)
+			}
+		}
+	}
+	if len(s.departed) < maxDeparted {
+		s.departed[i] = departure{gone, at}
+	}
+}
+
+func instanceOf(u Upstream) (i instance) { return instance{u.ID, u.StartedAt.UnixMilli()} }
+
 // Remove records that an upstream is no longer registered. The upstream stays
 // usable for the grace period if the store had an outage and the upstream wasn't
 // draining.
@@ -124,7 +232,7 @@
 	listed := map[string]bool{}
 	for _, upstream := range upstreams {
 		listed[upstream.ID] = true
-		s.entries[upstream.ID] = &entry{upstream: upstream}
+		s.put(upstream, now)
 	}
 	for id := range s.entries {
 		if !listed[id] {
@@ -163,7 +271,17 @@
 	defer s.mu.Unlock()
 	before := s.entries
 	s.entries = make(map[string]*entry, len(entries))
+	defer func() {
+		for id, old := range before {
+			if current := s.entries[id]; current == nil || instanceOf(current.upstream) != instanceOf(old.upstream) {
+				s.depart(instanceOf(old.upstream), true, now)
+			}
+		}
+	}()
 	for _, e := range entries {
+		if e.Upstream.Draining {
+			s.depart(instanceOf(e.Upstream), false, now)
+		}
 		restored := &entry{upstream: e.Upstream}
 		if e.GraceLeft > 0 {
 			known := before[e.Upstream.ID]
@@ -195,8 +313,9 @@
 		return
 	}
 	s.viewOutdated = true
-	if e.upstream.Draining || !s.inOutage(now) {
+	if d := s.departed[instanceOf(e.upstream)]; e.upstream.Draining || d.gone || !s.inOutage(now) {
 		delete(s.entries, id)
+		s.depart(instanceOf(e.upstream), true, now)
 		return
 	}
 	if e.missingSince.IsZero() {
@@ -235,6 +354,7 @@
 			expiry := e.missingSince.Add(s.grace)
 			if !now.Before(expiry) {
 				delete(s.entries, id)
+				s.depart(instanceOf(e.upstream), true, now)
 				continue
 			}
 			if s.nextExpiry.IsZero() || expiry.Before(s.nextExpiry) {
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -25,7 +25,7 @@
 		want string
 	}
 	put := func(id string) func(*discovery.UpstreamSet, time.Time) {
-		return func(set *discovery.UpstreamSet, _ time.Time) { set.Put(discovery.Upstream{ID: id}) }
+		return func(set *discovery.UpstreamSet, now time.Time) { set.Put(discovery.Upstream{ID: id}, now) }
 	}
 	remove := func(id string) func(*discovery.UpstreamSet, time.Time) {
 		return func(set *discovery.UpstreamSet, now time.Time) { set.Remove(id, now) }
@@ -44,7 +44,7 @@
 		return func(set *discovery.UpstreamSet, now time.Time) {
 			sender := discovery.New(grace)
 			for _, id := range ids {
-				sender.Put(discovery.Upstream{ID: id})
+				sender.Put(discovery.Upstream{ID: id}, time.Now())
 			}
 			set.Restore(sender.Snapshot(now), now)
 		}
@@ -54,8 +54,8 @@
 	restoreInGrace := func(id string) func(*discovery.UpstreamSet, time.Time) {
 		return func(set *discovery.UpstreamSet, now time.Time) {
 			sender := discovery.New(grace)
-			sender.Put(discovery.Upstream{ID: id})
-			sender.Put(discovery.Upstream{ID: "z"})
+			sender.Put(discovery.Upstream{ID: id}, time.Now())
+			sender.Put(discovery.Upstream{ID: "z"}, time.Now())
 			sender.MarkStoreDown(now)
 			sender.Remove(id, now)
 			set.Restore(sender.Snapshot(now), now)
@@ -80,8 +80,10 @@
 		"in the sender's grace period, outage here too":      {{0, replace("a", "z"), "az"}, {1, storeDown, "az"}, {2, restoreInGrace("a"), "az"}, {4, noChange, "z"}},
 		"in the sender's grace period, in an older one here": {{0, replace("a", "z"), "az"}, {1, storeDown, "az"}, {1.5, remove("a"), "az"}, {2, restoreInGrace("a"), "az"}, {3.5, noChange, "z"}},
 		"not in a listing after an outage":                   {{0, replace("a", "b"), "ab"}, {5, storeDown, "ab"}, {6, replace("b"), "ab"}, {8, replace("b"), "b"}},
-		"draining and removed after an outage":               {{0, func(set *discovery.UpstreamSet, _ time.Time) { set.Put(discovery.Upstream{ID: "a", Draining: true}) }, "a"}, {5, storeDown, "a"}, {6, remove("a"), ""}},
-		"removed long after an outage":                       {{0, put("a"), "a"}, {5, storeDown, "a"}, {8, remove("a"), ""}},
+		"draining and removed after an outage": {{0, func(set *discovery.UpstreamSet, now time.Time) {
+			set.Put(discovery.Upstream{ID: "a", Draining: true}, now)
+		}, "a"}, {5, storeDown, "a"}, {6, remove("a"), ""}},
+		"removed long after an outage": {{0, put("a"), "a"}, {5, storeDown, "a"}, {8, remove("a"), ""}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			set := discovery.New(grace)
@@ -101,8 +103,8 @@
 func TestRestoredGracePeriodEnds(t *testing.T) {
 	start := time.Unix(1000, 0)
 	sender, receiver := discovery.New(grace), discovery.New(grace)
-	sender.Put(discovery.Upstream{ID: "a"})
-	sender.Put(discovery.Upstream{ID: "b"})
+	sender.Put(discovery.Upstream{ID: "a"}, time.Now())
+	sender.Put(discovery.Upstream{ID: "b"}, time.Now())
 	sender.MarkStoreDown(start)
 	sender.Remove("a", start.Add(time.Second))
 	receiver.Restore(sender.Snapshot(start.Add(1500*time.Millisecond)), start.Add(1500*time.Millisecond))
@@ -115,3 +117,55 @@
 		}
 	}
 }
+
+// Guards against upstreams that have left and are used again because an older copy of the
+// store says that they are ready, and against live ones that stay away.
+func TestDepartedUpstreamsStayAwayInLaterEra(t *testing.T) {
+	const grace = 2 * time.Second
+	start := time.Unix(1000, 0)
+	upstream := func(id string, draining bool) discovery.Upstream {
+		return discovery.Upstream{ID: id, StartedAt: start, Draining: draining}
+	}
+	usable := func(set *discovery.UpstreamSet, now time.Time) (ids string) {
+		for _, u := range set.View(now) {
+			if !u.Draining {
+				ids += u.ID
+			}
+		}
+		return ids
+	}
+	set, other, now := discovery.New(grace), discovery.New(grace), start
+	all := []discovery.Upstream{upstream("a", false), upstream("b", false), upstream("c", false)}
+	set.Replace(all, now)
+	set.Put(upstream("b", true), now)  // drains
+	set.Remove("c", now)               // has gone
+	set.Put(upstream("d", false), now) // has come
+	now = now.Add(5 * time.Second)
+	set.BeginEra(now)
+	set.Replace(all, now) // the copy
+	if got := usable(set, now); got != "ad" {
+		t.Errorf("usable after the copy was listed: %q, want ad", got)
+	}
+	other.AddDeparted(set.Departed(now), now)
+	other.BeginEra(now.Add(time.Millisecond))
+	other.Replace(all, now.Add(time.Millisecond))
+	if got := usable(other, now.Add(time.Millisecond)); got != "a" {
+		t.Errorf("usable at a node that was told: %q, want a", got)
+	}
+	now = now.Add(time.Second)
+	set.Put(upstream("b", false), now) // the copy's entry, written again
+	set.Put(upstream("c", false), now) // its entry had expired
+	set.Put(discovery.Upstream{ID: "b2", StartedAt: now}, now)
+	if got := usable(set, now); got != "ab2cd" {
+		t.Errorf("usable after entries were written in the new era: %q, want ab2cd", got)
+	}
+	if got := usable(set, now.Add(grace)); got != "ab2c" {
+		t.Errorf("usable after the grace period: %q, want ab2c", got)
+	}
+	set.Remove("c", now)
+	now = now.Add(time.Minute / 2)
+	set.Replace(all, now) // registered again in the same era
+	if got := usable(set, now); got != "ac" {
+		t.Errorf("usable after a later listing: %q, want ac", got)
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -133,8 +133,8 @@
 	ConfigStore interface {
 		store.Client
 		// Range returns the entries whose keys begin with prefix, and the store's
-		// revision before the read. A stale read is cheaper and may be seconds old.
-		Range(ctx context.Context, prefix string, stale bool) (entries []store.Entry, revision uint64, err error)
+		// position before the read. A stale read is cheaper and may be seconds old.
+		Range(ctx context.Context, prefix string, stale bool) (entries []store.Entry, at store.Position, err error)
 		// GetAll returns those of the keys that exist, in one call.
 		GetAll(ctx context.Context, keys ...string) (entries map[string]store.Entry, err error)
 		// Compare returns nil if the key is still at the position. Otherwise it returns
@@ -234,8 +234,8 @@
 		configSeen           store.Position  // of the entry that the store held last, in force or not
 		heardConfig          routing.Edition // best one that another node said it has
 		heardAnyConfig       bool
-		upstreamsRevision    uint64        // store revision that upstreams reflects
-		upstreamsConfirmedAt time.Duration // clock reading at which upstreams were last known to be up to date
+		upstreamsAt          store.Position // position in the store that upstreams reflects
+		upstreamsConfirmedAt time.Duration  // clock reading at which upstreams were last known to be up to date
 	}
 
 	// stopWindow is the time for which a stopping node finishes requests.
--- a/entry/era_test.go
+++ b/entry/era_test.go
@@ -93,3 +93,71 @@
 		}
 	})
 }
+
+// Guards against requests to upstreams that have left, because the store came back from a
+// copy in which they are ready: at nodes that know it, and at one that starts then. An
+// upstream that the copy lacks is used until it writes again, and changes in the new era
+// are noticed although their revisions were given out before.
+func TestUpstreamsDontGoBackWithStore(t *testing.T) {
+	const drainTime = 3 * time.Second
+	for name, leave := range map[string]func(f *testFleet, id, address string){
+		"draining": func(f *testFleet, id, address string) {
+			f.registerUpstreamStartedAt(id, "desk", "", address, "draining", f.start)
+		},
+		"removed": func(f *testFleet, id, _ string) { f.store.Delete(platform.UpstreamPrefix + id) },
+		"draining, then removed": func(f *testFleet, id, address string) {
+			f.registerUpstreamStartedAt(id, "desk", "", address, "draining", f.start)
+			f.advance(time.Second)
+			f.store.Delete(platform.UpstreamPrefix + id)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithFleet(t, func(f *testFleet) {
+				f.startDesk("leaving", "10.2.0.7:80")
+				f.startThreeNodes()
+				f.advance(3 * time.Second)
+				old := f.store.Copy()
+				for i := range 400 {
+					f.store.Set("op/other", []byte(fmt.Sprint(i))) // revisions that are given out again
+				}
+				leave(f, "leaving", "10.2.0.7:80")
+				f.store.Delete(platform.UpstreamPrefix + "d1")
+				f.store.Delete(platform.UpstreamPrefix + "d2")
+				f.startDesk("new", "10.2.0.8:80")
+				f.advance(drainTime)
+				before := len(f.runs("leaving")) + len(f.runs("d1")) + len(f.runs("d2"))
+				f.store.Restore(old)
+				f.startNode("n4", "10.1.0.4")
+				addresses := append(f.nodeAddresses(), "10.1.0.4")
+				for step := range 40 {
+					if step == 15 { // what the upstreams wrote is written again
+						f.registerUpstreamStartedAt("new", "desk", "", "10.2.0.8:80", "ready", time.Now().Add(-1500*time.Millisecond-drainTime))
+						for _, id := range []string{"leaving", "d1", "d2"} {
+							f.store.Delete(platform.UpstreamPrefix + id)
+						}
+					}
+					for _, address := range addresses {
+						r := f.request(address+":80", http.MethodGet, "/draws/1", "", nil)
+						if address != "10.1.0.4" && r.status != http.StatusOK {
+							t.Errorf("step %d: node %s: %v, want the upstream that came since the copy", step, address, r)
+						}
+					}
+					f.advance(100 * time.Millisecond)
+				}
+				if n := len(f.runs("leaving")) + len(f.runs("d1")) + len(f.runs("d2")); n > before {
+					t.Errorf("%d requests reached upstreams that have left", n-before)
+				}
+				f.startDesk("later", "10.2.0.9:80")
+				f.store.Delete(platform.UpstreamPrefix + "new")
+				f.advance(drainTime)
+				sent := len(f.runs("new"))
+				for _, address := range addresses {
+					f.expect(f.request(address+":80", http.MethodGet, "/draws/1", "", nil), http.StatusOK, "answer of later")
+				}
+				if n := len(f.runs("new")); n > sent {
+					t.Errorf("%d requests reached an upstream that left in the new era", n-sent)
+				}
+			})
+		})
+	}
+}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -72,8 +72,10 @@
 		// InlineBytes is the size up to which the reply may hold a configuration. Nodes
 		// without Entry.Config send 0, which is no limit.
 		InlineBytes int `cbor:"3,keyasint,omitzero"`
-		// ConfigVersion is the operator's. ConfigRevision is a token of the position.
+		// ConfigVersion is the operator's. The revisions are tokens of the positions.
 		ConfigVersion uint64 `cbor:"4,keyasint,omitzero"`
+		// StoreEra is that of the store, as the calling node knows it.
+		StoreEra uint64 `cbor:"5,keyasint,omitzero"`
 	}
 
 	// FollowReply holds what is newer than the request's revisions, and how long
@@ -90,6 +92,9 @@
 		// StoreAge is how long ago the store last answered about the configuration. Nodes
 		// without it send 0; ConfigAge is the same then.
 		StoreAge time.Duration `cbor:"9,keyasint,omitzero"`
+		// Departed holds the upstreams that were draining or removed, for a node that starts
+		// in a later era of the store.
+		Departed []discovery.Departed `cbor:"10,keyasint,omitzero"`
 	}
 
 	// AccountRequest passes a node's counts of a usage window to a node that
@@ -123,10 +128,16 @@
 	if offersContent(n.edition(), asked) && (request.InlineBytes == 0 || len(n.configEntry.Value) <= request.InlineBytes) {
 		reply.Config = n.configEntry.Value
 	}
-	reply.UpstreamsAge, reply.UpstreamsRevision = n.clock()-n.upstreamsConfirmedAt, n.upstreamsRevision
-	if n.upstreamsRevision > request.UpstreamsRevision {
+	reply.UpstreamsAge = n.clock() - n.upstreamsConfirmedAt
+	if reply.UpstreamsRevision, err = n.upstreamsAt.Token(); err != nil {
+		return err
+	}
+	if reply.UpstreamsRevision > request.UpstreamsRevision {
 		reply.Upstreams, reply.UpstreamsSent = n.upstreams.Snapshot(time.Now()), true
 	}
+	if request.StoreEra > 0 && request.UpstreamsRevision == 0 {
+		reply.Departed = n.upstreams.Departed(time.Now())
+	}
 	return nil
 }
 
@@ -172,9 +183,12 @@
 func (n *Node) follow(address netip.AddrPort) (answered bool) {
 	n.storeStateMu.Lock()
 	held := n.edition()
-	request := FollowRequest{UpstreamsRevision: n.upstreamsRevision, InlineBytes: inlineConfigBytes, ConfigVersion: held.Version}
+	upstreamsAt := n.upstreamsAt
 	n.storeStateMu.Unlock()
-	request.ConfigRevision, _ = held.Position.Token() // an entry at a position without one isn't followed
+	request := FollowRequest{InlineBytes: inlineConfigBytes, ConfigVersion: held.Version, StoreEra: store.CurrentEra(n.store).Era}
+	// Positions without a token aren't sent to others either.
+	request.ConfigRevision, _ = held.Position.Token()
+	request.UpstreamsRevision, _ = upstreamsAt.Token()
 	ctx, cancel := context.WithTimeout(n.ctx, followTimeout)
 	defer cancel()
 	askedAt := n.clock()
@@ -197,14 +211,17 @@
 		n.configEntry.Era, n.configEntry.Version = offered.Position.Era, offered.Position.Revision
 	}
 	sameConfig := n.configEntry.Position() == offered.Position && reply.ConfigRevision > 0 && !n.heardConfig.Replaces(n.edition())
-	if reply.UpstreamsSent && reply.UpstreamsRevision > n.upstreamsRevision {
+	n.upstreams.AddDeparted(reply.Departed, time.Now())
+	offeredAt := store.PositionOf(reply.UpstreamsRevision)
+	if reply.UpstreamsSent && offeredAt.Compare(n.upstreamsAt) > 0 {
+		n.beginUpstreamsEra(offeredAt)
 		n.upstreams.Restore(reply.Upstreams, time.Now())
-		n.upstreamsRevision = reply.UpstreamsRevision
+		n.upstreamsAt = offeredAt
 		n.upstreamsListed.Store(true)
 	}
 	// The reply confirms this node's upstreams only if they aren't older than the
 	// called node's.
-	if at := askedAt - reply.UpstreamsAge; n.upstreamsRevision >= reply.UpstreamsRevision && at > n.upstreamsConfirmedAt {
+	if at := askedAt - reply.UpstreamsAge; n.upstreamsAt.Compare(offeredAt) >= 0 && at > n.upstreamsConfirmedAt {
 		n.upstreamsConfirmedAt = at
 	}
 	n.storeStateMu.Unlock()
--- a/entry/upstreams.go
+++ b/entry/upstreams.go
@@ -44,7 +44,7 @@
 func (n *Node) followUpstreams() {
 	n.guard.Loop(n.ctx, "follow upstreams", func() {
 		for n.ctx.Err() == nil {
-			revision, age := n.upstreamsState()
+			at, age := n.upstreamsState()
 			isReader, failing := n.isStoreReader(), n.upstreamsFailing.Load()
 			readerAnswers := n.clock()-time.Duration(n.lastFollowed.Load()) < readerSilence
 			if !isReader && !failing && age < relistAge && readerAnswers {
@@ -53,7 +53,7 @@
 			}
 			var err error
 			switch {
-			case revision == 0 || age > relistAge || !isReader && !failing:
+			case at == store.Position{} || age > relistAge || !isReader && !failing:
 				err = n.listUpstreams()
 			case failing:
 				err = n.watchUpstreams(upstreamPollWait)
@@ -130,12 +130,12 @@
 	n.upstreams.MarkStoreDown(now)
 }
 
-// upstreamsState returns the store revision of the upstream set, and the time since
+// upstreamsState returns the position in the store of the upstream set, and the time since
 // it was last known to be up to date.
-func (n *Node) upstreamsState() (revision uint64, age time.Duration) {
+func (n *Node) upstreamsState() (at store.Position, age time.Duration) {
 	n.storeStateMu.Lock()
 	defer n.storeStateMu.Unlock()
-	return n.upstreamsRevision, n.clock() - n.upstreamsConfirmedAt
+	return n.upstreamsAt, n.clock() - n.upstreamsConfirmedAt
 }
 
 // upstreamsConfirmed returns the clock reading at which the upstream set was last
@@ -146,10 +146,36 @@
 	return n.upstreamsConfirmedAt
 }
 
-// confirmUpstreams records that the upstream set reflects the store at a revision,
-// which was the newest at the clock reading at. The caller holds storeStateMu.
-func (n *Node) confirmUpstreams(revision uint64, at time.Duration) {
-	n.upstreamsRevision, n.upstreamsConfirmedAt = max(n.upstreamsRevision, revision), max(n.upstreamsConfirmedAt, at)
+// confirmUpstreams records that the upstream set reflects the store at a position,
+// which was the newest at a clock reading. The caller holds storeStateMu.
+func (n *Node) confirmUpstreams(at store.Position, reading time.Duration) {
+	if at.Compare(n.upstreamsAt) > 0 {
+		n.upstreamsAt = at
+	}
+	n.upstreamsConfirmedAt = max(n.upstreamsConfirmedAt, reading)
+}
+
+// beginUpstreamsEra prepares the upstream set for one at a position, if that is of a later
+// era of the store. The caller holds storeStateMu.
+func (n *Node) beginUpstreamsEra(at store.Position) {
+	if at.Era > n.upstreamsAt.Era && n.upstreamsAt != (store.Position{}) {
+		n.upstreams.BeginEra(time.Now())
+		n.logger.Warn("upstreams of an earlier era of the store", "Before", n.upstreamsAt, "Position", at, "Departed", len(n.upstreams.Departed(time.Now())))
+	}
+}
+
+// learnDeparted learns from another node, before the first listing by a node that starts
+// in a later era of the store, which upstreams have left: the store may have come back from
+// a copy in which they are ready. It reports whether it has the upstreams of another node
+// now, and gives up after joinPeriod, as there may be none.
+func (n *Node) learnDeparted() (ok bool) {
+	for at, _ := n.upstreamsState(); at == (store.Position{}) && n.clock()-n.startedAt < joinPeriod && n.ctx.Err() == nil; at, _ = n.upstreamsState() {
+		if address, ok := n.peers.anyHealthy(time.Now()); ok && n.follow(address) {
+			return true
+		}
+		n.sleep(quarantineLearnInterval)
+	}
+	return false
 }
 
 // listUpstreams replaces the upstream set by the entries in the store, unless another
@@ -158,10 +184,13 @@
 	ctx, cancel := context.WithTimeout(n.ctx, listTimeout)
 	defer cancel()
 	askedAt := n.clock()
-	entries, revision, err := n.store.Range(ctx, platform.UpstreamPrefix, false)
+	entries, at, err := n.store.Range(ctx, platform.UpstreamPrefix, false)
 	if err != nil {
 		return err
 	}
+	if at.Era > 0 && !n.settings.FirstStart && n.learnDeparted() {
+		return nil
+	}
 	var upstreams []discovery.Upstream
 	for _, entry := range entries {
 		if upstream, ok := n.decodeUpstream(entry); ok {
@@ -169,9 +198,10 @@
 		}
 	}
 	n.storeStateMu.Lock()
-	if revision >= n.upstreamsRevision {
+	if at.Compare(n.upstreamsAt) >= 0 {
+		n.beginUpstreamsEra(at)
 		n.upstreams.Replace(upstreams, time.Now())
-		n.confirmUpstreams(revision, askedAt)
+		n.confirmUpstreams(at, askedAt)
 	}
 	n.storeStateMu.Unlock()
 	n.upstreamsListed.Store(true)
@@ -185,11 +215,17 @@
 // a newer set meanwhile, since they could undo later ones.
 func (n *Node) watchUpstreams(wait time.Duration) (err error) {
 	after, _ := n.upstreamsState()
+	if store.CurrentEra(n.store).Era != after.Era {
+		return errors.Annotatef(store.ErrCompacted, "position %s is of an earlier era", after)
+	}
 	askedAt := n.clock()
-	events, revision, err := n.store.Watch(n.ctx, store.WatchRequest{Prefix: platform.UpstreamPrefix, After: after, Wait: wait})
+	events, revision, err := n.store.Watch(n.ctx, store.WatchRequest{Prefix: platform.UpstreamPrefix, After: after.Revision, Wait: wait})
 	if err != nil {
 		return err
 	}
+	if store.CurrentEra(n.store).Era != after.Era { // the revision may have been given out again
+		return errors.Annotatef(store.ErrCompacted, "position %s is of an earlier era", after)
+	}
 	// The response of a watch without events is as of the end of the wait. One with
 	// events is as of an unknown time after the request.
 	confirmedAt := askedAt
@@ -197,9 +233,9 @@
 		confirmedAt += wait
 	}
 	n.storeStateMu.Lock()
-	if n.upstreamsRevision == after {
+	if n.upstreamsAt == after {
 		n.applyUpstreamEvents(events)
-		n.confirmUpstreams(revision, confirmedAt)
+		n.confirmUpstreams(store.Position{Era: after.Era, Revision: revision}, confirmedAt)
 	}
 	n.storeStateMu.Unlock()
 	if len(events) > 0 {
@@ -216,7 +252,7 @@
 			upstream, ok = n.decodeUpstream(event.Entry)
 		}
 		if ok {
-			n.upstreams.Put(upstream)
+			n.upstreams.Put(upstream, time.Now())
 			n.logger.Info("upstream changed", "Upstream", upstream.ID, "Service", upstream.Service, "Address", upstream.Address,
 				"Domain", upstream.FailureDomain, "Stage", upstream.Stage, "Draining", upstream.Draining, "Spot", upstream.Spot)
 		} else {
