entry: report no usage window twice when the store has lost its totals

Each return of the store from an older copy changes the leader, and the new one reports the last windows again, from counts that are partly lost.

Cause: the totals of a report are kept in the store alone, and taken to last.

Change: a leader keeps the totals that it has stored, and stores the same again. Any other one doesn't report a window that may have been reported in an earlier era: one that was due before the last lease of that era can have ended. Store readers compare the stored quarantines once in a new era, and nodes register again.

TestQuarantinesAreStoredAgainInLaterEra fails without the comparison.

--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -148,6 +148,12 @@
 // quarantinePoison makes the body "poison" crash upstreams until all nodes refuse it,
 // and returns how often it ran.
 func (f *testFleet) quarantinePoison() (runs int) {
+	f.startPoisonedDesks()
+	return f.sendPoison()
+}
+
+// startPoisonedDesks starts three nodes and upstreams that the body "poison" crashes.
+func (f *testFleet) startPoisonedDesks() {
 	f.startNode("n2", n2)
 	f.startNode("n3", n3)
 	f.configure(1, key)
@@ -155,6 +161,10 @@
 		f.startUpstream(fmt.Sprintf("d%d", i), "desk", "", fmt.Sprintf("10.2.0.%d:80", i+1), &platformtest.Upstream{Poison: "poison"})
 	}
 	f.startNodeAndWait("n1", n1)
+}
+
+// sendPoison sends the body "poison" until all nodes refuse it, and returns how often it ran.
+func (f *testFleet) sendPoison() (runs int) {
 	for i := range 8 {
 		f.request(f.nodeAddresses()[i%3]+":80", http.MethodPost, "/entries/1", "poison", nil)
 		f.advance(time.Second)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -198,6 +198,8 @@
 		resources       *resources.Account
 		underWay        *resources.UnderWay
 		usage           *ledger
+		frozen          frozenTotals
+		erasEnded       atomic.Int64 // eras of the store whose end this node has seen
 		crashes         *crashTracker
 		quotas          *quotas
 		peers           *peers
--- a/entry/era.go
+++ b/entry/era.go
@@ -25,6 +25,7 @@
 			}
 			select {
 			case <-view.Ended:
+				n.erasEnded.Add(1)
 				n.count("store_eras", "Began")
 				n.logger.Warn("store came back from an older copy", "Before", view.Era, "Era", store.CurrentEra(n.store).Era, "Dropped", "leader lease")
 			case <-time.After(eraCheckInterval):
--- a/entry/era_test.go
+++ b/entry/era_test.go
@@ -161,3 +161,71 @@
 		})
 	}
 }
+
+// Guards against a usage window that is reported twice with different counts, since the
+// store has lost the totals of the first report, or what they were made of, and another node
+// leads then. Windows after that are reported as before.
+func TestUsageIsReportedOnceAcrossEras(t *testing.T) {
+	for step := range 10 {
+		t.Run(fmt.Sprint(step), func(t *testing.T) {
+			runWithFleet(t, func(f *testFleet) {
+				f.domains = map[string]string{"n2": "b", "n3": "c"}
+				f.startThreeNodes()
+				send := func(rounds int) {
+					for range rounds {
+						for _, address := range f.nodeAddresses() {
+							f.request(address+":80", http.MethodPost, "/entries/1", "", nil)
+						}
+						f.advance(100 * time.Millisecond)
+					}
+				}
+				send(100)
+				f.advance(time.Duration(step) * 500 * time.Millisecond)
+				for drill := range 3 {
+					old := f.store.Copy()
+					send(80) // reported in part
+					cut := f.nodeAddresses()[drill]
+					f.store.Refuse(cut, true)
+					f.store.Restore(old)
+					send(40)
+					f.store.Refuse(cut, false)
+					send(40)
+				}
+				windows, _ := f.cloud.Windows()
+				f.advance(30 * time.Second)
+				if after, _ := f.cloud.Windows(); after < windows+4 {
+					t.Errorf("%d windows reported in 30 s, want at least 4", after-windows)
+				}
+				for _, violation := range f.cloud.Violations() {
+					t.Error(violation)
+				}
+			})
+		})
+	}
+}
+
+// Guards against quarantines that all nodes forget, since the store has lost them and all
+// nodes start.
+func TestQuarantinesAreStoredAgainInLaterEra(t *testing.T) {
+	runWithFleet(t, func(f *testFleet) {
+		f.startPoisonedDesks()
+		old := f.store.Copy()
+		runs := f.sendPoison()
+		f.advance(time.Second)
+		f.store.Restore(old)
+		f.advance(3 * time.Second)
+		for i, name := range []string{"n1", "n2", "n3"} {
+			f.store.Refuse(f.nodeAddresses()[i], true) // nodes that stop write nothing more
+			go f.nodes[name].Stop(context.Background())
+		}
+		f.advance(4 * time.Second)
+		for _, address := range f.nodeAddresses() {
+			f.store.Refuse(address, false)
+		}
+		f.startNode("n1", n1)
+		f.startNode("n2", n2)
+		f.startNode("n3", n3)
+		f.advance(4 * time.Second)
+		f.expectQuarantined(runs)
+	})
+}
--- a/entry/leader.go
+++ b/entry/leader.go
@@ -164,7 +164,10 @@
 				if errors.Is(err, platform.ErrFenced) {
 					return
 				}
-				continue
+				if !errors.Is(err, errTotalsLost) {
+					continue
+				}
+				n.count("usage_reports", "TotalsLost")
 			}
 			reported[window] = true
 		}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -156,7 +156,11 @@
 		return
 	}
 	var lease store.LeaseID
+	var leaseEra uint64
 	for round := 0; n.ctx.Err() == nil; round++ {
+		if era := store.CurrentEra(n.store).Era; era != leaseEra { // its ID may be another's now
+			lease, leaseEra = 0, era
+		}
 		if lease != 0 {
 			// After another error the renewal may have been applied, so the lease is
 			// kept until the next round.
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -234,8 +234,12 @@
 func (n *Node) storeQuarantines() {
 	n.guard.Loop(n.ctx, "store quarantines", func() {
 		var stored map[storedQuarantineKey]time.Time // as last read or written by this node
+		var storedEra uint64
 		for n.ctx.Err() == nil {
 			n.sleep(quarantineStoreInterval)
+			if era := store.CurrentEra(n.store).Era; era != storedEra { // it may have lost them
+				stored, storedEra = nil, era
+			}
 			if !n.isStoreReader() || !n.crashesKnown.Load() {
 				continue
 			}
@@ -302,6 +306,9 @@
 		if err != nil && !errors.Is(err, store.ErrNotFound) {
 			return nil, err
 		}
+		if err == nil && entry.Era != store.CurrentEra(n.store).Era {
+			continue // its version may be that of another value now
+		}
 		stored = n.decodeQuarantines(entry)
 		now := n.medianNow()
 		current, cleared := n.crashes.quarantines(now)
--- a/entry/report.go
+++ b/entry/report.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -26,9 +27,21 @@
 	// usageRetryDelay is the time between two attempts to write usage. It is also
 	// the initial backoff of acquiring the leader's lease.
 	usageRetryDelay = 500 * time.Millisecond
+	// eraClockMargin is how far the clocks of leaders in two eras of the store may differ
+	// in what was due before the later one.
+	eraClockMargin = time.Second
+	// errTotalsLost means that a window may have been reported with totals that the store
+	// has lost since.
+	errTotalsLost = errors.ConstError("totals of the window were lost with an era of the store")
 )
 
 type (
+	// frozenTotals holds the totals of windows that this node stored or read as the leader.
+	frozenTotals struct {
+		mu      sync.Mutex
+		windows map[int64]platform.Usage
+	}
+
 	// usageEntry is the value that a node writes to the store for a window, as
 	// JSON: its own counts, and those of other nodes as it knows them. The counts of
 	// a node only grow, so of several values for a node the largest is the newest.
@@ -57,12 +70,18 @@
 
 // freezeUsage returns the totals of a window that were stored for the report. If
 // there are none, it computes and stores them. The first leader that stores them
-// determines them: they are never overwritten or deleted.
+// determines them: they are never overwritten or deleted. If the store has lost them, this
+// node stores the same again if it knows them, and fails if they may have been reported.
 func (n *Node) freezeUsage(ctx context.Context, window int64) (usage platform.Usage, err error) {
+	defer func() {
+		if err == nil {
+			n.frozen.put(usage)
+		}
+	}()
 	key := fmt.Sprintf("%sfrozen/%d", usageKeyPrefix, window)
 	entry, err := n.store.Get(ctx, key)
 	if errors.Is(err, store.ErrNotFound) {
-		if usage, err = n.sumUsage(ctx, window); err != nil {
+		if usage, err = n.totals(ctx, window); err != nil {
 			return usage, err
 		}
 		value, err := json.Marshal(usage)
@@ -86,6 +105,50 @@
 	return usage, err
 }
 
+// totals returns the totals of a window that the store doesn't have.
+func (n *Node) totals(ctx context.Context, window int64) (usage platform.Usage, err error) {
+	if usage, known := n.frozen.get(window); known {
+		return usage, nil
+	}
+	if n.mayBeReported(window) {
+		return usage, errTotalsLost
+	}
+	return n.sumUsage(ctx, window)
+}
+
+// mayBeReported reports whether a leader may have reported a window in an earlier era of
+// the store: it was due before the last lease of that era can have ended.
+func (n *Node) mayBeReported(window int64) (ok bool) {
+	view := store.CurrentEra(n.store)
+	if view.Era == 0 || n.settings.FirstStart && n.erasEnded.Load() == 0 {
+		return false
+	}
+	leasesEnded := n.medianNow().Add(n.settings.Bounds.Lease - time.Since(view.SeenAt))
+	return !n.usage.windowEnd(window).Add(usageReportDelay - eraClockMargin).After(leasesEnded)
+}
+
+func (f *frozenTotals) get(window int64) (usage platform.Usage, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	usage, ok = f.windows[window]
+	return usage, ok
+}
+
+// put records the totals of a window, and drops those that are too old to be reported.
+func (f *frozenTotals) put(usage platform.Usage) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.windows == nil {
+		f.windows = map[int64]platform.Usage{}
+	}
+	f.windows[usage.Window] = usage
+	for window := range f.windows {
+		if window < usage.Window-keptWindows {
+			delete(f.windows, window)
+		}
+	}
+}
+
 // sumUsage sums up the counts of all nodes in a window: those in the store, and
 // those that this node has received itself.
 func (n *Node) sumUsage(ctx context.Context, window int64) (usage platform.Usage, err error) {
