--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -3,10 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"flag"
 	"fmt"
 	"log/slog"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -25,20 +23,15 @@
 	"github.com/guavagauge/guavagauge/policy"
 	"github.com/guavagauge/guavagauge/provider"
 	"github.com/guavagauge/guavagauge/providertest"
+	"github.com/guavagauge/guavagauge/rapidtest"
 	"github.com/guavagauge/guavagauge/storetest"
 )
 
 const domain = "limpopo-a"
 
-// TestMain sets a fixed seed for randomized tests unless -rapid.seed is given.
+// TestMain fixes the seed of the random runs.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	fixed := map[string]string{"rapid.seed": "20260402", "rapid.checks": "60", "rapid.nofailfile": "true"}
-	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) })
-	for name, value := range fixed {
-		flag.Set(name, value)
-	}
-	os.Exit(m.Run())
+	rapidtest.Main(m, rapidtest.Defaults{"rapid.seed": "20260402", "rapid.checks": "60", "rapid.nofailfile": "true"})
 }
 
 // testEnv is a failure domain with its managers, schedulers and requests of ten
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math"
-	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,20 +14,12 @@
 	"pgregory.net/rapid"
 
 	"github.com/guavagauge/guavagauge/claim"
+	"github.com/guavagauge/guavagauge/rapidtest"
 	"github.com/guavagauge/guavagauge/storetest"
 )
 
-// TestMain sets the seed of package rapid to 1 unless -rapid.seed is given. With
-// -rapid.seed 0, rapid chooses a random seed.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	seedGiven := false
-	flag.Visit(func(f *flag.Flag) { seedGiven = seedGiven || f.Name == "rapid.seed" })
-	if !seedGiven {
-		flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the random runs.
+func TestMain(m *testing.M) { rapidtest.Main(m, rapidtest.Defaults{"rapid.seed": "1"}) }
 
 // runWithTwoNodes runs a test in a synctest bubble with a store and the Claims of
 // two nodes, a and b.
--- a/distribution/repository_test.go
+++ b/distribution/repository_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,17 +15,14 @@
 	"pgregory.net/rapid"
 
 	"github.com/guavagauge/guavagauge/distribution"
+	"github.com/guavagauge/guavagauge/rapidtest"
 	"github.com/guavagauge/guavagauge/store"
 	"github.com/guavagauge/guavagauge/storetest"
 )
 
-// TestMain sets fixed defaults for -rapid.seed and -rapid.checks, which the
-// command line can override.
+// TestMain fixes the seed of the random runs.
 func TestMain(m *testing.M) {
-	flag.Set("rapid.seed", "1")
-	flag.Set("rapid.checks", "5")
-	flag.Parse()
-	os.Exit(m.Run())
+	rapidtest.Main(m, rapidtest.Defaults{"rapid.seed": "1", "rapid.checks": "5"})
 }
 
 func repository(t interface{ Fatal(...any) }, client store.Client, keep int) *distribution.Repository {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,6 +16,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/guavagauge/guavagauge/lease"
+	"github.com/guavagauge/guavagauge/rapidtest"
 	"github.com/guavagauge/guavagauge/store"
 	"github.com/guavagauge/guavagauge/storetest"
 )
@@ -75,17 +74,8 @@
 	}
 )
 
-// TestMain sets the seed of package rapid to 1 unless -rapid.seed is given. With
-// -rapid.seed 0, rapid chooses a random seed.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	seedGiven := false
-	flag.Visit(func(f *flag.Flag) { seedGiven = seedGiven || f.Name == "rapid.seed" })
-	if !seedGiven {
-		flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the random runs.
+func TestMain(m *testing.M) { rapidtest.Main(m, rapidtest.Defaults{"rapid.seed": "1"}) }
 
 func (n *testNode) Now() lease.Reading {
 	for {
--- a/planner/random_test.go
+++ b/planner/random_test.go
@@ -1,9 +1,7 @@
 package planner_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -12,19 +10,13 @@
 	"github.com/guavagauge/guavagauge/engine"
 	"github.com/guavagauge/guavagauge/intenttest"
 	"github.com/guavagauge/guavagauge/planner"
+	"github.com/guavagauge/guavagauge/rapidtest"
 	"github.com/guavagauge/guavagauge/storetest"
 )
 
-// TestMain sets the defaults of rapid's flags, so that runs are repeatable unless
-// -rapid.seed is given.
+// TestMain fixes the seed of the random runs.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	fixed := map[string]string{"rapid.seed": "20260401", "rapid.checks": "15", "rapid.nofailfile": "true"}
-	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) })
-	for name, value := range fixed {
-		flag.Set(name, value)
-	}
-	os.Exit(m.Run())
+	rapidtest.Main(m, rapidtest.Defaults{"rapid.seed": "20260401", "rapid.checks": "15", "rapid.nofailfile": "true"})
 }
 
 type event struct {
--- a/policy/main_test.go
+++ b/policy/main_test.go
@@ -1,16 +1,10 @@
 package policy_test
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/guavagauge/guavagauge/rapidtest"
 )
 
-// TestMain fixes the seed of the property tests; -rapid.seed=N sets another.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
-		_ = seed.Value.Set("1")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the random runs.
+func TestMain(m *testing.M) { rapidtest.Main(m, rapidtest.Defaults{"rapid.seed": "1"}) }
