nettest: one place for crowds of clients; a plainer name

Cause: the tests of listeners in entry and node opened and counted connections in the same way. raise didn't say what it raises.

Change: nettest.Crowd; advanceReading.

--- a/entry/config.go
+++ b/entry/config.go
@@ -66,7 +66,7 @@
 				n.confirmConfig(askedAt)
 			default:
 				// The store came back from an older copy, and may hold an older configuration.
-				raise(&n.storeSeenAt, askedAt)
+				advanceReading(&n.storeSeenAt, askedAt)
 				wait = min(wait, compareRetryDelay)
 			}
 			if err == nil && !reachable {
@@ -225,12 +225,12 @@
 // confirmConfig records that the configuration in force was the newest at the
 // clock reading at.
 func (n *Node) confirmConfig(at time.Duration) {
-	raise(&n.configConfirmedAt, at)
-	raise(&n.storeSeenAt, at)
+	advanceReading(&n.configConfirmedAt, at)
+	advanceReading(&n.storeSeenAt, at)
 }
 
-// raise sets a clock reading unless it is later already.
-func raise(reading *atomic.Int64, at time.Duration) {
+// advanceReading sets a clock reading unless it is later already.
+func advanceReading(reading *atomic.Int64, at time.Duration) {
 	for {
 		last := reading.Load()
 		if int64(at) <= last || reading.CompareAndSwap(last, int64(at)) {
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -229,7 +229,7 @@
 		n.confirmConfig(askedAt - reply.ConfigAge)
 	}
 	if reply.StoreAge > 0 {
-		raise(&n.storeSeenAt, askedAt-reply.StoreAge)
+		advanceReading(&n.storeSeenAt, askedAt-reply.StoreAge)
 	}
 	if reply.UpstreamsSent {
 		n.syncDispatcher()
--- a/entry/listeners_test.go
+++ b/entry/listeners_test.go
@@ -2,17 +2,12 @@
 
 import (
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"github.com/juju/errors"
 )
 
 // Guards against clients of the listeners beside that for callers which hold any
@@ -32,34 +27,20 @@
 				f.startDesk("d1", "10.2.0.1:80")
 				f.configure(1, key)
 				f.startNodeAndWait("n1", "10.1.0.1")
-				var conns []net.Conn
-				for range crowd {
-					conn, err := f.network.Host(callerHost).Dial(context.Background(), netip.MustParseAddrPort(test.address))
-					if err != nil {
-						t.Fatal(err)
-					}
-					defer conn.Close()
-					io.WriteString(conn, test.sent) // fails if the node has closed it
-					synctest.Wait()
-					conns = append(conns, conn)
-				}
-				open := func() (n int) {
-					for _, conn := range conns {
-						conn.SetReadDeadline(time.Now().Add(time.Millisecond))
-						if _, err := io.Copy(io.Discard, conn); errors.Is(err, os.ErrDeadlineExceeded) {
-							n++
-						}
-					}
-					return n
+				conns, err := f.network.Host(callerHost).DialCrowd(context.Background(), netip.MustParseAddrPort(test.address), crowd, test.sent)
+				if err != nil {
+					t.Fatal(err)
 				}
-				if n := open(); n == crowd {
+				defer conns.Close()
+				synctest.Wait()
+				if n := conns.Open(); n == crowd {
 					t.Errorf("%d connections are open, want fewer", n)
 				}
 				if test.path != "" {
 					f.expect(f.request(test.address, http.MethodGet, test.path, "", nil), http.StatusOK, "")
 				}
 				f.advance(time.Minute)
-				if n := open(); n > 0 {
+				if n := conns.Open(); n > 0 {
 					t.Errorf("%d connections with a part of a request are open after a minute", n)
 				}
 				var text strings.Builder
--- a/node/limits_test.go
+++ b/node/limits_test.go
@@ -1,17 +1,12 @@
 package node_test
 
 import (
-	"io"
-	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"github.com/juju/errors"
 )
 
 // Guards against clients of a node's listeners which hold any number of connections
@@ -29,27 +24,13 @@
 			inCluster(t, func(c *cluster) {
 				time.Sleep(5 * time.Second)
 				address := "10.0.0.1:" + test.port
-				var conns []net.Conn
-				for range crowd {
-					conn, err := c.network.Host("10.9.0.2").Dial(c.ctx, netip.MustParseAddrPort(address))
-					if err != nil {
-						t.Fatal(err)
-					}
-					defer conn.Close()
-					io.WriteString(conn, test.sent) // fails if the node has closed it
-					conns = append(conns, conn)
+				conns, err := c.network.Host("10.9.0.2").DialCrowd(c.ctx, netip.MustParseAddrPort(address), crowd, test.sent)
+				if err != nil {
+					t.Fatal(err)
 				}
+				defer conns.Close()
 				synctest.Wait()
-				open := func() (n int) {
-					for _, conn := range conns {
-						conn.SetReadDeadline(time.Now().Add(time.Microsecond))
-						if _, err := io.Copy(io.Discard, conn); errors.Is(err, os.ErrDeadlineExceeded) {
-							n++
-						}
-					}
-					return n
-				}
-				if n := open(); n == crowd {
+				if n := conns.Open(); n == crowd {
 					t.Errorf("%d connections are open, want fewer", n)
 				}
 				if test.path != "" {
@@ -63,7 +44,7 @@
 					}
 				}
 				time.Sleep(time.Minute)
-				if n := open(); n > 0 {
+				if n := conns.Open(); n > 0 {
 					t.Errorf("%d connections with a part of a request are open after a minute", n)
 				}
 				var text strings.Builder
