entry: report a position that can't be sent, instead of following from nothing

Cause: an error of Token was dropped. Change: it is logged, and the call isn't made. Result: go test ./entry -run 'Era|Config|Upstreams' passes.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -186,9 +186,14 @@
 	upstreamsAt := n.upstreamsAt
 	n.storeStateMu.Unlock()
 	request := FollowRequest{InlineBytes: inlineConfigBytes, ConfigVersion: held.Version, StoreEra: store.CurrentEra(n.store).Era}
-	// Positions without a token aren't sent to others either.
-	request.ConfigRevision, _ = held.Position.Token()
-	request.UpstreamsRevision, _ = upstreamsAt.Token()
+	var err error
+	if request.ConfigRevision, err = held.Position.Token(); err == nil {
+		request.UpstreamsRevision, err = upstreamsAt.Token()
+	}
+	if err != nil {
+		n.logger.Error("position in the store can't be sent to the store reader", "Error", err)
+		return false
+	}
 	ctx, cancel := context.WithTimeout(n.ctx, followTimeout)
 	defer cancel()
 	askedAt := n.clock()
