--- a/soaktest/main.go
+++ b/soaktest/main.go
@@ -4,6 +4,9 @@
 // The invariants say what must never happen. How many requests are answered is
 // printed and not checked. A node must not exit by itself.
 //
+// With --restores, the store comes back from older copies, and what the operator and the
+// upstreams wrote is written again.
+//
 // With --planned there are no faults, only planned work: SIGTERM to nodes one at a time,
 // at once and in overlapping series, a second SIGTERM or SIGHUP during a stop, restarts
 // during a start, new configurations and releases of upstreams. Nodes then run with
@@ -16,6 +19,7 @@
 // # Usage
 //
 //	go run ./soaktest --seed 1 --runs 50 --duration 20s
+//	go run ./soaktest --restores --seed 1 --runs 50 --duration 40s
 //	go run ./soaktest --planned --nodes 8 --conns 40 --seed 1 --runs 5
 //
 // Each run prints its seed. The folder with the logs of the processes is kept for
@@ -39,6 +43,7 @@
 	flag.DurationVar(&options.duration, "duration", 20*time.Second, "time in which each run injects faults, or does planned work")
 	flag.IntVar(&options.nodes, "nodes", 3, "number of entry nodes")
 	flag.BoolVar(&options.planned, "planned", false, "planned work only (restarts, SIGHUP, new configurations, releases); also checks that no request is lost")
+	flag.BoolVar(&options.restores, "restores", false, "the store comes back from older copies, beside the faults")
 	flag.IntVar(&options.conns, "conns", 40, "with --planned: connections that callers keep open to each node")
 	flag.Parse()
 	failedRuns, err := runSeeds(*seed, *runs, options)
--- a/soaktest/run.go
+++ b/soaktest/run.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -57,6 +58,7 @@
 		nodes    int
 		planned  bool // planned work instead of faults
 		conns    int  // of the callers to each node; with planned
+		restores bool // the store comes back from older copies
 	}
 
 	// soakRun is a run with one seed: a fleet with its stand-ins, callers and
@@ -75,11 +77,14 @@
 		nodes         []*process
 		nodeAddresses map[string]bool // all that freeAddress tried
 		upstreams     map[string]*proxiedUpstream
-		configVersion int                  // guarded by mu once callers run, like the next two
+		configText    []byte // the newest; guarded by mu once callers run, like the next three
+		configVersion int
 		currentKey    string               // key-<configVersion>
 		revokedAt     map[string]time.Time // by key, the time at which the store had accepted its revocation
 		servers       []*http.Server
 
+		restores atomic.Int64 // of the store
+
 		releasing sync.Mutex // held during a release; guards releases
 		releases  int
 
@@ -193,7 +198,8 @@
 	for _, key := range added {
 		keys += fmt.Sprintf(",%q", key)
 	}
-	r.store.Set(platform.ConfigKey, []byte(fmt.Sprintf(configTemplate, r.configVersion, keys)))
+	r.configText = []byte(fmt.Sprintf(configTemplate, r.configVersion, keys))
+	r.store.Set(platform.ConfigKey, r.configText)
 }
 
 // freeAddress returns a loopback address whose port is free and that it hasn't returned
@@ -316,6 +322,11 @@
 		start, inject = r.startRawCallers, r.doPlannedWork
 	}
 	start(ctx, &callers)
+	if r.options.restores {
+		restoreCtx, stop := context.WithTimeout(ctx, r.options.duration)
+		defer stop()
+		faults.Go(func() { r.restoreStore(restoreCtx) })
+	}
 	for end := time.Now().Add(r.options.duration); time.Now().Before(end); {
 		inject(&faults)
 		time.Sleep(time.Duration(200+r.random.IntN(800)) * time.Millisecond)
@@ -483,7 +494,8 @@
 	if r.options.planned {
 		return r.plannedSummary()
 	}
-	return fmt.Sprintf("%d requests, %d complete answers, %d refused, %d faults injected", len(r.requests), r.counts["whole"], r.counts["refused"], r.injectedFaults())
+	return fmt.Sprintf("%d requests, %d complete answers, %d refused, %d faults injected, %d restores of the store", len(r.requests), r.counts["whole"], r.counts["refused"],
+		r.injectedFaults(), r.restores.Load())
 }
 
 // injectedFaults returns the number of faults of all kinds.
--- a/soaktest/soak_test.go
+++ b/soaktest/soak_test.go
@@ -11,6 +11,12 @@
 	expectNoViolation(t, runOptions{duration: 30 * time.Second, nodes: 3}, 1)
 }
 
+// Guards against invariants that the system violates when the store comes back from older
+// copies: two reports of a usage window, a revoked key that works again.
+func TestRestoresViolateNoInvariant(t *testing.T) {
+	expectNoViolation(t, runOptions{duration: 25 * time.Second, nodes: 3, restores: true}, 1)
+}
+
 // Guards against requests that get no answer, run twice or get a wrong answer when
 // nodes restart under load and nothing else happens.
 func TestPlannedWorkLosesNoRequest(t *testing.T) {
