entry: start at once in an era of the store that began long ago

Cause: a node that starts in a later era waited 1.5 s for another node that knows the upstreams, also if all start, and read the listing again each time; it waited for its next poll to confirm the configuration; and a new leader left out windows due before its start.

Change: it asks each node that it has heard of once. The configuration is confirmed when another node is heard. The totals of a window name the era in which they were first stored; an earlier window of the present era shows that later ones weren't reported before it.

--- a/entry/config.go
+++ b/entry/config.go
@@ -67,6 +67,7 @@
 			default:
 				// The store came back from an older copy, and may hold an older configuration.
 				advanceReading(&n.storeSeenAt, askedAt)
+				n.unconfirmedAt.Store(int64(askedAt))
 				wait = min(wait, compareRetryDelay)
 			}
 			if err == nil && !reachable {
@@ -217,6 +218,9 @@
 		n.heardConfig = edition
 	}
 	n.storeStateMu.Unlock()
+	if at := n.unconfirmedAt.Load(); at > 0 && n.holdsStoredConfig() && n.unconfirmedAt.CompareAndSwap(at, 0) {
+		n.confirmConfig(time.Duration(at))
+	}
 	if token, err := edition.Position.Token(); newer && err == nil {
 		n.startConfigTransfer(from, token, 0)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -174,6 +174,7 @@
 		table             atomic.Pointer[routing.Table]
 		configConfirmedAt atomic.Int64 // clock reading at which the configuration was last known to be the newest
 		storeSeenAt       atomic.Int64 // clock reading at which the store last answered about the configuration, to this node or the one that it follows
+		unconfirmedAt     atomic.Int64 // clock reading of the last answer of the store that didn't confirm the configuration; 0: none
 		upstreamsListed   atomic.Bool  // upstreams was filled at least once, from the store or by another node
 		// configFailing is set while this node fails to compare its configuration with
 		// the store, and upstreamsFailing while it fails to read the upstreams there.
--- a/entry/era_test.go
+++ b/entry/era_test.go
@@ -229,3 +229,31 @@
 		f.expectQuarantined(runs)
 	})
 }
+
+// Guards against usage windows that a leader leaves out, and a long start, after all nodes
+// were killed in an era that began long before.
+func TestRestartInLaterEraMissesNoWindow(t *testing.T) {
+	runWithFleet(t, func(f *testFleet) {
+		f.store.Restore(f.store.Copy())
+		f.startThreeNodes()
+		f.advance(30 * time.Second)
+		for i, name := range []string{"n1", "n2", "n3"} {
+			f.network.Crash(f.nodeAddresses()[i])
+			f.store.Refuse(f.nodeAddresses()[i], true) // nothing is written at the end
+			go f.nodes[name].Stop(context.Background())
+		}
+		f.advance(4 * time.Second)
+		for i, name := range []string{"n1", "n2", "n3"} {
+			f.store.Refuse(f.nodeAddresses()[i], false)
+			f.startNode(name, f.nodeAddresses()[i])
+		}
+		f.advance(time.Second)
+		f.expect(f.request(n1+":81", http.MethodGet, "/v1/readiness", "", nil), http.StatusOK, "")
+		before, _ := f.cloud.Windows()
+		f.advance(20 * time.Second)
+		// Four windows end in that time, and one ended while there were no nodes.
+		if after, _ := f.cloud.Windows(); after < before+4 {
+			t.Errorf("%d windows reported in 20 s, want at least 4", after-before)
+		}
+	})
+}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -297,17 +297,27 @@
 // anyHealthy returns the address of a node that can read the store and whose
 // configuration is recent. It prefers nodes of this failure domain.
 func (p *peers) anyHealthy(now time.Time) (address netip.AddrPort, ok bool) {
+	if addresses := p.healthy(now); len(addresses) > 0 {
+		return addresses[0], true
+	}
+	return netip.AddrPort{}, false
+}
+
+// healthy returns the addresses of all such nodes, those of this failure domain first.
+func (p *peers) healthy(now time.Time) (addresses []netip.AddrPort) {
+	var remote []netip.AddrPort
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, peer := range p.byName {
-		if now.Sub(peer.lastSeen) < peerTTL && !peer.cannotReadStore && peer.configAge < readerMaxConfigAge {
-			address, ok = peer.address, true
-			if peer.domain == p.node.settings.FailureDomain {
-				break
-			}
+		switch {
+		case now.Sub(peer.lastSeen) >= peerTTL || peer.cannotReadStore || peer.configAge >= readerMaxConfigAge:
+		case peer.domain == p.node.settings.FailureDomain:
+			addresses = append(addresses, peer.address)
+		default:
+			remote = append(remote, peer.address)
 		}
 	}
-	return address, ok
+	return append(addresses, remote...)
 }
 
 // mergeCounts merges the counts that another node sent. If the sender asks for it,
--- a/entry/report.go
+++ b/entry/report.go
@@ -40,6 +40,16 @@
 	frozenTotals struct {
 		mu      sync.Mutex
 		windows map[int64]platform.Usage
+		// ofEra is the newest window whose totals are known to have been stored in era.
+		era   uint64
+		ofEra int64
+	}
+
+	// frozenEntry is the value of the totals in the store, as JSON. Era is that of the store
+	// when they were first stored, and 0 if they were stored again.
+	frozenEntry struct {
+		platform.Usage
+		Era uint64 `json:",omitzero"`
 	}
 
 	// usageEntry is the value that a node writes to the store for a window, as
@@ -78,49 +88,65 @@
 			n.frozen.put(usage)
 		}
 	}()
-	key := fmt.Sprintf("%sfrozen/%d", usageKeyPrefix, window)
-	entry, err := n.store.Get(ctx, key)
+	stored, err := n.storedTotals(ctx, window)
 	if errors.Is(err, store.ErrNotFound) {
-		if usage, err = n.totals(ctx, window); err != nil {
+		var totals frozenEntry
+		if totals, err = n.totals(ctx, window); err != nil {
 			return usage, err
 		}
-		value, err := json.Marshal(usage)
-		if err != nil {
+		var value []byte
+		if value, err = json.Marshal(totals); err != nil {
 			return usage, err
 		}
-		_, err = n.store.Put(ctx, store.PutRequest{Key: key, Value: value})
+		usage = totals.Usage
+		_, err = n.store.Put(ctx, store.PutRequest{Key: frozenKey(window), Value: value})
 		if err == nil {
 			return usage, nil
 		}
-		entry, err = n.store.Get(ctx, key) // written by another leader, or by this one if the response to Put was lost
-		if err != nil {
-			return usage, err
-		}
+		stored, err = n.storedTotals(ctx, window) // written by another leader, or by this one if the response to Put was lost
 	}
+	return stored.Usage, err
+}
+
+// storedTotals reads the totals of a window from the store.
+func (n *Node) storedTotals(ctx context.Context, window int64) (stored frozenEntry, err error) {
+	entry, err := n.store.Get(ctx, frozenKey(window))
 	if err != nil {
-		return usage, err
+		return stored, err
 	}
-	usage = platform.Usage{}
-	err = json.Unmarshal(entry.Value, &usage)
-	return usage, err
+	if err = json.Unmarshal(entry.Value, &stored); err == nil {
+		n.frozen.noteEra(stored)
+	}
+	return stored, err
 }
 
+func frozenKey(window int64) (key string) { return fmt.Sprintf("%sfrozen/%d", usageKeyPrefix, window) }
+
 // totals returns the totals of a window that the store doesn't have.
-func (n *Node) totals(ctx context.Context, window int64) (usage platform.Usage, err error) {
+func (n *Node) totals(ctx context.Context, window int64) (totals frozenEntry, err error) {
 	if usage, known := n.frozen.get(window); known {
-		return usage, nil
+		return frozenEntry{Usage: usage}, nil
 	}
-	if n.mayBeReported(window) {
-		return usage, errTotalsLost
+	for earlier := window - 1; n.mayBeReported(window); earlier-- {
+		if earlier < window-keptWindows {
+			return totals, errTotalsLost
+		}
+		if _, err = n.storedTotals(ctx, earlier); err != nil && !errors.Is(err, store.ErrNotFound) {
+			return totals, err
+		}
 	}
-	return n.sumUsage(ctx, window)
+	totals.Era = store.CurrentEra(n.store).Era
+	totals.Usage, err = n.sumUsage(ctx, window)
+	return totals, err
 }
 
 // mayBeReported reports whether a leader may have reported a window in an earlier era of
-// the store: it was due before the last lease of that era can have ended.
+// the store: it was due before the last lease of that era can have ended. A process that
+// starts takes its own first answer for the begin of the era, unless the totals of an
+// earlier window were stored in it.
 func (n *Node) mayBeReported(window int64) (ok bool) {
 	view := store.CurrentEra(n.store)
-	if view.Era == 0 || n.settings.FirstStart && n.erasEnded.Load() == 0 {
+	if view.Era == 0 || n.settings.FirstStart && n.erasEnded.Load() == 0 || n.frozen.earlierOfEra(window, view.Era) {
 		return false
 	}
 	leasesEnded := n.medianNow().Add(n.settings.Bounds.Lease - time.Since(view.SeenAt))
@@ -134,6 +160,22 @@
 	return usage, ok
 }
 
+// noteEra records in which era totals were stored.
+func (f *frozenTotals) noteEra(stored frozenEntry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if stored.Era > f.era || stored.Era == f.era && stored.Window > f.ofEra {
+		f.era, f.ofEra = stored.Era, stored.Window
+	}
+}
+
+// earlierOfEra reports whether the totals of an earlier window were stored in an era.
+func (f *frozenTotals) earlierOfEra(window int64, era uint64) (ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era == era && f.ofEra < window
+}
+
 // put records the totals of a window, and drops those that are too old to be reported.
 func (f *frozenTotals) put(usage platform.Usage) {
 	f.mu.Lock()
--- a/entry/upstreams.go
+++ b/entry/upstreams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/juju/errors"
@@ -33,6 +34,10 @@
 	// reader. It exceeds the age that the set has at the end of the second of two
 	// watches, the first of which had an event at its end.
 	relistAge = 2500 * time.Millisecond
+	// departedAskInterval is the time between attempts to learn from other nodes which
+	// upstreams have left, and maxDepartedAsked bounds how many are asked.
+	departedAskInterval = 50 * time.Millisecond
+	maxDepartedAsked    = 8
 	// maxMalformedEntries bounds the memory for entries that were logged as
 	// malformed. Beyond it, they are logged again.
 	maxMalformedEntries = 1000
@@ -167,13 +172,27 @@
 // learnDeparted learns from another node, before the first listing by a node that starts
 // in a later era of the store, which upstreams have left: the store may have come back from
 // a copy in which they are ready. It reports whether it has the upstreams of another node
-// now, and gives up after joinPeriod, as there may be none.
+// now. It gives up when all that it has heard of start as well, and after joinPeriod, as
+// there may be none.
 func (n *Node) learnDeparted() (ok bool) {
-	for at, _ := n.upstreamsState(); at == (store.Position{}) && n.clock()-n.startedAt < joinPeriod && n.ctx.Err() == nil; at, _ = n.upstreamsState() {
-		if address, ok := n.peers.anyHealthy(time.Now()); ok && n.follow(address) {
-			return true
+	answered := map[netip.AddrPort]bool{}
+	var settled time.Duration // clock reading at which others have been heard of
+	for now := n.clock(); now-n.startedAt < joinPeriod && n.ctx.Err() == nil; now = n.clock() {
+		for _, address := range n.peers.healthy(time.Now()) {
+			if len(answered) < maxDepartedAsked && !answered[address] && n.follow(address) {
+				answered[address] = true
+			}
+			if at, _ := n.upstreamsState(); at != (store.Position{}) {
+				return true
+			}
+		}
+		switch {
+		case len(answered) > 0 && settled == 0:
+			settled = n.clock() + peerSettleTime
+		case settled > 0 && now > settled:
+			return false
 		}
-		n.sleep(quarantineLearnInterval)
+		n.sleep(departedAskInterval)
 	}
 	return false
 }
