entry: don't keep the body of a request while its upstream is probed

Cause: a probe of an abandoned request lasts up to 10.6 s and held the exchange with the body, whose memory no longer counted: up to 64 bodies a node.

Change: the probe keeps the request's ID and fingerprint.

Result: go test ./entry passes. Found by reading; no run shows the memory.

--- a/entry/call.go
+++ b/entry/call.go
@@ -185,7 +185,7 @@
 	switch {
 	case e.r.Context().Err() != nil:
 		job.End(time.Now(), dispatch.Abandoned)
-		e.node.probeAbandoned(e, e.fingerprint(), job)
+		e.node.probeAbandoned(e, job)
 	case e.recalled():
 		e.lastReason = reasonRecalled
 		e.holdRecalled(job)
@@ -200,9 +200,9 @@
 		job.End(time.Now(), dispatch.Broken)
 		e.log("upstream response broken", "Error", err)
 		if e.ctx.Err() == nil {
-			e.node.probeAfterFailure(e, e.fingerprint(), job)
+			e.node.probeAfterFailure(e, job)
 		} else {
-			e.node.probeAbandoned(e, e.fingerprint(), job)
+			e.node.probeAbandoned(e, job)
 		}
 	}
 }
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -177,15 +177,16 @@
 
 // probeAfterFailure checks whether an upstream whose response broke has crashed.
 // If it still accepts connections, or was known to leave, the request didn't crash it.
-func (n *Node) probeAfterFailure(e *exchange, fingerprint string, job *dispatch.Job) {
+func (n *Node) probeAfterFailure(e *exchange, job *dispatch.Job) {
 	var parts []string
 	if !e.responseBegun {
 		parts = e.sharedParts()
 	}
+	requestID, fingerprint := e.request.ID, e.fingerprint()
 	n.guard.Go("probe upstream", func() {
 		n.sleep(crashProbeDelay)
 		if err := n.probe(job.Upstream()); err != nil {
-			n.reportCrash(e, fingerprint, job, parts, err)
+			n.reportCrash(requestID, fingerprint, job, parts, err)
 		}
 	})
 }
@@ -197,13 +198,15 @@
 // one only if the upstream's entry is removed and no answer came since. Neither does if the
 // upstream was known to leave. Parts of the prompt aren't accused, since less is known
 // of what the upstream was running.
-func (n *Node) probeAbandoned(e *exchange, fingerprint string, job *dispatch.Job) {
+func (n *Node) probeAbandoned(e *exchange, job *dispatch.Job) {
 	if n.abandonedProbes.Add(1) > maxAbandonedProbes {
 		n.abandonedProbes.Add(-1)
 		n.count("abandoned_probes", "Omitted")
 		return
 	}
 	abandonedAt, silent := time.Now(), e.r.Context().Err() == nil
+	// Without the exchange, whose body would be kept as long.
+	requestID, fingerprint := e.request.ID, e.fingerprint()
 	n.guard.Go("probe upstream of abandoned request", func() {
 		defer n.abandonedProbes.Add(-1)
 		n.sleep(abandonedProbeDelay)
@@ -211,7 +214,7 @@
 		if !errors.Is(err, syscall.ECONNREFUSED) && (err == nil && !silent || !n.awaitRemoval(job, abandonedAt)) {
 			return
 		}
-		n.reportCrash(e, fingerprint, job, nil, err)
+		n.reportCrash(requestID, fingerprint, job, nil, err)
 	})
 }
 
@@ -240,14 +243,14 @@
 
 // reportCrash records that the upstream of a job crashed while it ran a request, unless it
 // was known to leave. parts are those parts of the prompt that may be the cause.
-func (n *Node) reportCrash(e *exchange, fingerprint string, job *dispatch.Job, parts []string, cause error) {
+func (n *Node) reportCrash(requestID, fingerprint string, job *dispatch.Job, parts []string, cause error) {
 	if n.ctx.Err() != nil || job.UpstreamState().Leaving {
 		return
 	}
 	upstream := job.Upstream()
 	// A crash counts once, however many nodes and requests observe it.
 	event := fmt.Sprintf("%s/%d", upstream.ID, upstream.StartedAt.UnixMilli())
-	n.logger.Info("upstream crashed while running a request", "Upstream", upstream.ID, "Request", e.request.ID,
+	n.logger.Info("upstream crashed while running a request", "Upstream", upstream.ID, "Request", requestID,
 		"Fingerprint", fingerprint, "Crash", event, "Parts", parts, "Error", cause)
 	observed := []crash{{Fingerprint: fingerprint, Event: event}}
 	for _, part := range parts {
