--- a/store/store.go
+++ b/store/store.go
@@ -21,6 +21,10 @@
 // A call isn't retried by the client: while the service is unreachable, each one
 // fails with ErrUnavailable or ErrUnknownOutcome, and leases may expire.
 //
+// A service may come back from an older copy of itself. Its revisions go back then and are
+// given out again, and its era rises. A client that is an EraClient tells the era. A
+// Position, the era and a revision, orders what was read before and after.
+//
 // HTTP is a client of the protocol in wire.go, which package storetest serves.
 // Package platform has a Client for a platform's own protocol.
 package store
