nettest: one place for servers of raw answers; resets reach one read or write

Three tests had a server of their own that answers a request with raw bytes and closes or resets the connection. They use nettest.ServeRaw now.

A test connection reported a reset to each read and never to a write. Linux reports it once, to the read or the write that comes first: a reset that a write has reported looks like an orderly end to the next read. nettest does the same now, so that tests can show faults that follow from it. resetOnceNetwork of package relay did so for reads alone and is gone.

No check changed.

--- a/entry/brokenhead_test.go
+++ b/entry/brokenhead_test.go
@@ -1,11 +1,8 @@
 package entry_test
 
 import (
-	"bufio"
-	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -33,39 +30,18 @@
 // response and then closes or resets the connection. It passes each such request to
 // receive.
 func (f *testFleet) startBroken(id, service, stage, address, response string, reset bool, receive func(r *http.Request)) {
-	at := netip.MustParseAddrPort(address)
-	listener, err := f.network.Host(at.Addr().String()).Listen(context.Background(), at)
+	stop, err := f.network.ServeRaw(netip.MustParseAddrPort(address), reset, func(r *http.Request) (answer string) {
+		if !strings.HasSuffix(r.URL.Path, "/1") { // a probe, or a call for cached parts
+			return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+		}
+		io.Copy(io.Discard, r.Body)
+		receive(r)
+		return strings.ReplaceAll(response, requestMark, r.Header.Get("Request-Id"))
+	})
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	f.cleanups = append(f.cleanups, func() { listener.Close() })
-	serve := func(conn net.Conn) {
-		defer conn.Close()
-		request, err := http.ReadRequest(bufio.NewReader(conn))
-		if err != nil {
-			return
-		}
-		if !strings.HasSuffix(request.URL.Path, "/1") { // a probe, or a call for cached parts
-			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-			return
-		}
-		io.Copy(io.Discard, request.Body)
-		receive(request)
-		io.WriteString(conn, strings.ReplaceAll(response, requestMark, request.Header.Get("Request-Id")))
-		<-time.After(time.Millisecond) // a reset discards what hasn't been read
-		if reset {
-			conn.(interface{ SetLinger(int) error }).SetLinger(0)
-		}
-	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
+	f.cleanups = append(f.cleanups, stop)
 	f.registerUpstream(id, service, stage, address, "ready")
 }
 
--- a/nettest/conn.go
+++ b/nettest/conn.go
@@ -31,6 +31,7 @@
 		local, remote      netip.AddrPort
 		in, out            *stream
 		discardUndelivered atomic.Bool // on Close
+		resetReported      atomic.Bool // a Read or a Write has returned syscall.ECONNRESET
 	}
 
 	// stream holds the bytes sent in one direction that haven't been read.
@@ -68,12 +69,25 @@
 }
 
 // Read implements net.Conn. It waits for bytes whose delay has passed and that no
-// cut holds back.
-func (c *conn) Read(b []byte) (n int, err error) { return c.in.read(b) }
+// cut holds back. As on Linux, one Read or Write alone reports that the other end has
+// reset the connection. Each Read after it returns io.EOF, each Write syscall.EPIPE.
+func (c *conn) Read(b []byte) (n int, err error) {
+	n, err = c.in.read(b)
+	if err == syscall.ECONNRESET && c.resetReported.Swap(true) {
+		err = io.EOF
+	}
+	return n, err
+}
 
 // Write implements net.Conn. It blocks while the buffer holds more unread bytes
 // than the network allows.
-func (c *conn) Write(b []byte) (n int, err error) { return c.out.write(b) }
+func (c *conn) Write(b []byte) (n int, err error) {
+	n, err = c.out.write(b)
+	if err == syscall.EPIPE && c.in.wasReset() && !c.resetReported.Swap(true) {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
 
 // Close ends the connection. The other end reads the bytes already sent, then
 // EOF, unless SetLinger was called with 0.
@@ -177,6 +191,12 @@
 	})
 }
 
+func (s *stream) wasReset() (ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.readErr == syscall.ECONNRESET
+}
+
 func (s *stream) read(b []byte) (n int, err error) {
 	for {
 		cut, pathChanged := s.network.path(s.from, s.to)
--- a/relay/brokenhead_test.go
+++ b/relay/brokenhead_test.go
@@ -1,19 +1,14 @@
 package relay_test
 
 import (
-	"bufio"
 	"cmp"
-	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
-	"syscall"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -21,35 +16,6 @@
 	"github.com/guavagauge/guavagauge/relay"
 )
 
-type (
-	// resetOnceNetwork reports a reset as the sockets of Linux do: the first read fails,
-	// and each further one returns io.EOF.
-	resetOnceNetwork struct{ *nettest.Host }
-
-	resetOnceConn struct {
-		net.Conn
-		reset bool // was reported
-	}
-)
-
-// Dial implements transport.Network.
-func (n resetOnceNetwork) Dial(ctx context.Context, address netip.AddrPort) (conn net.Conn, err error) {
-	if conn, err = n.Host.Dial(ctx, address); err != nil {
-		return nil, err
-	}
-	return &resetOnceConn{Conn: conn}, nil
-}
-
-// Read implements net.Conn.
-func (c *resetOnceConn) Read(b []byte) (n int, err error) {
-	if c.reset {
-		return 0, io.EOF
-	}
-	n, err = c.Conn.Read(b)
-	c.reset = errors.Is(err, syscall.ECONNRESET)
-	return n, err
-}
-
 // Guards against a response that breaks off and is taken as whole, or as one to a
 // request that hasn't run. Each response is cut after each of its bytes.
 func TestBrokenResponseIsNeverWhole(t *testing.T) {
@@ -112,30 +78,12 @@
 func receiveCut(t *testing.T, method, text string, reset bool) (body string, err error) {
 	network := nettest.New()
 	address := netip.MustParseAddrPort(upstreamAddress)
-	listener, err := network.Host(address.Addr().String()).Listen(t.Context(), address)
+	stop, err := network.ServeRaw(address, reset, func(*http.Request) (answer string) { return text })
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	ended := make(chan struct{})
-	defer func() { <-ended }()
-	go func() {
-		defer close(ended)
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		if _, err = http.ReadRequest(bufio.NewReader(conn)); err != nil {
-			return
-		}
-		io.WriteString(conn, text)
-		<-time.After(time.Millisecond) // a reset discards what hasn't been read
-		if reset {
-			conn.(interface{ SetLinger(int) error }).SetLinger(0)
-		}
-	}()
-	pool := relay.New(relay.Options{Network: resetOnceNetwork{network.Host("10.0.0.9")}})
+	defer stop()
+	pool := relay.New(relay.Options{Network: network.Host("10.0.0.9")})
 	defer pool.Forget("u")
 	response, err := pool.Send(t.Context(), relay.Target{ID: "u", Address: address}, &relay.Request{
 		Method: cmp.Or(method, http.MethodGet), URI: "/x", Host: "h", Header: http.Header{"Request-Id": {"q1"}}, ID: "q1",
--- a/service/brokenhead_test.go
+++ b/service/brokenhead_test.go
@@ -1,15 +1,12 @@
 package service_test
 
 import (
-	"bufio"
 	"cmp"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -57,29 +54,11 @@
 func receiveCut(t *testing.T, method, text string, reset bool) (response upstream.Response, err error) {
 	network := nettest.New()
 	address := netip.MustParseAddrPort("10.0.0.2:9000")
-	listener, err := network.Host("10.0.0.2").Listen(t.Context(), address)
+	stop, err := network.ServeRaw(address, reset, func(*http.Request) (answer string) { return text })
 	if err != nil {
 		t.Fatal(err)
 	}
-	ended := make(chan struct{})
-	defer func() { <-ended }()
-	defer listener.Close()
-	go func() {
-		defer close(ended)
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		if _, err = http.ReadRequest(bufio.NewReader(conn)); err != nil {
-			return
-		}
-		io.WriteString(conn, text)
-		<-time.After(time.Millisecond) // a reset discards what hasn't been read
-		if reset {
-			conn.(interface{ SetLinger(int) error }).SetLinger(0)
-		}
-	}()
+	defer stop()
 	client := service.NewClient(network.Host("10.0.0.1"), address, service.Options{})
 	defer client.Close()
 	return client.Call(t.Context(), upstream.Call{Method: method, Target: "/x"})
