transport, relay: no answer with a status that isn't one

At an entry node they got 502, but a status below 100 was skipped like an interim response, so that what followed on the connection could be taken for the answer.

Cause: every reader takes responses from net/http, which accepts any three digits, and "+20", for a status, any bytes in the reason and other major versions. ReadResponse and http.Transport are equally lenient, so a check after them would have to be made in each client, and a connection might be reused before it.

transport.HTTPConn checks the bytes of each head, interim ones included, as they are read from the connection, by the grammar of RFC 9112, section 4, and RFC 9110, section 15. It ends the reads at the byte that isn't valid, so neither ReadResponse nor http.Transport gets such a head whole. relay, transport.HTTPClient and the clients of package platform read from it; nothing else reads HTTP responses. TLS now begins below it (HTTPSClient), since it has to see the plain bytes.

A malformed response fails with ErrMalformedResponse: the request may have run. Two readers took a status as proof of more: an order or a usage report answered with 000 counted as rejected without effect, and now has an unknown outcome.

--- a/entry/brokenhead_test.go
+++ b/entry/brokenhead_test.go
@@ -64,6 +64,7 @@
 	const (
 		sealedHead = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n" + platformtest.RawSeal
 		event      = "id: 1\ndata: one\n|\n|"
+		wholeEvent = "id: 1\ndata: one\n\n"
 		plain      = "/entries/ /draws/ "
 		streams    = "/rulings/ /models/ " // may run once, and twice, as in plain
 	)
@@ -80,6 +81,7 @@
 		"until close, event":         {streams, sealedHead + "\r\nid|: 1\ndata: one|\n|\nid: 2|\n|", false},
 		"until close, body":          {plain + streams, brokenInterim + sealedHead + "\r\nid|: 1\ndata: one|\n|\n|id: 2|\n|", true},
 		"refusal":                    {plain + streams, "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: ID\r\n" + platformtest.RawNotRun + "|Content-Length: 0\r\n|", false},
+		"status 000":                 {plain + streams, strings.Replace(sealedHead, "200", "000", 1) + "Content-Length: 17\r\n\r\n" + wholeEvent + cutMark, false},
 		"long response, length":      {plain, sealedHead + "Content-Length: 1572865\r\n\r\n" + long, false},
 		"long response, chunks":      {plain, sealedHead + "Transfer-Encoding: chunked\r\n\r\n180000\r\n" + long + "\r\n0\r\n|", false},
 		"long response, until close": {plain, sealedHead + "\r\n" + long, true},
--- a/operator/client.go
+++ b/operator/client.go
@@ -25,6 +25,7 @@
 	// Client calls the operator API of one node. The context of a call is its
 	// only time limit on the client's side.
 	Client struct {
+		network    transport.Network
 		http       *http.Client
 		base       string
 		credential string
@@ -50,16 +51,14 @@
 // NewClient returns a client of the node at address. It connects on the first
 // call.
 func NewClient(network transport.Network, address netip.AddrPort, credential string) *Client {
-	return &Client{http: transport.HTTPClient(network), base: "http://" + address.String(), credential: credential}
+	return &Client{network: network, http: transport.HTTPClient(network), base: "http://" + address.String(), credential: credential}
 }
 
 // UseTLS makes the client connect with TLS. It must be called before any
 // other method; these are safe for concurrent use.
 func (c *Client) UseTLS(config *tls.Config) {
 	c.base = "https://" + strings.TrimPrefix(c.base, "http://")
-	if t, ok := c.http.Transport.(*http.Transport); ok {
-		t.TLSClientConfig = config
-	}
+	c.http = transport.HTTPSClient(c.network, config)
 }
 
 // Config returns the newest configuration. It includes the keys, with their
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -165,14 +165,14 @@
 
 	// headLimiter reads from a connection, up to a limit while a head is read.
 	headLimiter struct {
-		conn      net.Conn
+		conn      *transport.HTTPConn
 		limited   bool
 		remaining int       // bytes, if limited
 		lastRead  time.Time // when bytes were read last
 	}
 
 	conn struct {
-		net.Conn
+		*transport.HTTPConn
 		pool     *Pool
 		upstream *upstreamConns
 		limiter  *headLimiter // read by reader
@@ -242,7 +242,7 @@
 
 // sendOn sends a request on a connection, which it closes on an error.
 func (p *Pool) sendOn(ctx context.Context, c *conn, request *Request) (response *Response, err error) {
-	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
+	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer func() {
 		if err != nil {
 			stop()
@@ -255,7 +255,7 @@
 			}
 		}
 	}()
-	if err = c.write(request); err != nil {
+	if err = c.send(request); err != nil {
 		return nil, err
 	}
 	head, reply, err := c.readHead(request)
@@ -349,9 +349,10 @@
 		p.options.Closed()
 		return nil, err
 	}
-	limiter := &headLimiter{conn: raw}
+	checked := transport.NewHTTPConn(raw)
+	limiter := &headLimiter{conn: checked}
 	return &conn{
-		Conn: raw, pool: p, upstream: upstream, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
+		HTTPConn: checked, pool: p, upstream: upstream, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
 		expires: time.Now().Add(defaultIdleTimeout),
 	}, nil
 }
@@ -416,7 +417,7 @@
 
 // end closes a connection.
 func (p *Pool) end(c *conn) {
-	c.Conn.Close()
+	c.Close()
 	p.options.Closed()
 }
 
@@ -448,9 +449,9 @@
 	}
 }
 
-// write sends the request. A long body is written in the background, since an
+// send writes the request. A long body is written in the background, since an
 // upstream may respond before it has read the whole body.
-func (c *conn) write(request *Request) (err error) {
+func (c *conn) send(request *Request) (err error) {
 	c.written = nil
 	c.sent.Store(0)
 	var head bytes.Buffer
@@ -464,7 +465,7 @@
 	head.WriteString("\r\n")
 	if len(request.Body) <= inlineBodyBytes {
 		head.Write(request.Body)
-		n, err := c.Conn.Write(head.Bytes())
+		n, err := c.Write(head.Bytes())
 		c.sent.Store(int64(n))
 		return err
 	}
@@ -486,10 +487,7 @@
 	methodOnly := &http.Request{Method: request.Method}
 	strayed := false // a response to another request came first
 	for range maxStrayResponses {
-		c.limiter.limited, c.limiter.remaining = true, maxHeadBytes
-		response, err = http.ReadResponse(c.reader, methodOnly)
-		c.limiter.limited = false
-		if err != nil {
+		if response, err = c.readResponse(methodOnly); err != nil {
 			return nil, reply, err
 		}
 		if response.StatusCode < http.StatusOK {
@@ -511,6 +509,24 @@
 	return nil, reply, errStrayResponse
 }
 
+// readResponse reads the next head on the connection.
+func (c *conn) readResponse(request *http.Request) (response *http.Response, err error) {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err == nil {
+		err = c.BeginResponse(buffered)
+	}
+	if err == nil {
+		c.limiter.limited, c.limiter.remaining = true, maxHeadBytes
+		response, err = http.ReadResponse(c.reader, request)
+		c.limiter.limited = false
+	}
+	if malformed := c.Malformed(); malformed != nil {
+		c.pool.options.Count("malformed")
+		return nil, malformed // net/http may have an error of its own for what came before
+	}
+	return response, err
+}
+
 // closeDelimited reports whether the body of a response ends where the upstream
 // closes the connection.
 func closeDelimited(response *http.Response) (ok bool) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -130,6 +130,8 @@
 		"earlier refusal sent instead of a response":    {[]string{okResponse("q1", "a"), refusal("") + "<close>"}, []string{"a", ""}, "dial 1"},
 		"refusal of an earlier request":                 {[]string{okResponse("q1", "a"), refusal("q1") + okResponse("q2", "b")}, []string{"a", "b"}, "dial 1"},
 		"refusal after a stray response":                {[]string{okResponse("q0", "x") + refusal("") + "<close>", okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
+		"status 000":                                    {[]string{strings.Replace(okResponse("q1", "a"), "200", "000", 1) + okResponse("q1", "a"), okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
+		"status 000 in an interim response":             {[]string{"HTTP/1.1 000 X\r\n\r\n" + okResponse("q1", "a"), okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
 		"leaving":                                       {[]string{strings.Replace(okResponse("q1", "a"), sealHeader, sealHeader+"Connection: close\r\n", 1), okResponse("q2", "b")}, []string{"a", "b"}, "dial 2"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- /dev/null
+++ b/transport/httpconn.go
@@ -0,0 +1,118 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+)
+
+type (
+	// HTTPConn is a client's connection to an HTTP/1.1 server. Its reads fail with
+	// ErrMalformedResponse at the byte at which the head of a response stops being
+	// valid, so that no reader of the connection gets such a head whole.
+	HTTPConn struct {
+		net.Conn
+
+		mu        sync.Mutex
+		head      responseHead
+		inHead    bool
+		malformed error
+	}
+
+	// HTTPTransport is an http.Transport whose connections are of type *HTTPConn.
+	HTTPTransport struct{ *http.Transport }
+)
+
+// NewHTTPConn returns a connection on which a response is expected.
+func NewHTTPConn(conn net.Conn) *HTTPConn {
+	return &HTTPConn{Conn: conn, inHead: true}
+}
+
+// BeginResponse notes that a response is expected next. It begins with buffered, the
+// bytes that were read already and not used.
+func (c *HTTPConn) BeginResponse(buffered []byte) (err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head, c.inHead = responseHead{}, true
+	_, err = c.check(buffered)
+	return err
+}
+
+// Malformed returns the error of a malformed head, or nil.
+func (c *HTTPConn) Malformed() (err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.malformed
+}
+
+// check returns how many of the bytes may be passed on. The caller holds mu.
+func (c *HTTPConn) check(received []byte) (n int, err error) {
+	for c.malformed == nil && c.inHead && n < len(received) {
+		var scanned int
+		scanned, c.malformed = c.head.scan(received[n:])
+		n += scanned
+		if c.head.part == headEnd {
+			// The response to the same request comes after an interim response.
+			c.inHead = c.head.status < http.StatusOK
+			c.head = responseHead{}
+		}
+	}
+	if c.malformed != nil {
+		return n, c.malformed
+	}
+	return len(received), nil
+}
+
+// Read implements net.Conn.
+func (c *HTTPConn) Read(b []byte) (n int, err error) {
+	if err = c.Malformed(); err != nil {
+		return 0, err
+	}
+	n, err = c.Conn.Read(b)
+	if n > 0 {
+		c.mu.Lock()
+		checked, malformed := c.check(b[:n])
+		c.mu.Unlock()
+		if malformed != nil {
+			return checked, malformed
+		}
+	}
+	return n, err
+}
+
+// NewHTTPTransport returns a transport with the options of base. It replaces the dial
+// functions of base by some that return an *HTTPConn. HTTPS needs base.DialTLSContext.
+func NewHTTPTransport(base *http.Transport) *HTTPTransport {
+	wrap := func(dial func(ctx context.Context, network, address string) (conn net.Conn, err error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+		return func(ctx context.Context, network, address string) (conn net.Conn, err error) {
+			if conn, err = dial(ctx, network, address); err != nil {
+				return nil, err
+			}
+			return NewHTTPConn(conn), nil
+		}
+	}
+	base.DialContext = wrap(base.DialContext)
+	if base.DialTLSContext != nil {
+		base.DialTLSContext = wrap(base.DialTLSContext)
+	}
+	return &HTTPTransport{base}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *HTTPTransport) RoundTrip(request *http.Request) (response *http.Response, err error) {
+	var conn *HTTPConn // of the last attempt
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		conn = info.Conn.(*HTTPConn)
+		_ = conn.BeginResponse(nil) // without bytes there is no error
+	}})
+	response, err = t.Transport.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		if conn != nil && conn.Malformed() != nil {
+			err = conn.Malformed() // net/http may have an error of its own for what came before
+		}
+		return nil, err
+	}
+	return response, nil
+}
--- /dev/null
+++ b/transport/httpconn_test.go
@@ -0,0 +1,168 @@
+package transport_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/discovery"
+	"github.com/guavagauge/guavagauge/engine"
+	"github.com/guavagauge/guavagauge/nettest"
+	"github.com/guavagauge/guavagauge/operator"
+	"github.com/guavagauge/guavagauge/platform"
+	"github.com/guavagauge/guavagauge/provider"
+	"github.com/guavagauge/guavagauge/service"
+	"github.com/guavagauge/guavagauge/store"
+	"github.com/guavagauge/guavagauge/transport"
+	"github.com/guavagauge/guavagauge/upstream"
+)
+
+// readConn is a connection from which a text is read.
+type readConn struct {
+	net.Conn
+	reader io.Reader
+}
+
+// malformed holds responses that are no HTTP/1.1 responses, by what is wrong with them.
+var malformed = map[string]string{
+	"status 000":                 "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"status 099":                 "HTTP/1.1 099 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"status 600":                 "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"status with a sign":         "HTTP/1.1 +20 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"status of four digits":      "HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/2.0":                   "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"control byte in the reason": "HTTP/1.1 200 O\x01K\r\nContent-Length: 2\r\n\r\n{}",
+	"bare carriage return":       "HTTP/1.1 200 OK\rContent-Length: 2\r\n\r\n{}",
+}
+
+// Read implements net.Conn.
+func (c *readConn) Read(b []byte) (n int, err error) { return c.reader.Read(b) }
+
+// Guards against a malformed response that is taken for one, and against a sound one
+// that isn't, in whatever parts the bytes arrive.
+func TestMalformedHeadIsNoResponse(t *testing.T) {
+	responses := map[string]string{
+		"plain":              "HTTP/1.1 204 No Content\r\nX-Y: \tz\x80 \r\nX-E:\r\n!#$%&'*+-.^_`|~9: z\r\n\r\n",
+		"interim":            "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 599 \r\n\r\n",
+		"no reason":          "HTTP/1.1 200\r\nContent-Length: 2\r\n\r\n{}",
+		"line feeds, folded": "HTTP/1.0 200 OK\nX-Y: a\n\tb\n \nContent-Length: 2\n\n{}",
+		"bytes like a head":  "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nHTTP/1.1 000",
+		"chunks":             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+	}
+	for name, text := range malformed {
+		responses[name] = text
+	}
+	for name, text := range responses {
+		for parts, reader := range map[string]io.Reader{"whole": strings.NewReader(text), "in bytes": iotest.OneByteReader(strings.NewReader(text))} {
+			conn := transport.NewHTTPConn(&readConn{reader: reader})
+			buffered := bufio.NewReader(conn)
+			response, err := http.ReadResponse(buffered, nil)
+			for err == nil && response.StatusCode < http.StatusOK {
+				response, err = http.ReadResponse(buffered, nil)
+			}
+			if err == nil {
+				_, err = io.Copy(io.Discard, response.Body)
+			}
+			_, bad := malformed[name]
+			if bad != (err != nil) || bad != errors.Is(conn.Malformed(), transport.ErrMalformedResponse) {
+				t.Errorf("%s, %s: error %v, malformed %v, want malformed %t", name, parts, err, conn.Malformed(), bad)
+			}
+		}
+	}
+}
+
+// Guards against a response that is read although its status is not valid.
+func FuzzHead(f *testing.F) {
+	for _, text := range malformed {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		response, err := http.ReadResponse(bufio.NewReader(transport.NewHTTPConn(&readConn{reader: strings.NewReader(text)})), nil)
+		if err != nil {
+			return
+		}
+		if status := response.StatusCode; status < 100 || status > 599 || response.ProtoMajor != 1 {
+			t.Errorf("%q: status %d, version %s", text, status, response.Proto)
+		}
+	})
+}
+
+// Guards against clients that take a malformed response for an answer, or for a refusal
+// of a call that hasn't run.
+func TestMalformedResponseReachesNoClient(t *testing.T) {
+	address := netip.MustParseAddrPort("10.0.0.2:80")
+	target := discovery.Upstream{ID: "u", Address: address}
+	answered := func(err error) (ok bool) {
+		var failure *upstream.Failure
+		return errors.As(err, &failure) && failure.Reason == upstream.ReasonBadResponse && failure.Progress == upstream.Answered && !failure.Crashed
+	}
+	unknown := func(err error) (ok bool) { return errors.Is(err, store.ErrUnknownOutcome) }
+	failed := func(err error) (ok bool) { return errors.Is(err, transport.ErrMalformedResponse) }
+	for name, client := range map[string]struct {
+		call func(ctx context.Context, host *nettest.Host) (err error)
+		want func(err error) (ok bool)
+	}{
+		"service": {func(ctx context.Context, host *nettest.Host) (err error) {
+			_, err = service.NewClient(host, address, service.Options{}).Call(ctx, upstream.Call{Method: "POST", Target: "/x"})
+			return err
+		}, answered},
+		"engine": {func(ctx context.Context, host *nettest.Host) (err error) {
+			_, err = engine.NewClient(host, address, engine.Options{}).Generate(ctx, upstream.Generation{}, nil)
+			return err
+		}, answered},
+		"engine, order": {func(ctx context.Context, host *nettest.Host) (err error) {
+			return engine.NewClient(host, address, engine.Options{}).Order(ctx, engine.Order{})
+		}, answered},
+		"provider": {func(ctx context.Context, host *nettest.Host) (err error) {
+			return provider.NewClient(host, address, provider.Options{}).Stop(ctx, provider.StopOrder{})
+		}, func(err error) (ok bool) { return errors.Is(err, provider.ErrUnknownOutcome) }},
+		"operator": {func(ctx context.Context, host *nettest.Host) (err error) {
+			_, err = operator.NewClient(host, address, "").Config(ctx, false)
+			return err
+		}, failed},
+		"store": {func(ctx context.Context, host *nettest.Host) (err error) {
+			return store.NewHTTP(host, address, "n").Delete(ctx, "k", 1)
+		}, unknown},
+		"platform's store": {func(ctx context.Context, host *nettest.Host) (err error) {
+			return platform.NewStore(host, address, func(string) {}).Revoke(ctx, 1)
+		}, unknown},
+		"platform, usage": {func(ctx context.Context, host *nettest.Host) (err error) {
+			return platform.NewCloud(host, address).ReportUsage(ctx, platform.FencedHolder{}, platform.Usage{})
+		}, unknown},
+		"platform, order of a stage": {func(ctx context.Context, host *nettest.Host) (err error) {
+			return platform.NewCloud(host, address).SetStage(ctx, platform.FencedHolder{}, target, discovery.Prefill)
+		}, unknown},
+		"platform, cached parts": {func(ctx context.Context, host *nettest.Host) (err error) {
+			_, err = platform.NewEngineClient(host).CachedParts(ctx, target)
+			return err
+		}, failed},
+	} {
+		for fault, text := range malformed {
+			t.Run(name+"/"+fault, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					network := nettest.New()
+					stop, err := network.ServeRaw(address, false, func(*http.Request) (answer string) { return text })
+					if err != nil {
+						t.Fatal(err)
+					}
+					defer stop()
+					ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+					defer cancel()
+					if err = client.call(ctx, network.Host("10.0.0.1")); !client.want(err) {
+						t.Errorf("error %v", err)
+					}
+				})
+			})
+		}
+	}
+}
--- /dev/null
+++ b/transport/responsehead.go
@@ -0,0 +1,191 @@
+package transport
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/juju/errors"
+)
+
+// Parts of a head.
+const (
+	inVersion headPart = iota
+	afterVersion
+	inStatus
+	inReason
+	atLine // the first byte of a field line, or of the empty line that ends the head
+	inName
+	inValue
+	headEnd
+)
+
+const (
+	// ErrMalformedResponse means that a server sent bytes that aren't an HTTP/1.1
+	// response. Nothing that they say can be relied on, so the request may have run.
+	ErrMalformedResponse = errors.ConstError("malformed response")
+
+	versionPrefix = "HTTP/1."
+	statusDigits  = 3
+	maxStatus     = 599
+	// maxQuotedBytes bounds what an error quotes of a malformed line.
+	maxQuotedBytes = 80
+)
+
+type (
+	// responseHead checks the head of a response while its bytes arrive, by the grammar
+	// of RFC 9112. It is stricter than net/http, which accepts any status of three
+	// digits. Field names aren't checked.
+	responseHead struct {
+		part    headPart
+		matched int // bytes of versionPrefix, or digits of the status
+		status  int
+		fields  bool // a field line was read
+		inCRLF  bool // the byte before was a carriage return
+	}
+
+	// headPart is the part of a head to which the next byte belongs.
+	headPart int
+)
+
+var (
+	// valueBytes are allowed in field values and reason phrases.
+	valueBytes = func() (allowed [256]bool) {
+		for b := range allowed {
+			allowed[b] = b == '\t' || b >= ' ' && b != 0x7f
+		}
+		return allowed
+	}()
+)
+
+// scan checks bytes of the head up to its end, and returns how many of text belong to
+// it. The error says what is wrong with the last of them.
+func (h *responseHead) scan(text []byte) (n int, err error) {
+	line := 0 // where the current line, or its rest, begins
+	for n < len(text) && h.part != headEnd {
+		if plain := h.plainBytes(); plain != nil {
+			for n < len(text) && plain[text[n]] {
+				n++
+			}
+			if n == len(text) {
+				break
+			}
+		}
+		b := text[n]
+		n++
+		if problem := h.step(b); problem != "" {
+			quoted := text[line:n]
+			return n, errors.WithType(errors.Errorf("%s, in %q", problem, quoted[max(0, len(quoted)-maxQuotedBytes):]), ErrMalformedResponse)
+		}
+		if b == '\n' {
+			line = n
+		}
+	}
+	return n, nil
+}
+
+// plainBytes returns the bytes that change nothing if they come next, or nil.
+func (h *responseHead) plainBytes() (plain *[256]bool) {
+	switch {
+	case h.inCRLF:
+		return nil
+	case h.part == inValue || h.part == inReason:
+		return &valueBytes
+	}
+	return nil
+}
+
+// step checks the next byte and returns what is wrong with it.
+func (h *responseHead) step(b byte) (problem string) {
+	if h.inCRLF && b != '\n' {
+		return "carriage return without a line feed"
+	}
+	if lineMayEnd := h.part == inStatus && h.matched == statusDigits || h.part == inReason || h.part == atLine || h.part == inValue; lineMayEnd {
+		switch b {
+		case '\r':
+			h.inCRLF = true
+			return ""
+		case '\n':
+			h.endLine()
+			return ""
+		}
+	}
+	switch h.part {
+	case inVersion:
+		return h.stepVersion(b)
+	case afterVersion:
+		h.part, h.matched = inStatus, 0
+		if b != ' ' {
+			return "no blank before the status"
+		}
+	case inStatus:
+		return h.stepStatus(b)
+	case atLine:
+		if h.fields && (b == ' ' || b == '\t') { // a folded line, which continues the value
+			h.part = inValue
+			return ""
+		}
+		h.part = inName
+		return h.stepName(b)
+	case inName:
+		return h.stepName(b)
+	case inReason, inValue:
+		if !valueBytes[b] {
+			return fmt.Sprintf("byte %#02x in a reason phrase or a field value", b)
+		}
+	case headEnd:
+	}
+	return ""
+}
+
+func (h *responseHead) stepVersion(b byte) (problem string) {
+	switch {
+	case h.matched < len(versionPrefix):
+		if b != versionPrefix[h.matched] {
+			return "not an HTTP/1 response"
+		}
+		h.matched++
+	case b < '0' || b > '9':
+		return "not an HTTP/1 response"
+	default:
+		h.part = afterVersion
+	}
+	return ""
+}
+
+func (h *responseHead) stepStatus(b byte) (problem string) {
+	if h.matched == statusDigits {
+		h.part = inReason
+		if b != ' ' {
+			return "status of more than three digits"
+		}
+		return ""
+	}
+	if b < '0' || b > '9' {
+		return "status that isn't a number of three digits"
+	}
+	h.status = 10*h.status + int(b-'0')
+	h.matched++
+	switch {
+	case h.matched < statusDigits:
+	case h.status < http.StatusContinue || h.status > maxStatus:
+		return fmt.Sprintf("status %03d, which isn't in 100 to %d", h.status, maxStatus)
+	}
+	return ""
+}
+
+func (h *responseHead) stepName(b byte) (problem string) {
+	if b == ':' {
+		h.part = inValue
+	}
+	return ""
+}
+
+func (h *responseHead) endLine() {
+	h.inCRLF = false
+	if h.part == atLine {
+		h.part = headEnd
+		return
+	}
+	h.fields = h.part == inValue
+	h.part = atLine
+}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -6,11 +6,18 @@
 //	listener, err := transport.TCP{}.Listen(ctx, address)
 //	conn, err := transport.TCP{}.Dial(ctx, address)
 //
-// HTTPClient returns an HTTP client that connects through a Network.
+// HTTPClient returns an HTTP client that connects through a Network. HTTPConn is for
+// clients that read responses themselves: it lets none through whose head is malformed.
+//
+//	conn := transport.NewHTTPConn(raw)
+//	reader := bufio.NewReader(conn)
+//	err := conn.BeginResponse(nil) // before each response, with what reader has buffered
+//	response, err := http.ReadResponse(reader, request)
 package transport
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/netip"
@@ -53,23 +60,55 @@
 // uses no proxy, so that a request only reaches the address in its URL. It speaks
 // HTTP/1.1 and neither requests nor decodes compressed bodies. It has no timeout
 // besides that of Dial: the context of a request has to end the wait for a server
-// that doesn't answer.
-func HTTPClient(network Network) *http.Client {
+// that doesn't answer. Malformed responses fail, see HTTPTransport.
+func HTTPClient(network Network) *http.Client { return HTTPSClient(network, nil) }
+
+// HTTPSClient returns a client like that of HTTPClient, which also connects to URLs
+// with the scheme https unless config is nil.
+func HTTPSClient(network Network, config *tls.Config) *http.Client {
+	dial := func(ctx context.Context, _, address string) (conn net.Conn, err error) {
+		parsed, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil, errors.Annotatef(err, "address %q", address)
+		}
+		return network.Dial(ctx, parsed)
+	}
+	base := &http.Transport{
+		DialContext:         dial,
+		DisableCompression:  true,
+		IdleConnTimeout:     idleConnTimeout,
+		MaxIdleConnsPerHost: maxIdleConnsPerHost,
+	}
+	if config != nil {
+		base.DialTLSContext = func(ctx context.Context, network, address string) (conn net.Conn, err error) {
+			if conn, err = dial(ctx, network, address); err != nil {
+				return nil, err
+			}
+			return handshake(ctx, conn, config, address)
+		}
+	}
 	return &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		Transport: &http.Transport{
-			DialContext: func(ctx context.Context, _, address string) (conn net.Conn, err error) {
-				parsed, err := netip.ParseAddrPort(address)
-				if err != nil {
-					return nil, errors.Annotatef(err, "address %q", address)
-				}
-				return network.Dial(ctx, parsed)
-			},
-			DisableCompression:  true,
-			IdleConnTimeout:     idleConnTimeout,
-			MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		},
+		Transport:     NewHTTPTransport(base),
+	}
+}
+
+// handshake begins TLS on a connection to an address, and closes it on an error.
+func handshake(ctx context.Context, conn net.Conn, config *tls.Config, address string) (secured net.Conn, err error) {
+	if config.ServerName == "" {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		config = config.Clone()
+		config.ServerName = host
+	}
+	client := tls.Client(conn, config)
+	if err = client.HandshakeContext(ctx); err != nil {
+		conn.Close()
+		return nil, err
 	}
+	return client, nil
 }
 
 // ListenAddress returns the address at which a Network's listener accepts
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 
 	"github.com/juju/errors"
+
+	"github.com/guavagauge/guavagauge/transport"
 )
 
 const (
@@ -55,7 +57,8 @@
 
 // Failure returns the failure of a request that ended with err. The reason is
 // ReasonDeadline or ReasonCanceled if ctx has ended, or else ReasonConnect if no
-// connection was established, or else ReasonBroken.
+// connection was established, or else ReasonBadResponse if the response is malformed,
+// or else ReasonBroken.
 func (t *AttemptTrace) Failure(ctx context.Context, err error) *Failure {
 	failure := &Failure{Reason: ReasonBroken, Progress: t.Progress(), Detail: err.Error()}
 	switch {
@@ -65,6 +68,8 @@
 		failure.Reason = ReasonCanceled
 	case failure.Progress == NotDialed:
 		failure.Reason = ReasonConnect
+	case errors.Is(err, transport.ErrMalformedResponse):
+		failure.Reason = ReasonBadResponse
 	}
 	return failure
 }
