transport: no answer with a field name that isn't a token

A refusal with such a line was believed, too, so that a request that may run once was sent again.

Cause: net/http accepts blanks in field names and stores such a field under the name with the blank, where nothing looks for it. "Content-Length " doesn't frame the body.

RFC 9112, section 5: a field name is a token, and no blank comes before the colon. Its section 5.1 lets a proxy remove blanks before the colon of a response; a head like this proves that the upstream is in trouble, so it is refused whole.

A control byte in a name was refused before in relay and entry.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -132,6 +132,11 @@
 		"refusal after a stray response":                {[]string{okResponse("q0", "x") + refusal("") + "<close>", okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
 		"status 000":                                    {[]string{strings.Replace(okResponse("q1", "a"), "200", "000", 1) + okResponse("q1", "a"), okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
 		"status 000 in an interim response":             {[]string{"HTTP/1.1 000 X\r\n\r\n" + okResponse("q1", "a"), okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
+		"blank in a field name":                         {[]string{strings.Replace(okResponse("q1", "a"), "Keep-Alive", "Keep Alive", 1), okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
+		"blank before a colon":                          {[]string{strings.Replace(okResponse("q1", "a"), "Content-Length", "Content-Length ", 1) + "more<close>", okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
+		"blank in a field name, interim":                {[]string{"HTTP/1.1 103 X\r\nA B: c\r\n\r\n" + okResponse("q1", "a"), okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
+		"blank in a field name, after a stray":          {[]string{okResponse("q0", "old") + strings.Replace(okResponse("q1", "a"), "Keep-Alive", "Keep Alive", 1), okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
+		"blank in a field name, refusal":                {[]string{strings.Replace(refusal("q1"), "Keep-Alive", "Keep Alive", 1), okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
 		"leaving":                                       {[]string{strings.Replace(okResponse("q1", "a"), sealHeader, sealHeader+"Connection: close\r\n", 1), okResponse("q2", "b")}, []string{"a", "b"}, "dial 2"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/transport/httpconn_test.go
+++ b/transport/httpconn_test.go
@@ -43,6 +43,16 @@
 	"HTTP/2.0":                   "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\n{}",
 	"control byte in the reason": "HTTP/1.1 200 O\x01K\r\nContent-Length: 2\r\n\r\n{}",
 	"bare carriage return":       "HTTP/1.1 200 OK\rContent-Length: 2\r\n\r\n{}",
+
+	"blank in a name":          "HTTP/1.1 200 OK\r\nBad Name: x\r\nContent-Length: 2\r\n\r\n{}",
+	"blank before the colon":   "HTTP/1.1 200 OK\r\nContent-Length : 9\r\nConnection: close\r\n\r\n{}",
+	"tab before the colon":     "HTTP/1.1 200 OK\r\nX-Y\t: z\r\nContent-Length: 2\r\n\r\n{}",
+	"control byte in a name":   "HTTP/1.1 200 OK\r\nX\x01Y: z\r\nContent-Length: 2\r\n\r\n{}",
+	"no name":                  "HTTP/1.1 200 OK\r\n: z\r\nContent-Length: 2\r\n\r\n{}",
+	"no colon":                 "HTTP/1.1 200 OK\r\nX-Y\r\nContent-Length: 2\r\n\r\n{}",
+	"folded first line":        "HTTP/1.1 200 OK\r\n X-Y: z\r\nContent-Length: 2\r\n\r\n{}",
+	"control byte in a value":  "HTTP/1.1 200 OK\r\nX-Y: \x00\r\nContent-Length: 2\r\n\r\n{}",
+	"interim, blank in a name": "HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
 }
 
 // Read implements net.Conn.
@@ -81,7 +91,7 @@
 	}
 }
 
-// Guards against a response that is read although its status is not valid.
+// Guards against a response that is read although its status or a field name is not valid.
 func FuzzHead(f *testing.F) {
 	for _, text := range malformed {
 		f.Add(text)
@@ -94,6 +104,11 @@
 		if status := response.StatusCode; status < 100 || status > 599 || response.ProtoMajor != 1 {
 			t.Errorf("%q: status %d, version %s", text, status, response.Proto)
 		}
+		for name := range response.Header {
+			if strings.ContainsFunc(name, func(r rune) (bad bool) { return r <= ' ' || r >= 0x7f || strings.ContainsRune(`()<>@,;:\"/[]?={}`, r) }) {
+				t.Errorf("%q: field name %q", text, name)
+			}
+		}
 	})
 }
 
--- a/transport/responsehead.go
+++ b/transport/responsehead.go
@@ -34,7 +34,7 @@
 type (
 	// responseHead checks the head of a response while its bytes arrive, by the grammar
 	// of RFC 9112. It is stricter than net/http, which accepts any status of three
-	// digits. Field names aren't checked.
+	// digits and blanks in field names.
 	responseHead struct {
 		part    headPart
 		matched int // bytes of versionPrefix, or digits of the status
@@ -48,6 +48,12 @@
 )
 
 var (
+	tokenBytes = func() (allowed [256]bool) {
+		for _, b := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
+			allowed[b] = true
+		}
+		return allowed
+	}()
 	// valueBytes are allowed in field values and reason phrases.
 	valueBytes = func() (allowed [256]bool) {
 		for b := range allowed {
@@ -90,6 +96,8 @@
 		return nil
 	case h.part == inValue || h.part == inReason:
 		return &valueBytes
+	case h.part == inName:
+		return &tokenBytes
 	}
 	return nil
 }
@@ -125,6 +133,9 @@
 			return ""
 		}
 		h.part = inName
+		if b == ':' {
+			return "field without a name"
+		}
 		return h.stepName(b)
 	case inName:
 		return h.stepName(b)
@@ -174,8 +185,11 @@
 }
 
 func (h *responseHead) stepName(b byte) (problem string) {
-	if b == ':' {
+	switch {
+	case b == ':':
 		h.part = inValue
+	case !tokenBytes[b]:
+		return fmt.Sprintf("byte %#02x in a field name", b)
 	}
 	return ""
 }
