transport: no answer of HTTP/1.0 with Transfer-Encoding

Callers got the chunk sizes of such a response as a part of the body.

Cause: net/http drops the field from a response of HTTP/1.0, and takes all bytes up to the end of the connection for the content. RFC 9112, section 6.1: such a message is to be treated as if its framing were faulty.

The check of heads refuses the field if the version is 1.0.

--- a/transport/httpconn_test.go
+++ b/transport/httpconn_test.go
@@ -53,6 +53,8 @@
 	"folded first line":        "HTTP/1.1 200 OK\r\n X-Y: z\r\nContent-Length: 2\r\n\r\n{}",
 	"control byte in a value":  "HTTP/1.1 200 OK\r\nX-Y: \x00\r\nContent-Length: 2\r\n\r\n{}",
 	"interim, blank in a name": "HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+
+	"chunks in HTTP/1.0": "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
 }
 
 // Read implements net.Conn.
@@ -62,12 +64,13 @@
 // that isn't, in whatever parts the bytes arrive.
 func TestMalformedHeadIsNoResponse(t *testing.T) {
 	responses := map[string]string{
-		"plain":              "HTTP/1.1 204 No Content\r\nX-Y: \tz\x80 \r\nX-E:\r\n!#$%&'*+-.^_`|~9: z\r\n\r\n",
-		"interim":            "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 599 \r\n\r\n",
-		"no reason":          "HTTP/1.1 200\r\nContent-Length: 2\r\n\r\n{}",
-		"line feeds, folded": "HTTP/1.0 200 OK\nX-Y: a\n\tb\n \nContent-Length: 2\n\n{}",
-		"bytes like a head":  "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nHTTP/1.1 000",
-		"chunks":             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+		"plain":                "HTTP/1.1 204 No Content\r\nX-Y: \tz\x80 \r\nX-E:\r\n!#$%&'*+-.^_`|~9: z\r\n\r\n",
+		"interim":              "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 599 \r\n\r\n",
+		"no reason":            "HTTP/1.1 200\r\nContent-Length: 2\r\n\r\n{}",
+		"line feeds, folded":   "HTTP/1.0 200 OK\nX-Y: a\n\tb\n \nContent-Length: 2\n\n{}",
+		"bytes like a head":    "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nHTTP/1.1 000",
+		"chunks":               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+		"HTTP/1.0, other name": "HTTP/1.0 200 OK\r\nTransfer-Encodings: chunked\r\nContent-Length: 2\r\n\r\n{}",
 	}
 	for name, text := range malformed {
 		responses[name] = text
--- a/transport/responsehead.go
+++ b/transport/responsehead.go
@@ -27,6 +27,10 @@
 	versionPrefix = "HTTP/1."
 	statusDigits  = 3
 	maxStatus     = 599
+	// framingField names the field that frames a body in HTTP/1.1 only, in lower case.
+	framingField = "transfer-encoding"
+	// lowerCase is the bit in which a lower-case letter differs from its upper case.
+	lowerCase = 0x20
 	// maxQuotedBytes bounds what an error quotes of a malformed line.
 	maxQuotedBytes = 80
 )
@@ -37,7 +41,8 @@
 	// digits and blanks in field names.
 	responseHead struct {
 		part    headPart
-		matched int // bytes of versionPrefix, or digits of the status
+		matched int  // bytes of versionPrefix, digits of the status, or bytes of framingField; -1: another field
+		version byte // the digit after versionPrefix
 		status  int
 		fields  bool // a field line was read
 		inCRLF  bool // the byte before was a carriage return
@@ -96,7 +101,7 @@
 		return nil
 	case h.part == inValue || h.part == inReason:
 		return &valueBytes
-	case h.part == inName:
+	case h.part == inName && h.matched < 0:
 		return &tokenBytes
 	}
 	return nil
@@ -132,7 +137,7 @@
 			h.part = inValue
 			return ""
 		}
-		h.part = inName
+		h.part, h.matched = inName, 0
 		if b == ':' {
 			return "field without a name"
 		}
@@ -158,7 +163,7 @@
 	case b < '0' || b > '9':
 		return "not an HTTP/1 response"
 	default:
-		h.part = afterVersion
+		h.part, h.version = afterVersion, b
 	}
 	return ""
 }
@@ -188,8 +193,16 @@
 	switch {
 	case b == ':':
 		h.part = inValue
+		if h.version == '0' && h.matched == len(framingField) {
+			// net/http drops the field and takes the chunks for the content.
+			return "Transfer-Encoding in a response of HTTP/1.0"
+		}
 	case !tokenBytes[b]:
 		return fmt.Sprintf("byte %#02x in a field name", b)
+	case h.matched >= 0 && h.matched < len(framingField) && b|lowerCase == framingField[h.matched]:
+		h.matched++
+	default:
+		h.matched = -1
 	}
 	return ""
 }
