transport: no answer behind a switch of protocols

An entry node skipped a response with status 101 like other interim ones, and took what followed for the answer.

Cause: 101 is in the range of interim statuses, but ends HTTP on its connection. RFC 9110, section 15.2.2: a server sends it only to a request with Upgrade, which no client here sends; the field isn't forwarded.

The check of heads refuses the status. The branch of package service for it can't be reached any more and is gone; the caller sees the same reason as before.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -132,6 +132,7 @@
 		"refusal after a stray response":                {[]string{okResponse("q0", "x") + refusal("") + "<close>", okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
 		"status 000":                                    {[]string{strings.Replace(okResponse("q1", "a"), "200", "000", 1) + okResponse("q1", "a"), okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
 		"status 000 in an interim response":             {[]string{"HTTP/1.1 000 X\r\n\r\n" + okResponse("q1", "a"), okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
+		"switch of protocols":                           {[]string{"HTTP/1.1 101 X\r\n\r\n" + okResponse("q1", "a"), okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
 		"blank in a field name":                         {[]string{strings.Replace(okResponse("q1", "a"), "Keep-Alive", "Keep Alive", 1), okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
 		"blank before a colon":                          {[]string{strings.Replace(okResponse("q1", "a"), "Content-Length", "Content-Length ", 1) + "more<close>", okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
 		"blank in a field name, interim":                {[]string{"HTTP/1.1 103 X\r\nA B: c\r\n\r\n" + okResponse("q1", "a"), okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
--- a/service/client.go
+++ b/service/client.go
@@ -63,10 +63,6 @@
 		return answer, markCrashed(trace.Failure(ctx, err))
 	}
 	defer response.Body.Close()
-	if response.StatusCode == http.StatusSwitchingProtocols {
-		// The body is then the open connection, and reading it might not end.
-		return answer, badResponse("worker switched protocols without being asked to")
-	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, h.options.MaxResponseBytes+1))
 	if err != nil {
 		return answer, markCrashed(trace.Failure(ctx, err))
--- a/transport/httpconn_test.go
+++ b/transport/httpconn_test.go
@@ -54,7 +54,8 @@
 	"control byte in a value":  "HTTP/1.1 200 OK\r\nX-Y: \x00\r\nContent-Length: 2\r\n\r\n{}",
 	"interim, blank in a name": "HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
 
-	"chunks in HTTP/1.0": "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+	"chunks in HTTP/1.0":  "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+	"switch of protocols": "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
 }
 
 // Read implements net.Conn.
@@ -104,7 +105,7 @@
 		if err != nil {
 			return
 		}
-		if status := response.StatusCode; status < 100 || status > 599 || response.ProtoMajor != 1 {
+		if status := response.StatusCode; status < 100 || status > 599 || status == http.StatusSwitchingProtocols || response.ProtoMajor != 1 {
 			t.Errorf("%q: status %d, version %s", text, status, response.Proto)
 		}
 		for name := range response.Header {
--- a/transport/responsehead.go
+++ b/transport/responsehead.go
@@ -185,6 +185,8 @@
 	case h.matched < statusDigits:
 	case h.status < http.StatusContinue || h.status > maxStatus:
 		return fmt.Sprintf("status %03d, which isn't in 100 to %d", h.status, maxStatus)
+	case h.status == http.StatusSwitchingProtocols:
+		return "switch to another protocol, which no request asks for"
 	}
 	return ""
 }
