transport, relay: no whole body with a malformed trailer

A response in chunks was taken for whole although a field name in its trailer held a blank, and its connection was used again.

Cause: net/http reads trailers like heads. One with a control byte in a name ended the body with an error already.

The names of a trailer are checked at the end of the body, by the rule for heads, in relay and in HTTPTransport. Such a body is incomplete. Trailers aren't forwarded.

Failed before: the rows of relay and entry.

--- a/engine/client.go
+++ b/engine/client.go
@@ -197,8 +197,8 @@
 		failure.Reason = upstream.ReasonDeadline
 	case ctx.Err() != nil:
 		failure.Reason = upstream.ReasonCanceled
-	case errors.Is(err, errMalformedStream), err == io.EOF:
-		// The body ended regularly, so the engine is still running.
+	case errors.Is(err, errMalformedStream), errors.Is(err, transport.ErrMalformedResponse), err == io.EOF:
+		// The body ended regularly or was malformed, so the engine is still running.
 		failure.Reason = upstream.ReasonBadResponse
 	default:
 		failure.Crashed = true
--- a/entry/brokenhead_test.go
+++ b/entry/brokenhead_test.go
@@ -87,6 +87,7 @@
 		"blank in a name, refusal":   {plain + streams, "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: ID\r\nBad Name: x\r\n" + platformtest.RawNotRun + "Content-Length: 0\r\n\r\n" + cutMark, false},
 		"switch of protocols":        {plain + streams, "HTTP/1.1 101 Switching Protocols\r\n\r\n" + sealedHead + "Content-Length: 17\r\n\r\n" + wholeEvent + cutMark, false},
 		"chunks in HTTP/1.0":         {plain + streams, strings.Replace(sealedHead, "1.1", "1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n11\r\n" + wholeEvent + "\r\n0\r\n\r\n" + cutMark, false},
+		"trailer, blank in a name":   {plain + streams, sealedHead + "Transfer-Encoding: chunked\r\n\r\n11\r\n" + wholeEvent + "\r\n0\r\nX Y: z\r\n\r\n" + cutMark, false},
 		"long response, length":      {plain, sealedHead + "Content-Length: 1572865\r\n\r\n" + long, false},
 		"long response, chunks":      {plain, sealedHead + "Transfer-Encoding: chunked\r\n\r\n180000\r\n" + long + "\r\n0\r\n|", false},
 		"long response, until close": {plain, sealedHead + "\r\n" + long, true},
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -138,7 +138,7 @@
 		// Content-Length.
 		Length int64
 
-		body           io.ReadCloser
+		head           *http.Response
 		conn           *conn
 		stopCancel     func() bool // detaches the connection from ctx; false if ctx has already closed it
 		closed         bool
@@ -264,7 +264,7 @@
 	}
 	return &Response{
 		Status: head.StatusCode, Header: head.Header, Reply: reply, Length: head.ContentLength,
-		body: head.Body, conn: c, stopCancel: stop,
+		head: head, conn: c, stopCancel: stop,
 		closeDelimited: closeDelimited(head),
 	}, nil
 }
@@ -568,8 +568,14 @@
 // Read reads the response's body. An error other than io.EOF means that the body
 // is incomplete.
 func (r *Response) Read(p []byte) (n int, err error) {
-	n, err = r.body.Read(p)
+	n, err = r.head.Body.Read(p)
 	r.begun = r.begun || n > 0
+	if errors.Is(err, io.EOF) {
+		if malformed := transport.CheckTrailer(r.head.Trailer); malformed != nil {
+			r.conn.pool.options.Count("malformed")
+			err = malformed
+		}
+	}
 	switch {
 	case errors.Is(err, io.EOF) && r.closeDelimited && !r.begun:
 		// Without a length, the end of an upstream that stopped after the head looks
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -138,6 +138,7 @@
 		"blank in a field name, interim":                {[]string{"HTTP/1.1 103 X\r\nA B: c\r\n\r\n" + okResponse("q1", "a"), okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
 		"blank in a field name, after a stray":          {[]string{okResponse("q0", "old") + strings.Replace(okResponse("q1", "a"), "Keep-Alive", "Keep Alive", 1), okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
 		"blank in a field name, refusal":                {[]string{strings.Replace(refusal("q1"), "Keep-Alive", "Keep Alive", 1), okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
+		"blank in a field name of a trailer":            {[]string{"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nA B: c\r\n\r\n", okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
 		"chunks in HTTP/1.0":                            {[]string{"HTTP/1.0 200 OK\r\nRequest-Id: q1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n<close>", okResponse("q2", "b")}, []string{"", "b"}, "dial 2"},
 		"leaving":                                       {[]string{strings.Replace(okResponse("q1", "a"), sealHeader, sealHeader+"Connection: close\r\n", 1), okResponse("q2", "b")}, []string{"a", "b"}, "dial 2"},
 	} {
--- a/transport/httpconn.go
+++ b/transport/httpconn.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+
+	"github.com/juju/errors"
 )
 
 type (
@@ -23,6 +26,12 @@
 
 	// HTTPTransport is an http.Transport whose connections are of type *HTTPConn.
 	HTTPTransport struct{ *http.Transport }
+
+	// trailerChecker reads the body of a response and checks the trailer at its end.
+	trailerChecker struct {
+		io.ReadCloser
+		response *http.Response
+	}
 )
 
 // NewHTTPConn returns a connection on which a response is expected.
@@ -114,5 +123,19 @@
 		}
 		return nil, err
 	}
+	if len(response.TransferEncoding) > 0 {
+		response.Body = &trailerChecker{response.Body, response}
+	}
 	return response, nil
 }
+
+// Read implements io.Reader.
+func (c *trailerChecker) Read(b []byte) (n int, err error) {
+	n, err = c.ReadCloser.Read(b)
+	if errors.Is(err, io.EOF) {
+		if malformed := CheckTrailer(c.response.Trailer); malformed != nil {
+			err = malformed
+		}
+	}
+	return n, err
+}
--- a/transport/responsehead.go
+++ b/transport/responsehead.go
@@ -218,3 +218,16 @@
 	h.fields = h.part == inValue
 	h.part = atLine
 }
+
+// CheckTrailer returns an error if a trailer that net/http has read has a field name
+// that isn't valid.
+func CheckTrailer(trailer http.Header) (err error) {
+	for name := range trailer {
+		for i := range len(name) {
+			if !tokenBytes[name[i]] {
+				return errors.WithType(errors.Errorf("byte %#02x in a field name of a trailer, in %q", name[i], name), ErrMalformedResponse)
+			}
+		}
+	}
+	return nil
+}
