transport, relay: no whole body after a reset that a write has met

Cause: Linux reports a reset (or a timeout) once, to the read or the write that comes first. If the write in the background got it, the next read met the end of the connection, which ends a body without a length. RFC 9112, section 8: such a body is complete unless an error was indicated by the connection. The result of the write was looked at only when the connection was to be reused.

HTTPConn returns io.EOF only after it knows of the writes. A write that has failed: the read fails by the same error. A write that has returned but wasn't waited for: it is waited for. A write under way: it is ended by a deadline, and if it had met no error, the end was orderly; nothing more can be read from the connection then. EPIPE is no such error, because Linux reports it only if the upstream had ended the connection in an orderly way before the reset. So the result no longer depends on who comes first.

In http.Transport the same could happen until it closes the connection for the failed write; not seen in a test, but it reads from HTTPConn too.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -472,8 +472,7 @@
 	written := make(chan error, 1)
 	c.written = written
 	go func() {
-		buffers := net.Buffers{head.Bytes(), request.Body}
-		n, err := buffers.WriteTo(c.Conn)
+		n, err := c.WriteBuffers(net.Buffers{head.Bytes(), request.Body})
 		c.sent.Store(n)
 		written <- err
 	}()
--- a/transport/httpconn.go
+++ b/transport/httpconn.go
@@ -6,7 +6,10 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"os"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -14,7 +17,10 @@
 type (
 	// HTTPConn is a client's connection to an HTTP/1.1 server. Its reads fail with
 	// ErrMalformedResponse at the byte at which the head of a response stops being
-	// valid, so that no reader of the connection gets such a head whole.
+	// valid, so that no reader of the connection gets such a head whole. They return
+	// io.EOF only if the server has ended the connection in an orderly way.
+	//
+	// One goroutine at a time may read from it, and another one write.
 	HTTPConn struct {
 		net.Conn
 
@@ -22,6 +28,9 @@
 		head      responseHead
 		inHead    bool
 		malformed error
+
+		writing  chan struct{} // holds a value during a write
+		writeErr error         // of the first write that failed; owned by the holder of writing
 	}
 
 	// HTTPTransport is an http.Transport whose connections are of type *HTTPConn.
@@ -34,9 +43,12 @@
 	}
 )
 
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
 // NewHTTPConn returns a connection on which a response is expected.
 func NewHTTPConn(conn net.Conn) *HTTPConn {
-	return &HTTPConn{Conn: conn, inHead: true}
+	return &HTTPConn{Conn: conn, inHead: true, writing: make(chan struct{}, 1)}
 }
 
 // BeginResponse notes that a response is expected next. It begins with buffered, the
@@ -88,9 +100,56 @@
 			return checked, malformed
 		}
 	}
+	if errors.Is(err, io.EOF) {
+		err = c.checkEnd()
+	}
+	return n, err
+}
+
+// checkEnd returns io.EOF, or the error of a write if that is why a read met the end of
+// the connection: the system reports a reset or a timeout once, to a read or a write.
+// syscall.EPIPE isn't such an error. It means that the server had ended the connection
+// in an orderly way before it was reset.
+func (c *HTTPConn) checkEnd() (err error) {
+	select {
+	case c.writing <- struct{}{}:
+	default:
+		// A write that waits ends now. One that has met an error returns that.
+		if err = c.Conn.SetWriteDeadline(longAgo); err != nil {
+			return err
+		}
+		c.writing <- struct{}{}
+	}
+	defer func() { <-c.writing }()
+	if c.writeErr == nil || errors.Is(c.writeErr, syscall.EPIPE) || errors.Is(c.writeErr, os.ErrDeadlineExceeded) {
+		return io.EOF
+	}
+	return c.writeErr
+}
+
+// Write implements net.Conn.
+func (c *HTTPConn) Write(b []byte) (n int, err error) {
+	c.writing <- struct{}{}
+	n, err = c.Conn.Write(b)
+	c.endWrite(err)
 	return n, err
 }
 
+// WriteBuffers writes several buffers, if possible at once.
+func (c *HTTPConn) WriteBuffers(buffers net.Buffers) (n int64, err error) {
+	c.writing <- struct{}{}
+	n, err = buffers.WriteTo(c.Conn)
+	c.endWrite(err)
+	return n, err
+}
+
+func (c *HTTPConn) endWrite(err error) {
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	<-c.writing
+}
+
 // NewHTTPTransport returns a transport with the options of base. It replaces the dial
 // functions of base by some that return an *HTTPConn. HTTPS needs base.DialTLSContext.
 func NewHTTPTransport(base *http.Transport) *HTTPTransport {
--- a/transport/httpconn_test.go
+++ b/transport/httpconn_test.go
@@ -7,7 +7,9 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/iotest"
 	"testing/synctest"
@@ -27,11 +29,20 @@
 	"github.com/guavagauge/guavagauge/upstream"
 )
 
-// readConn is a connection from which a text is read.
-type readConn struct {
-	net.Conn
-	reader io.Reader
-}
+type (
+	// readConn is a connection from which a text is read.
+	readConn struct {
+		net.Conn
+		reader io.Reader
+	}
+
+	// endedConn is a connection at whose end a read is while a write waits.
+	endedConn struct {
+		net.Conn
+		begun chan struct{} // the write has
+		end   chan error    // of the write
+	}
+)
 
 // malformed holds responses that are no HTTP/1.1 responses, by what is wrong with them.
 var malformed = map[string]string{
@@ -185,3 +196,59 @@
 		}
 	}
 }
+
+// Read implements net.Conn.
+func (c *endedConn) Read([]byte) (n int, err error) { return 0, io.EOF }
+
+// Write implements net.Conn.
+func (c *endedConn) Write([]byte) (n int, err error) {
+	close(c.begun)
+	return 0, <-c.end
+}
+
+// SetWriteDeadline implements net.Conn. It ends a write that has met no error.
+func (c *endedConn) SetWriteDeadline(time.Time) (err error) {
+	select {
+	case c.end <- os.ErrDeadlineExceeded:
+	default:
+	}
+	return nil
+}
+
+// Guards against the end of a connection that a reset caused and that looks orderly to
+// a read, since the reset was reported to a write.
+func TestEndByResetIsNoEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		write    error // nil: the write waits until its deadline
+		returned bool  // before the read
+		want     error
+	}{
+		"write has failed by a reset":      {syscall.ECONNRESET, true, syscall.ECONNRESET},
+		"write is failing by a reset":      {syscall.ECONNRESET, false, syscall.ECONNRESET},
+		"write has failed by a timeout":    {syscall.ETIMEDOUT, true, syscall.ETIMEDOUT},
+		"write has failed after the end":   {syscall.EPIPE, true, io.EOF},
+		"write is failing after the end":   {syscall.EPIPE, false, io.EOF},
+		"write is under way without error": {nil, false, io.EOF},
+	} {
+		t.Run(name, func(t *testing.T) {
+			raw := &endedConn{begun: make(chan struct{}), end: make(chan error, 1)}
+			conn := transport.NewHTTPConn(raw)
+			if c.write != nil {
+				raw.end <- c.write
+			}
+			written := make(chan struct{})
+			go func() {
+				defer close(written)
+				conn.Write([]byte("request"))
+			}()
+			<-raw.begun
+			if c.returned {
+				<-written
+			}
+			if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, c.want) {
+				t.Errorf("read returned %v, want %v", err, c.want)
+			}
+			<-written
+		})
+	}
+}
