entry: name the upstream in the lines about its broken answers

Lines "upstream response broken" and "prefill failed" left the reader to guess the upstream from the last of Tried.

--- a/entry/call.go
+++ b/entry/call.go
@@ -198,7 +198,7 @@
 		e.log("no memory for an upstream's response", "Error", err)
 	default:
 		job.End(time.Now(), dispatch.Broken)
-		e.log("upstream response broken", "Error", err)
+		e.log("upstream response broken", "Upstream", job.Upstream().ID, "Error", err)
 		if e.ctx.Err() == nil {
 			e.node.probeAfterFailure(e, job)
 		} else {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -134,7 +134,7 @@
 			job.End(time.Now(), dispatch.Abandoned)
 		default:
 			job.End(time.Now(), dispatch.Broken)
-			e.log("prefill failed", "Error", err)
+			e.log("prefill failed", "Upstream", choice.Upstream.ID, "Error", err)
 		}
 		return platform.KVSource{}, false
 	}
@@ -144,7 +144,7 @@
 		e.calls++
 		e.lastReason = reasonRejected
 		job.End(time.Now(), dispatch.Rejected)
-		e.log("prefill failed", "Status", response.Status, "Error", err)
+		e.log("prefill failed", "Upstream", choice.Upstream.ID, "Status", response.Status, "Error", err)
 		return platform.KVSource{}, false
 	}
 	handle, err := platform.DecodeKVHandle(text)
@@ -152,7 +152,7 @@
 		e.calls++
 		e.lastReason = reasonRejected
 		job.End(time.Now(), dispatch.Broken)
-		e.log("prefill failed", "Error", err)
+		e.log("prefill failed", "Upstream", choice.Upstream.ID, "Error", err)
 		return platform.KVSource{}, false
 	}
 	job.End(time.Now(), dispatch.Served)
