transport, relay: one clean-up of a failed handshake; package comments

handshake closed the connection on one of its two errors only; the other can't occur with addresses that dial has parsed. The comments of package relay say what a malformed response and an end without a length mean now. No change of behaviour.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -4,7 +4,7 @@
 // An upstream may respond late, twice, before it has read the request, without a
 // length or not at all. A response is matched to its request by the request ID,
 // and a connection is reused only after a complete response with no bytes after
-// it.
+// it. A response that isn't valid HTTP/1.1 fails the request, which may have run.
 //
 // The package doesn't retry requests and sets no timeout: the context of Send
 // bounds a request until the caller closes the response. The owner of a Pool,
@@ -82,8 +82,9 @@
 		// Count is called with the name of each event: "dial" for a new
 		// connection, "reuse" for a reused one, "stale" for an idle connection
 		// that can't be reused, "evict" for one that is closed to make room for a
-		// connection to another upstream, and "stray" for a response to another
-		// request. It may be nil.
+		// connection to another upstream, "stray" for a response to another request,
+		// and "malformed" for a response whose head or trailer isn't valid. It may be
+		// nil.
 		Count func(event string)
 		// Opening is called before a connection is opened. If it returns false there is no
 		// descriptor for it. It is called again after an idle connection was closed, and
@@ -129,7 +130,7 @@
 	// Response is an upstream's response and the reader of its body. Read returns
 	// io.EOF only after the complete body, except that a body without a length
 	// or chunks, once it has begun, ends with io.EOF wherever the upstream closes
-	// the connection.
+	// the connection in an orderly way.
 	Response struct {
 		Status int
 		Header http.Header
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -95,20 +95,19 @@
 
 // handshake begins TLS on a connection to an address, and closes it on an error.
 func handshake(ctx context.Context, conn net.Conn, config *tls.Config, address string) (secured net.Conn, err error) {
-	if config.ServerName == "" {
-		host, _, err := net.SplitHostPort(address)
+	defer func() {
 		if err != nil {
+			conn.Close()
+		}
+	}()
+	config = config.Clone()
+	if config.ServerName == "" {
+		if config.ServerName, _, err = net.SplitHostPort(address); err != nil {
 			return nil, err
 		}
-		config = config.Clone()
-		config.ServerName = host
 	}
 	client := tls.Client(conn, config)
-	if err = client.HandshakeContext(ctx); err != nil {
-		conn.Close()
-		return nil, err
-	}
-	return client, nil
+	return client, client.HandshakeContext(ctx)
 }
 
 // ListenAddress returns the address at which a Network's listener accepts
