nettest: one place for writes that a test replaces

Three crossing tests had the same hooked connection, and the test of resets during uploads another one; they use nettest.HookedNetwork. No check changed.

--- a/peer/crossing_test.go
+++ b/peer/crossing_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -16,40 +15,16 @@
 	"github.com/guavagauge/guavagauge/peer"
 )
 
-type (
-	// hookedNetwork replaces the next Write on its connections by onWrite.
-	hookedNetwork struct {
-		*nettest.Host
-		dials   atomic.Int64
-		mu      sync.Mutex
-		onWrite func(c net.Conn, b []byte) (n int, err error)
-	}
-
-	hookedConn struct {
-		net.Conn
-		network *hookedNetwork
-	}
-)
-
-// Dial implements transport.Network.
-func (h *hookedNetwork) Dial(ctx context.Context, address netip.AddrPort) (conn net.Conn, err error) {
-	h.dials.Add(1)
-	if conn, err = h.Host.Dial(ctx, address); err != nil {
-		return nil, err
-	}
-	return &hookedConn{conn, h}, nil
+// countedNetwork counts the connections that are opened.
+type countedNetwork struct {
+	nettest.HookedNetwork
+	dials atomic.Int64
 }
 
-// Write implements net.Conn.
-func (c *hookedConn) Write(b []byte) (n int, err error) {
-	c.network.mu.Lock()
-	onWrite := c.network.onWrite
-	c.network.onWrite = nil
-	c.network.mu.Unlock()
-	if onWrite != nil {
-		return onWrite(c.Conn, b)
-	}
-	return c.Conn.Write(b)
+// Dial implements transport.Network.
+func (c *countedNetwork) Dial(ctx context.Context, address netip.AddrPort) (conn net.Conn, err error) {
+	c.dials.Add(1)
+	return c.HookedNetwork.Dial(ctx, address)
 }
 
 // Guards against a call that fails though it was never sent, or is sent twice, when
@@ -97,7 +72,7 @@
 					}
 				}
 				restart()
-				hooked := &hookedNetwork{Host: network.Host(caller)}
+				hooked := &countedNetwork{HookedNetwork: nettest.HookedNetwork{Network: network.Host(caller)}}
 				pool := peer.NewPool(ctx, hooked, peer.Data, peer.Options{})
 				var reply string
 				if err := pool.Call(ctx, address, "Echo.Say", "a", &reply); err != nil {
@@ -106,7 +81,7 @@
 				if test.before != nil {
 					test.before(restart)
 				} else {
-					hooked.onWrite = func(conn net.Conn, b []byte) (n int, err error) { return test.cross(network, restart, conn, b) }
+					hooked.ReplaceNextWrite(func(conn net.Conn, b []byte) (n int, err error) { return test.cross(network, restart, conn, b) })
 				}
 				err := pool.Call(ctx, address, "Echo.Say", "b", &reply)
 				synctest.Wait()
@@ -140,7 +115,7 @@
 		if err := peer.NewServer(ctx, listener, peer.Options{}).Register("Echo", &echo{}); err != nil {
 			t.Fatal(err)
 		}
-		hooked := &hookedNetwork{Host: network.Host("10.0.0.1")}
+		hooked := &countedNetwork{HookedNetwork: nettest.HookedNetwork{Network: network.Host("10.0.0.1")}}
 		pool := peer.NewPool(ctx, hooked, peer.Data, peer.Options{})
 		var reply string
 		for range 2 {
@@ -171,7 +146,7 @@
 		if err := peer.NewServer(ctx, listener, peer.Options{}).Register("Echo", receiver); err != nil {
 			t.Fatal(err)
 		}
-		hooked := &hookedNetwork{Host: network.Host("10.0.0.1")}
+		hooked := &countedNetwork{HookedNetwork: nettest.HookedNetwork{Network: network.Host("10.0.0.1")}}
 		pool := peer.NewPool(ctx, hooked, peer.Control, peer.Options{})
 		var reply string
 		if err := pool.Call(ctx, address, "Echo.Say", "a", &reply); err != nil {
@@ -189,12 +164,10 @@
 			}
 		}()
 		synctest.Wait()
-		hooked.mu.Lock()
-		hooked.onWrite = func(conn net.Conn, b []byte) (n int, err error) {
+		hooked.ReplaceNextWrite(func(conn net.Conn, b []byte) (n int, err error) {
 			<-closed
 			return conn.Write(b)
-		}
-		hooked.mu.Unlock()
+		})
 		if err := pool.Call(ctx, address, "Echo.Say", "b", &reply); err != nil || reply != "b" || receiver.calls.Load() != 2 {
 			t.Errorf("reply %q, error %v, %d calls ran, want b after 2", reply, err, receiver.calls.Load())
 		}
--- a/relay/crossing_test.go
+++ b/relay/crossing_test.go
@@ -26,18 +26,12 @@
 		t       *testing.T
 		ctx     context.Context
 		network *nettest.Network
-		host    *nettest.Host
+		dialer  *nettest.HookedNetwork // of the pool
 		pool    *relay.Pool
 
 		mu       sync.Mutex
 		accepted []net.Conn
-		ran      []string                                      // IDs of the requests that the upstream read
-		onWrite  func(c net.Conn, b []byte) (n int, err error) // replaces the next Write of the pool
-	}
-
-	hookedConn struct {
-		net.Conn
-		crossing *crossing
+		ran      []string // IDs of the requests that the upstream read
 	}
 )
 
@@ -47,8 +41,8 @@
 		network := nettest.New()
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
-		c := &crossing{t: t, ctx: ctx, network: network, host: network.Host("10.0.0.9")}
-		c.pool = relay.New(relay.Options{Network: c})
+		c := &crossing{t: t, ctx: ctx, network: network, dialer: &nettest.HookedNetwork{Network: network.Host("10.0.0.9")}}
+		c.pool = relay.New(relay.Options{Network: c.dialer})
 		defer c.pool.Forget("u")
 		defer c.listen(upstreamAddress)()
 		test(c)
@@ -96,31 +90,6 @@
 	}
 }
 
-// Dial implements transport.Network.
-func (c *crossing) Dial(ctx context.Context, address netip.AddrPort) (conn net.Conn, err error) {
-	if conn, err = c.host.Dial(ctx, address); err != nil {
-		return nil, err
-	}
-	return &hookedConn{conn, c}, nil
-}
-
-// Listen implements transport.Network.
-func (c *crossing) Listen(ctx context.Context, address netip.AddrPort) (listener net.Listener, err error) {
-	return c.host.Listen(ctx, address)
-}
-
-// Write implements net.Conn.
-func (h *hookedConn) Write(b []byte) (n int, err error) {
-	h.crossing.mu.Lock()
-	onWrite := h.crossing.onWrite
-	h.crossing.onWrite = nil
-	h.crossing.mu.Unlock()
-	if onWrite != nil {
-		return onWrite(h.Conn, b)
-	}
-	return h.Conn.Write(b)
-}
-
 // first returns the upstream's end of the first connection.
 func (c *crossing) first() (conn net.Conn) {
 	c.mu.Lock()
@@ -195,7 +164,7 @@
 					c.mustSend("q1")
 					ctx, cancel := context.WithCancel(c.ctx)
 					defer cancel()
-					c.onWrite = func(conn net.Conn, b []byte) (n int, err error) { return test.cross(c, cancel, conn, b) }
+					c.dialer.ReplaceNextWrite(func(conn net.Conn, b []byte) (n int, err error) { return test.cross(c, cancel, conn, b) })
 					response, err := c.send(ctx, "q2", body, relay.Target{}, nil)
 					got := answered
 					var failure *relay.Failure
@@ -309,10 +278,10 @@
 		<-time.After(4 * time.Second) // the caller reads slowly; the upstream closes after 5 s
 		response.Close()
 		<-time.After(time.Second)
-		c.onWrite = func(conn net.Conn, b []byte) (n int, err error) {
+		c.dialer.ReplaceNextWrite(func(conn net.Conn, b []byte) (n int, err error) {
 			defer c.first().Close()
 			return conn.Write(b)
-		}
+		})
 		c.mustSend("q2")
 	})
 }
--- a/relay/reset_test.go
+++ b/relay/reset_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"testing"
 
+	"github.com/guavagauge/guavagauge/nettest"
 	"github.com/guavagauge/guavagauge/platform"
 	"github.com/guavagauge/guavagauge/platformtest"
 	"github.com/guavagauge/guavagauge/relay"
@@ -16,33 +16,6 @@
 
 const uploadBytes = 32 << 20 // more than the sockets buffer
 
-type (
-	// uploadNetwork reports the end of each write of uploadBytes.
-	uploadNetwork struct {
-		platform.Network
-		written chan error
-	}
-
-	uploadConn struct {
-		net.Conn
-		written chan error
-	}
-)
-
-// Dial implements transport.Network.
-func (n uploadNetwork) Dial(ctx context.Context, address netip.AddrPort) (conn net.Conn, err error) {
-	conn, err = n.Network.Dial(ctx, address)
-	return &uploadConn{conn, n.written}, err
-}
-
-// Write implements net.Conn.
-func (c *uploadConn) Write(b []byte) (n int, err error) {
-	if n, err = c.Conn.Write(b); len(b) == uploadBytes {
-		c.written <- err
-	}
-	return n, err
-}
-
 // Guards against a body that is reset while the request is still being written, and is
 // taken for whole because the system reported the reset to the write. The body has no
 // length. One whose upstream ends the connection in an orderly way is whole, whether the
@@ -85,7 +58,16 @@
 				<-received
 				c.end(conn.(*net.TCPConn), request)
 			}()
-			network := uploadNetwork{written: make(chan error, 1)}
+			written := make(chan error, 1) // the body of the request
+			network := &nettest.HookedNetwork{Network: platform.Network{}}
+			network.ReplaceNextWrite(func(conn net.Conn, head []byte) (n int, err error) {
+				network.ReplaceNextWrite(func(conn net.Conn, body []byte) (n int, err error) {
+					n, err = conn.Write(body)
+					written <- err
+					return n, err
+				})
+				return conn.Write(head)
+			})
 			pool := relay.New(relay.Options{Network: network})
 			target := relay.Target{ID: "u", Address: netip.MustParseAddrPort(listener.Addr().String())}
 			response, err := pool.Send(t.Context(), target, &relay.Request{
@@ -100,7 +82,7 @@
 			}
 			close(received)
 			if !c.whole {
-				if err = <-network.written; err == nil {
+				if err = <-written; err == nil {
 					t.Error("the request was written")
 				}
 			}
