--- a/transport/responsehead.go
+++ b/transport/responsehead.go
@@ -112,15 +112,12 @@
 	if h.inCRLF && b != '\n' {
 		return "carriage return without a line feed"
 	}
-	if lineMayEnd := h.part == inStatus && h.matched == statusDigits || h.part == inReason || h.part == atLine || h.part == inValue; lineMayEnd {
-		switch b {
-		case '\r':
-			h.inCRLF = true
-			return ""
-		case '\n':
+	if (b == '\r' || b == '\n') && h.lineMayEnd() {
+		h.inCRLF = b == '\r'
+		if b == '\n' {
 			h.endLine()
-			return ""
 		}
+		return ""
 	}
 	switch h.part {
 	case inVersion:
@@ -153,6 +150,16 @@
 	return ""
 }
 
+// lineMayEnd reports whether the line is complete.
+func (h *responseHead) lineMayEnd() (ok bool) {
+	switch h.part {
+	case inReason, atLine, inValue:
+		return true
+	default: // a status may come without a reason phrase
+		return h.part == inStatus && h.matched == statusDigits
+	}
+}
+
 func (h *responseHead) stepVersion(b byte) (problem string) {
 	switch {
 	case h.matched < len(versionPrefix):
@@ -210,7 +217,6 @@
 }
 
 func (h *responseHead) endLine() {
-	h.inCRLF = false
 	if h.part == atLine {
 		h.part = headEnd
 		return
