--- a/transport/responsehead.go
+++ b/transport/responsehead.go
@@ -179,12 +179,12 @@
 	if h.matched == statusDigits {
 		h.part = inReason
 		if b != ' ' {
-			return "status of more than three digits"
+			return "status that isn't three digits"
 		}
 		return ""
 	}
 	if b < '0' || b > '9' {
-		return "status that isn't a number of three digits"
+		return "status that isn't three digits"
 	}
 	h.status = 10*h.status + int(b-'0')
 	h.matched++
