transport: no answer in bytes that were read before its call began

Cause: http.Transport had read those bytes with the response before. It gives the connection back before it looks whether bytes are left, so the next call could begin and take them for its answer. HTTPConn had passed them on as a part of the body, and the check of heads saw only what came later.

A call on HTTPTransport now begins once http.Transport reads from the connection again or has closed it. It reads without a call only if it has nothing left, and closes the connection otherwise. relay looks at its own buffer and wasn't affected.

--- a/service/client_test.go
+++ b/service/client_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +16,7 @@
 	"github.com/guavagauge/guavagauge/nettest"
 	"github.com/guavagauge/guavagauge/service"
 	"github.com/guavagauge/guavagauge/servicetest"
+	"github.com/guavagauge/guavagauge/transport"
 	"github.com/guavagauge/guavagauge/upstream"
 )
 
@@ -115,3 +119,33 @@
 		}
 	})
 }
+
+// Guards against bytes that a faulty worker sends behind a whole response and that are
+// taken for the answer to the next call, since net/http has read them before that began.
+func TestBytesBehindResponseAreNoAnswer(t *testing.T) {
+	const calls, response = 20_000, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, buffered, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		io.Copy(io.Discard, r.Body)
+		for _, behind := range []string{strings.Replace(response, "200", "000", 1), "", ""} {
+			if _, err = io.WriteString(conn, response+behind); err != nil {
+				return
+			}
+			if _, err = http.ReadRequest(buffered.Reader); err != nil {
+				return
+			}
+		}
+	}))
+	defer server.Close()
+	client := service.NewClient(transport.TCP{}, netip.MustParseAddrPort(server.Listener.Addr().String()), service.Options{})
+	defer client.Close()
+	for range calls {
+		if got, err := client.Call(t.Context(), upstream.Call{Method: http.MethodPost, Target: "/x"}); err == nil && got.Status != http.StatusOK {
+			t.Fatalf("status %d, want 200 or an error", got.Status)
+		}
+	}
+}
--- a/transport/httpconn.go
+++ b/transport/httpconn.go
@@ -28,6 +28,9 @@
 		head      responseHead
 		inHead    bool
 		malformed error
+		reading   bool // a Read waits for bytes
+		closed    bool
+		changed   chan struct{} // closed when a Read begins or the connection is closed; nil if nobody waits
 
 		writing  chan struct{} // holds a value during a write
 		writeErr error         // of the first write that failed; owned by the holder of writing
@@ -61,6 +64,45 @@
 	return err
 }
 
+// beginCall is BeginResponse for a reader that doesn't tell what it has buffered, but
+// reads from a connection without a call only while it has nothing buffered, and closes
+// it otherwise. Both http.Transport does. beginCall waits for one of them, since a
+// faulty server may have sent bytes behind the response before.
+func (c *HTTPConn) beginCall(ctx context.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for !c.reading && !c.closed && ctx.Err() == nil {
+		if c.changed == nil {
+			c.changed = make(chan struct{})
+		}
+		changed := c.changed
+		c.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+		c.mu.Lock()
+	}
+	c.head, c.inHead = responseHead{}, true
+}
+
+// wake ends the waits of beginCall. The caller holds mu.
+func (c *HTTPConn) wake() {
+	if c.changed != nil {
+		close(c.changed)
+		c.changed = nil
+	}
+}
+
+// Close implements net.Conn.
+func (c *HTTPConn) Close() (err error) {
+	c.mu.Lock()
+	c.closed = true
+	c.wake()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
 // Malformed returns the error of a malformed head, or nil.
 func (c *HTTPConn) Malformed() (err error) {
 	c.mu.Lock()
@@ -88,17 +130,16 @@
 
 // Read implements net.Conn.
 func (c *HTTPConn) Read(b []byte) (n int, err error) {
-	if err = c.Malformed(); err != nil {
+	if err = c.beginRead(); err != nil {
 		return 0, err
 	}
 	n, err = c.Conn.Read(b)
-	if n > 0 {
-		c.mu.Lock()
-		checked, malformed := c.check(b[:n])
-		c.mu.Unlock()
-		if malformed != nil {
-			return checked, malformed
-		}
+	c.mu.Lock()
+	c.reading = false
+	checked, malformed := c.check(b[:n])
+	c.mu.Unlock()
+	if malformed != nil {
+		return checked, malformed
 	}
 	if errors.Is(err, io.EOF) {
 		err = c.checkEnd()
@@ -106,6 +147,17 @@
 	return n, err
 }
 
+// beginRead returns the error of a malformed head, after which nothing is read.
+func (c *HTTPConn) beginRead() (err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.malformed == nil {
+		c.reading = true
+		c.wake()
+	}
+	return c.malformed
+}
+
 // checkEnd returns io.EOF, or the error of a write if that is why a read met the end of
 // the connection: the system reports a reset or a timeout once, to a read or a write.
 // syscall.EPIPE isn't such an error. It means that the server had ended the connection
@@ -173,7 +225,7 @@
 	var conn *HTTPConn // of the last attempt
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		conn = info.Conn.(*HTTPConn)
-		_ = conn.BeginResponse(nil) // without bytes there is no error
+		conn.beginCall(request.Context())
 	}})
 	response, err = t.Transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
