--- a/review/standin-3/deadly.go
+++ b/review/standin-3/deadly.go
@@ -51,7 +51,7 @@
 		d.addWorker(zone, 1)
 	}
 	f.addWorker("i-arc-1", "archive", "mbeya-a", "", 6, func(w *worker, c net.Conn) {
-		d.serve(w, c, func(q *request) (status int, body string) { return http.StatusOK, "archived" })
+		d.serve(w, c, func(_ *request) (status int, body string) { return http.StatusOK, "archived" })
 	})
 	kind, attempts := "idempotent", 2
 	if once {
